Add the kernel, the error kinds and the wire messages

Cause: every other part registers plug-ins, returns typed errors or sends these messages. Conclusion: the decision packages hold no I/O.

--- /dev/null
+++ b/core/routing/routing.go
@@ -0,0 +1,56 @@
+// Package routing chooses the endpoint for one attempt of a prompt.
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Candidate is what is known of one endpoint when a prompt is routed.
+type Candidate struct {
+	Endpoint      string
+	Agent         string
+	FailureDomain string
+	WeightVersion string
+
+	Slots        int
+	Running      int           // sequences in the engine, by the last report
+	Waiting      int           // requests queued at the agent, by the last report
+	QueuedTokens int           // prefill tokens queued at the agent, by the last report
+	ReportAge    time.Duration // negative when there never was a report
+	OwnInFlight  int           // this entry's choices since that report
+	OwnTokens    int           // and their prefill tokens
+
+	Hop          time.Duration // one way from the entry
+	EngineTokens int           // prefix tokens believed to be in the engine's cache
+	StoreTokens  int           // prefix tokens believed to be in a store
+	FetchWait    time.Duration // wait until the store's link is free
+	FetchRate    float64       // bytes per second that the link gives now
+	Suspect      bool
+}
+
+// Request is the prompt to route.
+type Request struct {
+	Customer        string
+	Conversation    string
+	Priority        string
+	PromptTokens    int
+	MaxTokens       int
+	PrefillRate     float64 // tokens per second of one endpoint of the model
+	DecodeMs        float64 // per token
+	KVBytesPerToken int64
+	Sticky          uint64 // hash of customer and conversation
+}
+
+// Choice is the endpoint chosen.
+type Choice struct {
+	Index    int           // into the candidates, -1 when there is none
+	Estimate time.Duration // of the time to first token
+	Fetch    bool          // import the prefix from the store
+}
+
+// Policy chooses an endpoint. Implementations are pure: they use only their
+// arguments, keep no state, and don't allocate.
+type Policy interface {
+	Choose(r *Request, cs []Candidate, rng *rand.Rand) Choice
+}
