Serve a prompt from caller to engine through separate processes

Cause: the whole path has to stand before its parts grow. Conclusion: the path is thin: plain services, claims, gossip, stores and admission are still missing.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,47 @@
+# Each target works on a fresh machine with Go, GNU Make and apt.
+SHELL := /bin/bash
+.SHELLFLAGS := -eu -o pipefail -c
+export CGO_ENABLED := 1
+
+MODULES := . ./core ./standin ./bench
+PACKAGES := ./... ./core/... ./standin/... ./bench/...
+# Tests listed in KNOWN-RED.txt are passed over and printed.
+RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd'|')
+SKIP := $(if $(RED),-skip '^($(RED))$$')
+# netcgo links the resolver of the C library, as for any other program.
+TAGS := -tags netcgo
+
+.PHONY: build demo test unit lint tidy generate apt-tools modelcheck measure capacity load faults fuzz
+
+build:
+	go build $(TAGS) -o bin/ ./cmd/... ./standin/cmd/... ./bench/cmd/...
+
+demo: build
+	./bin/demo $(if $(KEEP),--keep)
+
+# All that CI checks.
+test: lint unit
+	$(MAKE) demo
+	@if [ -n "$(RED)" ]; then echo "passed over, see KNOWN-RED.txt: $(RED)"; fi
+
+unit: build
+	go test -race $(TAGS) $(SKIP) $(PACKAGES)
+
+lint: generate
+	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); echo 'run gofmt -w on these files'; exit 1; }
+	go vet $(PACKAGES)
+	go tool staticcheck $(PACKAGES)
+
+# Fails when the committed code was not generated from the definitions.
+generate: apt-tools
+	mkdir -p .cache/gen
+	go build -o .cache/gen/ google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
+	PATH=$$PWD/.cache/gen:$$PATH protoc --go_out=.cache/gen --go_opt=module=github.com/galenaweir/galenaweir \
+	  --go-grpc_out=.cache/gen --go-grpc_opt=module=github.com/galenaweir/galenaweir rpc/galenaweir.proto
+	@for f in .cache/gen/rpc/*.go; do cmp $$f rpc/$$(basename $$f) || { echo "copy .cache/gen/rpc/*.go to rpc/ and commit them"; exit 1; }; done
+
+tidy:
+	@for m in $(MODULES); do (cd $$m && GOWORK=off go mod tidy); done
+
+apt-tools:
+	@command -v protoc >/dev/null && command -v spin >/dev/null || { apt-get update -qq && apt-get install -y -qq protobuf-compiler spin; }
--- /dev/null
+++ b/agent/attempt.go
@@ -0,0 +1,210 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/galenaweir/galenaweir/core/apierr"
+	"github.com/galenaweir/galenaweir/core/stream"
+	"github.com/galenaweir/galenaweir/protocol"
+	"github.com/galenaweir/galenaweir/rpc"
+)
+
+// attempt is one attempt of a prompt: the frames that the engine has sent so
+// far, kept for followers that come back after a silent connection.
+type attempt struct {
+	id       string
+	customer string
+	endpoint string
+	address  string // of the engine
+	cancel   context.CancelCauseFunc
+
+	mu        sync.Mutex
+	frames    []*rpc.Frame
+	err       error // set when the attempt has failed
+	done      bool
+	changed   chan struct{}
+	followers int
+	orphaned  *time.Timer
+}
+
+func (a *attempt) wake() {
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+// since returns the frames from seq on, and how the attempt stands.
+func (a *attempt) since(seq uint64) (frames []*rpc.Frame, done bool, changed <-chan struct{}, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if seq < uint64(len(a.frames)) {
+		frames = a.frames[seq:]
+	}
+	return frames, a.done, a.changed, a.err
+}
+
+func (a *attempt) add(f *rpc.Frame) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.frames = append(a.frames, f)
+	a.wake()
+}
+
+func (a *attempt) finish(err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.done, a.err = true, err
+	a.wake()
+}
+
+// errSilent is the cause of cancelling a stream that sent nothing for the limit.
+var errSilent = errors.New("the engine's stream went silent")
+
+// errOrphaned is the cause of cancelling an attempt that nobody follows.
+var errOrphaned = errors.New("no entry follows the attempt")
+
+// errCancelled is the cause of an attempt that its caller gave up.
+var errCancelled = errors.New("the caller cancelled the attempt")
+
+// maxEngineResumes bounds the reconnections of one attempt without progress.
+const maxEngineResumes = 5
+
+// resumePause is the time before a stream is resumed after an error.
+const resumePause = 50 * time.Millisecond
+
+// runner copies an engine's stream into an attempt; it resumes the stream until
+// its end frame has come.
+type runner struct {
+	engine  protocol.Engine
+	silence time.Duration
+	dropped func() // counts a frame that didn't fit
+}
+
+// run returns nil when the answer is whole.
+func (r *runner) run(ctx context.Context, a *attempt, req *protocol.Request, resume bool) error {
+	check := stream.NewChecker(a.id, a.customer)
+	failures := 0
+	for {
+		before := check.Next()
+		err := r.once(ctx, a, req, check, resume)
+		switch {
+		case check.Whole():
+			return nil
+		case ctx.Err() != nil:
+			return context.Cause(ctx)
+		case errors.Is(err, protocol.ErrVersion), errors.Is(err, protocol.ErrRefused),
+			errors.Is(err, protocol.ErrNoConnect) && !resume, errors.Is(err, protocol.ErrNotFound):
+			return err
+		}
+		if check.Next() > before {
+			failures = 0
+		}
+		failures++
+		if failures > maxEngineResumes {
+			return fmt.Errorf("gave up after %d resumes without progress: %w", failures-1, err)
+		}
+		log.Warn().Str("attempt", a.id).Str("endpoint", a.endpoint).Uint64("seq", check.Next()).Err(err).Msg("engine stream resumed")
+		resume = true
+		if !sleep(ctx, resumePause) {
+			return context.Cause(ctx)
+		}
+	}
+}
+
+// once follows one connection to the engine until it ends or goes silent.
+func (r *runner) once(ctx context.Context, a *attempt, req *protocol.Request, check *stream.Checker, resume bool) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watchdog := time.AfterFunc(r.silence, func() { cancel(errSilent) })
+	defer watchdog.Stop()
+	sink := func(e protocol.Event) error {
+		watchdog.Reset(r.silence)
+		return r.accept(a, check, e)
+	}
+	var err error
+	if resume {
+		err = r.engine.Resume(ctx, a.address, a.id, check.Next(), sink)
+	} else {
+		err = r.engine.Generate(ctx, a.address, req, sink)
+	}
+	if cause := context.Cause(ctx); errors.Is(cause, errSilent) {
+		return cause
+	}
+	return err
+}
+
+// accept checks one event and keeps it as a frame.
+func (r *runner) accept(a *attempt, check *stream.Checker, e protocol.Event) error {
+	if e.Kind == protocol.KeepAlive {
+		return nil
+	}
+	var v stream.Verdict
+	if e.Kind == protocol.Ended {
+		v = check.End(e.AttemptID, a.customer, e.Seq, e.LengthBytes)
+	} else {
+		v = check.Frame(e.AttemptID, a.customer, e.Seq, len(e.Text))
+	}
+	switch v {
+	case stream.Accept:
+		a.add(frameOf(a, e))
+	case stream.Foreign:
+		r.dropped()
+	case stream.Gap:
+		return fmt.Errorf("%w: frame %d came, %d was expected", protocol.ErrCut, e.Seq, check.Next())
+	}
+	return nil
+}
+
+func frameOf(a *attempt, e protocol.Event) *rpc.Frame {
+	f := &rpc.Frame{AttemptId: a.id, Customer: a.customer, Seq: e.Seq}
+	switch e.Kind {
+	case protocol.Started:
+		f.Body = &rpc.Frame_Start{Start: &rpc.Start{
+			Endpoint: a.endpoint, WeightVersion: e.WeightVersion,
+			PromptTokens: uint32(e.PromptTokens), CachedTokens: uint32(e.CachedTokens),
+		}}
+	case protocol.Text:
+		f.Body = &rpc.Frame_Token{Token: &rpc.Token{Text: e.Text, Tokens: 1}}
+	case protocol.Ended:
+		f.Body = &rpc.Frame_End{End: &rpc.End{
+			FinishReason: e.FinishReason, LengthBytes: e.LengthBytes, PromptTokens: uint32(e.PromptTokens),
+			CachedTokens: uint32(e.CachedTokens), CompletionTokens: uint32(e.OutputTokens),
+		}}
+	}
+	return f
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// translate turns an error of an attempt into its typed kind. ran tells whether
+// any frame had come from the engine.
+func translate(err error, endpoint string, ran bool) error {
+	outcome := apierr.NotRun
+	if ran {
+		outcome = apierr.DidRun
+	}
+	const retryAfter = 200 * time.Millisecond
+	switch {
+	case errors.Is(err, errCancelled), errors.Is(err, errOrphaned):
+		return apierr.New(apierr.Cancelled, outcome, "the attempt was cancelled", "send the request again if its answer is still wanted")
+	case errors.Is(err, context.DeadlineExceeded):
+		return apierr.New(apierr.DeadlineExceeded, outcome, "the deadline passed", "allow more time with Galenaweir-Deadline-Ms")
+	case errors.Is(err, protocol.ErrVersion):
+		return apierr.Retry(apierr.EndpointFailed, apierr.NotRun, retryAfter, "endpoint "+endpoint+" has another weight version loaded", "retry; another endpoint is tried").WithCause(err)
+	}
+	return apierr.Retry(apierr.EndpointFailed, outcome, retryAfter, "endpoint "+endpoint+" failed", "retry; if it persists, look at the endpoint's host").WithCause(err)
+}
--- /dev/null
+++ b/bench/local/document.go
@@ -0,0 +1,68 @@
+package local
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strings"
+
+	"github.com/galenaweir/galenaweir/core/config"
+)
+
+// document returns the configuration of the deployment.
+func (d *Deployment) document() *config.Document {
+	doc := &config.Document{
+		Deployment:     "guj-west",
+		FailureDomains: map[string]config.FailureDomain{},
+		Customers:      map[string]config.Customer{},
+		Links:          map[string]config.Link{},
+		Stores:         map[string]config.Store{},
+		Priorities: map[string]config.Priority{
+			"interactive": {Rank: 2, ReservedSlots: 2, DefaultDeadlineMs: 10_000},
+			"standard":    {Rank: 1, MinShare: 0.2, DefaultDeadlineMs: 60_000},
+			"batch":       {Rank: 0, MinShare: 0.1, DefaultDeadlineMs: 600_000},
+		},
+		Models: map[string]config.Model{Model: {
+			WeightVersion: "v1", MaxLoading: 2, MinServingShare: 0.5, KVBytesPerToken: 16,
+			PrefillTokensPerSecond: 8000, DecodeMsPerToken: 5, MaxContextTokens: 131_072,
+		}},
+		Services: map[string]config.Service{Service: {Rules: []config.Rule{
+			{Method: "POST", PathPrefix: "/payments", TimeoutMs: 5000},
+			{Method: "GET", PathPrefix: "/balances/", Idempotent: true, Lookup: true, TimeoutMs: 2000},
+			{Method: "POST", PathPrefix: "/echo", Idempotent: true, TimeoutMs: 2000},
+		}}},
+		Endpoints: map[string]config.Endpoint{},
+		Policies:  config.Policies{Routing: "routing.least_load"},
+		Claims:    config.Claims{Partitions: 8, KeyWindowSeconds: 86_400, GroupIntervalMs: 40, MaxAnswerBytes: 65_536},
+	}
+	for _, fd := range failureDomains {
+		doc.FailureDomains[fd] = config.FailureDomain{Region: "gujarat"}
+	}
+	for i, a := range d.Engines {
+		doc.Endpoints[fmt.Sprintf("naviq-%d", i)] = config.Endpoint{
+			Host: fmt.Sprintf("host-%d", i), FailureDomain: failureDomains[i%len(failureDomains)], Agent: agentName(i),
+			Address: a, Model: Model, Slots: 16, Accelerators: 4, KVTokens: 65_536,
+		}
+	}
+	for i, a := range d.ServiceAddrs {
+		doc.Endpoints[fmt.Sprintf("levy-%d", i)] = config.Endpoint{
+			Host: fmt.Sprintf("host-%d", i), FailureDomain: failureDomains[i%len(failureDomains)], Agent: agentName(i),
+			Address: a, Service: Service,
+		}
+	}
+	for _, c := range d.o.Customers {
+		doc.Customers[c] = customer(c)
+	}
+	return doc
+}
+
+func customer(id string) config.Customer {
+	_, secret, _ := strings.Cut(Secret(id), ".")
+	salt := make([]byte, 16)
+	sum := sha256.Sum256(append(salt, secret...))
+	return config.Customer{
+		Keys:   map[string]config.Key{"first": {Salt: hex.EncodeToString(salt), SHA256: hex.EncodeToString(sum[:])}},
+		Weight: 1, TokensPerSecond: 1e6, BurstTokens: 1e6, Models: []string{Model}, Services: []string{Service},
+		MaxPriority: "interactive",
+	}
+}
--- /dev/null
+++ b/bench/local/process.go
@@ -0,0 +1,88 @@
+package local
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Process is one running program of the deployment.
+type Process struct {
+	Name string
+	path string
+	args []string
+	log  string // file of its standard error
+
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+func (p *Process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return fmt.Errorf("start %s: %w", p.Name, err)
+	}
+	defer out.Close()
+	cmd := exec.Command(p.path, p.args...)
+	cmd.Stdout, cmd.Stderr = out, out
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", p.Name, err)
+	}
+	done := make(chan struct{})
+	p.cmd, p.done = cmd, done
+	go func() {
+		_ = cmd.Wait()
+		close(done)
+	}()
+	return nil
+}
+
+// Signal sends a signal, such as SIGSTOP to pause the process.
+func (p *Process) Signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// Wait waits for the process to end; it returns false after the limit.
+func (p *Process) Wait(limit time.Duration) bool {
+	p.mu.Lock()
+	done := p.done
+	p.mu.Unlock()
+	select {
+	case <-done:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+// Kill ends the process at once.
+func (p *Process) Kill() {
+	p.Signal(syscall.SIGKILL)
+	p.Wait(killWait)
+}
+
+// Restart starts an ended process again, with the same settings.
+func (p *Process) Restart() error { return p.start() }
+
+const killWait = 5 * time.Second
+
+func (d *Deployment) startProcess(name, program string, args ...string) (*Process, error) {
+	p := &Process{Name: name, path: filepath.Join(d.o.Bin, program), args: args, log: filepath.Join(d.dir, name+".log")}
+	if err := p.start(); err != nil {
+		return nil, err
+	}
+	d.Processes[name] = p
+	return p, nil
+}
--- /dev/null
+++ b/hostlist/hostlist.go
@@ -0,0 +1,62 @@
+// Package hostlist is the client of the platform's lagging list of hosts.
+package hostlist
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+// Host is one entry of the list.
+type Host struct {
+	ID            string `json:"id"`
+	Role          string `json:"role"`    // entry or agent
+	Address       string `json:"address"` // of the system's process, IP number and port
+	FailureDomain string `json:"failure_domain"`
+	Region        string `json:"region"`
+	Leaving       bool   `json:"leaving"`
+}
+
+// List is the answer of the platform.
+type List struct {
+	AsOfMs int64  `json:"as_of_ms"` // Unix milliseconds
+	Hosts  []Host `json:"hosts"`
+}
+
+// Client reads the list over HTTP.
+type Client struct {
+	url  string
+	http *http.Client
+}
+
+// maxListBytes bounds the answer.
+const maxListBytes = 4 << 20
+
+// New returns a client of the list at an IP number and port.
+func New(address string, timeout time.Duration) *Client {
+	return &Client{url: "http://" + address + "/v1/hosts", http: &http.Client{Timeout: timeout}}
+}
+
+// Hosts returns the list as the platform gives it now.
+func (c *Client) Hosts(ctx context.Context) (List, error) {
+	var l List
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
+	if err != nil {
+		return l, fmt.Errorf("read the host list: %w", err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return l, fmt.Errorf("read the host list: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return l, fmt.Errorf("read the host list: status %d", resp.StatusCode)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&l); err != nil {
+		return l, fmt.Errorf("read the host list: %w", err)
+	}
+	return l, nil
+}
--- /dev/null
+++ b/protocol/streaming/streaming.go
@@ -0,0 +1,285 @@
+// Package streaming registers protocol.streaming: completions over HTTP with
+// server-sent events, and the extensions for resume, cancel, KV transfer, cache
+// events, load reports and orders.
+package streaming
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/galenaweir/galenaweir/core/kernel"
+	"github.com/galenaweir/galenaweir/core/prefix"
+	"github.com/galenaweir/galenaweir/protocol"
+)
+
+// ID is the plug-in's name.
+const ID kernel.ID = "protocol.streaming"
+
+func init() { kernel.Register(kernel.Info{ID: ID, New: func() any { return New() }}) }
+
+const (
+	maxLineBytes    = 1 << 20
+	maxAnswerBytes  = 64 << 20
+	idleConnTimeout = time.Minute
+	maxIdlePerHost  = 64
+)
+
+// Client implements protocol.Engine.
+type Client struct{ http *http.Client }
+
+// New returns a client.
+func New() *Client {
+	return &Client{http: &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idleConnTimeout,
+	}}}
+}
+
+type completion struct {
+	RequestID     string `json:"request_id"`
+	Model         string `json:"model"`
+	Prompt        string `json:"prompt"`
+	Continue      string `json:"continue,omitempty"`
+	MaxTokens     int    `json:"max_tokens"`
+	Priority      int    `json:"priority"`
+	CacheSalt     string `json:"cache_salt"`
+	WeightVersion string `json:"weight_version,omitempty"`
+	Stream        bool   `json:"stream"`
+}
+
+type frame struct {
+	ID      string `json:"id"`
+	Seq     uint64 `json:"seq"`
+	Choices []struct {
+		Text         string `json:"text"`
+		FinishReason string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage *struct {
+		PromptTokens     int `json:"prompt_tokens"`
+		CachedTokens     int `json:"cached_tokens"`
+		CompletionTokens int `json:"completion_tokens"`
+	} `json:"usage"`
+	WeightVersion string `json:"weight_version"`
+	LengthBytes   uint64 `json:"length_bytes"`
+}
+
+// Generate implements protocol.Engine.
+func (c *Client) Generate(ctx context.Context, address string, r *protocol.Request, sink func(protocol.Event) error) error {
+	b, err := json.Marshal(completion{r.AttemptID, r.Model, r.Prompt, r.Continue, r.MaxTokens, r.Priority, r.CacheSalt, r.WeightVersion, true})
+	if err != nil {
+		return fmt.Errorf("encode the completion: %w", err)
+	}
+	resp, err := c.do(ctx, http.MethodPost, address, "/v1/completions", b)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return readStream(resp.Body, sink)
+}
+
+// Resume implements protocol.Engine.
+func (c *Client) Resume(ctx context.Context, address, attemptID string, fromSeq uint64, sink func(protocol.Event) error) error {
+	resp, err := c.do(ctx, http.MethodGet, address, fmt.Sprintf("/v1/requests/%s/stream?from_seq=%d", url.PathEscape(attemptID), fromSeq), nil)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return readStream(resp.Body, sink)
+}
+
+// Cancel implements protocol.Engine.
+func (c *Client) Cancel(ctx context.Context, address, attemptID string) error {
+	return c.simple(ctx, http.MethodDelete, address, "/v1/requests/"+url.PathEscape(attemptID), nil, nil)
+}
+
+// Load implements protocol.Engine.
+func (c *Client) Load(ctx context.Context, address string) (l protocol.Load, err error) {
+	err = c.simple(ctx, http.MethodGet, address, "/v1/load", nil, &l)
+	return l, err
+}
+
+// State implements protocol.Engine.
+func (c *Client) State(ctx context.Context, address string) (s protocol.State, err error) {
+	err = c.simple(ctx, http.MethodGet, address, "/v1/state", nil, &s)
+	return s, err
+}
+
+type cacheEvent struct {
+	Number  uint64 `json:"number"`
+	Block   string `json:"block"`
+	Evicted bool   `json:"evicted"`
+}
+
+// CacheEvents implements protocol.Engine. Events with a malformed block are
+// left out; the gap in the numbers shows.
+func (c *Client) CacheEvents(ctx context.Context, address string, after uint64) ([]protocol.CacheEvent, error) {
+	var in []cacheEvent
+	if err := c.simple(ctx, http.MethodGet, address, fmt.Sprintf("/v1/cache/events?after=%d", after), nil, &in); err != nil {
+		return nil, err
+	}
+	out := make([]protocol.CacheEvent, 0, len(in))
+	for _, e := range in {
+		b, err := hex.DecodeString(e.Block)
+		if err != nil || len(b) != len(prefix.Hash{}) {
+			continue
+		}
+		out = append(out, protocol.CacheEvent{Number: e.Number, Block: prefix.Hash(b), Evicted: e.Evicted})
+	}
+	return out, nil
+}
+
+// Export implements protocol.Engine.
+func (c *Client) Export(ctx context.Context, address string, block prefix.Hash) ([]byte, string, error) {
+	resp, err := c.do(ctx, http.MethodGet, address, "/v1/kv/"+hex.EncodeToString(block[:]), nil)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, "", fmt.Errorf("export a block: %w: %w", protocol.ErrCut, err)
+	}
+	return data, resp.Header.Get("Weight-Version"), nil
+}
+
+// Import implements protocol.Engine.
+func (c *Client) Import(ctx context.Context, address string, block prefix.Hash, weightVersion string, data []byte) error {
+	path := "/v1/kv/" + hex.EncodeToString(block[:]) + "?weight_version=" + url.QueryEscape(weightVersion)
+	return c.simple(ctx, http.MethodPut, address, path, data, nil)
+}
+
+type order struct {
+	Fencing       int64  `json:"fencing"`
+	WeightVersion string `json:"weight_version"`
+}
+
+// Order implements protocol.Engine.
+func (c *Client) Order(ctx context.Context, address string, o protocol.Order) error {
+	b, err := json.Marshal(order(o))
+	if err != nil {
+		return fmt.Errorf("encode the order: %w", err)
+	}
+	err = c.simple(ctx, http.MethodPost, address, "/v1/orders", b, nil)
+	if errors.Is(err, protocol.ErrVersion) {
+		return fmt.Errorf("order %d: %w", o.Fencing, protocol.ErrFencing)
+	}
+	return err
+}
+
+// simple makes a call and decodes its JSON answer into v, if there is one.
+func (c *Client) simple(ctx context.Context, method, address, path string, body []byte, v any) error {
+	resp, err := c.do(ctx, method, address, path, body)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if v == nil {
+		return nil
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(v); err != nil {
+		return fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	return nil
+}
+
+// do sends a request and translates failures to the errors of package protocol.
+func (c *Client) do(ctx context.Context, method, address, path string, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w: %w", path, protocol.ErrRefused, err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			return nil, fmt.Errorf("%s: %w: %w", path, protocol.ErrNoConnect, err)
+		}
+		return nil, fmt.Errorf("%s: %w: %w", path, protocol.ErrCut, err)
+	}
+	if resp.StatusCode/100 == 2 {
+		return resp, nil
+	}
+	resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusNotFound:
+		return nil, fmt.Errorf("%s: %w", path, protocol.ErrNotFound)
+	case http.StatusConflict:
+		return nil, fmt.Errorf("%s: %w", path, protocol.ErrVersion)
+	}
+	return nil, fmt.Errorf("%s: %w: status %d", path, protocol.ErrRefused, resp.StatusCode)
+}
+
+const doneMarker = "[DONE]"
+
+// readStream passes the events of a server-sent event stream to the sink.
+func readStream(r io.Reader, sink func(protocol.Event) error) error {
+	sc := bufio.NewScanner(r)
+	sc.Buffer(make([]byte, 0, 4096), maxLineBytes)
+	ended := false
+	for sc.Scan() {
+		line := sc.Text()
+		if strings.HasPrefix(line, ":") {
+			if err := sink(protocol.Event{Kind: protocol.KeepAlive}); err != nil {
+				return err
+			}
+			continue
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == doneMarker {
+			break
+		}
+		e, err := parseFrame([]byte(data))
+		if err != nil {
+			return err
+		}
+		ended = ended || e.Kind == protocol.Ended
+		if err := sink(e); err != nil {
+			return err
+		}
+	}
+	if !ended {
+		return cutError(sc.Err())
+	}
+	return nil
+}
+
+// parseFrame decodes one data line of a stream.
+func parseFrame(data []byte) (protocol.Event, error) {
+	var f frame
+	if err := json.Unmarshal(data, &f); err != nil {
+		return protocol.Event{}, fmt.Errorf("%w: malformed frame: %w", protocol.ErrCut, err)
+	}
+	e := protocol.Event{Kind: protocol.Text, AttemptID: f.ID, Seq: f.Seq, WeightVersion: f.WeightVersion, LengthBytes: f.LengthBytes}
+	if f.Usage != nil {
+		e.PromptTokens, e.CachedTokens, e.OutputTokens = f.Usage.PromptTokens, f.Usage.CachedTokens, f.Usage.CompletionTokens
+	}
+	if len(f.Choices) == 0 {
+		e.Kind = protocol.Started
+		return e, nil
+	}
+	e.Text, e.FinishReason = f.Choices[0].Text, f.Choices[0].FinishReason
+	if e.FinishReason != "" {
+		e.Kind = protocol.Ended
+	}
+	return e, nil
+}
+
+func cutError(cause error) error {
+	if cause == nil {
+		return protocol.ErrCut
+	}
+	return fmt.Errorf("%w: %w", protocol.ErrCut, cause)
+}
--- /dev/null
+++ b/standin/cmd/standin/main.go
@@ -0,0 +1,145 @@
+// Command standin serves one of the stand-ins for the systems around galenaweir.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/galenaweir/galenaweir/standin/engine"
+	"github.com/galenaweir/galenaweir/standin/hostlist"
+	"github.com/galenaweir/galenaweir/standin/logsvc"
+	"github.com/galenaweir/galenaweir/standin/service"
+)
+
+type logCommand struct {
+	Listen    string        `long:"listen" required:"true" description:"IP number and port"`
+	Retention time.Duration `long:"retention" default:"0s" description:"how long records are kept; 0s for ever"`
+}
+
+// Execute implements flags.Commander.
+func (c *logCommand) Execute([]string) error {
+	return serve(logsvc.New(c.Retention, time.Now).Handler(), c.Listen)
+}
+
+type hostlistCommand struct {
+	Listen string        `long:"listen" required:"true" description:"IP number and port"`
+	Lag    time.Duration `long:"lag" default:"2s" description:"age of what readers see"`
+	Hosts  string        `long:"hosts" description:"file with the hosts as a JSON array"`
+}
+
+// Execute implements flags.Commander.
+func (c *hostlistCommand) Execute([]string) error {
+	var hosts []hostlist.Host
+	if c.Hosts != "" {
+		b, err := os.ReadFile(c.Hosts)
+		if err != nil {
+			return fmt.Errorf("read the hosts: %w", err)
+		}
+		if err := json.Unmarshal(b, &hosts); err != nil {
+			return fmt.Errorf("read the hosts in %s: %w", c.Hosts, err)
+		}
+	}
+	return serve(hostlist.New(hosts, c.Lag, time.Now).Handler(), c.Listen)
+}
+
+type engineCommand struct {
+	Listen        string        `long:"listen" required:"true" description:"IP number and port"`
+	Model         string        `long:"model" required:"true" description:"model served"`
+	Version       string        `long:"weight-version" default:"v1" description:"weight version loaded at the start"`
+	Slots         int           `long:"slots" default:"16" description:"sequences decoded at once"`
+	Pieces        int           `long:"cache-pieces" default:"256" description:"capacity of the prefix cache in pieces of 256 tokens"`
+	PieceBytes    int           `long:"piece-bytes" default:"4096" description:"KV bytes of one piece"`
+	Prefill       float64       `long:"prefill" default:"8000" description:"prefill rate in tokens per second"`
+	Decode        time.Duration `long:"decode" default:"5ms" description:"time between tokens"`
+	LoadLag       time.Duration `long:"load-lag" default:"500ms" description:"age of the load report"`
+	KeepAlive     time.Duration `long:"keep-alive" default:"500ms" description:"interval of keep-alive comments"`
+	LoadTime      time.Duration `long:"load-time" default:"800ms" description:"time to load new weights"`
+	ChecksFencing bool          `long:"checks-fencing" description:"refuse orders with an old fencing number"`
+}
+
+// keepFinished is how long an ended sequence can be resumed.
+const keepFinished = 30 * time.Second
+
+// Execute implements flags.Commander.
+func (c *engineCommand) Execute([]string) error {
+	e := engine.New(engine.Options{
+		Model: c.Model, WeightVersion: c.Version, Slots: c.Slots, CachePieces: c.Pieces,
+		PieceBytes: c.PieceBytes, PrefillPerSecond: c.Prefill, DecodeInterval: c.Decode,
+		LoadLag: c.LoadLag, KeepAliveInterval: c.KeepAlive, KeepFinished: keepFinished,
+		LoadTime: c.LoadTime, ChecksFencing: c.ChecksFencing,
+	})
+	return serve(e.Handler(), c.Listen)
+}
+
+type serviceCommand struct {
+	Listen []string `long:"listen" required:"true" description:"IP number and port of a replica; repeat for more replicas of one ledger"`
+}
+
+// Execute implements flags.Commander.
+func (c *serviceCommand) Execute([]string) error {
+	ledger := service.NewLedger()
+	errs := make(chan error, len(c.Listen))
+	for _, addr := range c.Listen {
+		go func() { errs <- serve(service.NewReplica(ledger).Handler(), addr) }()
+	}
+	var first error
+	for range c.Listen {
+		first = errors.Join(first, <-errs)
+	}
+	return first
+}
+
+// headerTimeout bounds how long a client may take to send its headers.
+const headerTimeout = 10 * time.Second
+
+// serve answers on the address until a signal comes.
+func serve(h http.Handler, addr string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", addr, err)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	go func() {
+		<-ctx.Done()
+		_ = s.Close()
+	}()
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve on %s: %w", addr, err)
+	}
+	return nil
+}
+
+// command couples a subcommand's name with its options.
+type command struct {
+	name, description string
+	data              flags.Commander
+}
+
+func main() {
+	p := flags.NewParser(nil, flags.Default)
+	for _, c := range []command{
+		{"log", "append-only log service", &logCommand{}},
+		{"hostlist", "list of hosts", &hostlistCommand{}},
+		{"engine", "model engine", &engineCommand{}},
+		{"service", "plain service", &serviceCommand{}},
+	} {
+		if _, err := p.AddCommand(c.name, c.description, c.description, c.data); err != nil {
+			panic(err) // a mistake in the options' tags
+		}
+	}
+	if _, err := p.Parse(); err != nil {
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/standin/engine/http.go
@@ -0,0 +1,270 @@
+package engine
+
+import (
+	"bytes"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/galenaweir/galenaweir/core/prefix"
+	"github.com/galenaweir/galenaweir/standin/httpjson"
+)
+
+// Order asks the engine to load a weight version.
+type Order struct {
+	Fencing       int64  `json:"fencing"`
+	WeightVersion string `json:"weight_version"`
+}
+
+// Handler serves the engine over HTTP.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", e.handleCompletion)
+	mux.HandleFunc("GET /v1/requests/{id}/stream", e.handleResume)
+	mux.HandleFunc("DELETE /v1/requests/{id}", func(w http.ResponseWriter, r *http.Request) {
+		if !e.Cancel(r.PathValue("id")) {
+			httpjson.Error(w, http.StatusNotFound, "no such request")
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("GET /v1/load", func(w http.ResponseWriter, _ *http.Request) { httpjson.Write(w, http.StatusOK, e.Load()) })
+	mux.HandleFunc("GET /v1/state", func(w http.ResponseWriter, _ *http.Request) { httpjson.Write(w, http.StatusOK, e.State()) })
+	mux.HandleFunc("GET /v1/cache/events", e.handleEvents)
+	mux.HandleFunc("GET /v1/kv/{block}", e.handleExport)
+	mux.HandleFunc("PUT /v1/kv/{block}", e.handleImport)
+	mux.HandleFunc("POST /v1/orders", e.handleOrder)
+	mux.HandleFunc("POST /v1/evict", func(w http.ResponseWriter, _ *http.Request) {
+		e.Evict()
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("POST /v1/faults", func(w http.ResponseWriter, r *http.Request) {
+		var f Faults
+		if httpjson.Read(w, r, &f) {
+			e.SetFaults(f)
+			httpjson.Write(w, http.StatusOK, f)
+		}
+	})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/v1/faults" && e.fault().Down {
+			panic(http.ErrAbortHandler)
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func (e *Engine) fault() Faults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults
+}
+
+// State returns what the engine says of itself.
+func (e *Engine) State() State {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state
+}
+
+func (e *Engine) handleCompletion(w http.ResponseWriter, r *http.Request) {
+	var req Request
+	if !httpjson.Read(w, r, &req) {
+		return
+	}
+	s, err := e.Submit(req)
+	if err != nil {
+		httpjson.Error(w, http.StatusConflict, err.Error())
+		return
+	}
+	e.stream(w, r, s, req.FromSeq)
+}
+
+func (e *Engine) handleResume(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseUint(r.FormValue("from_seq"), 10, 64)
+	if err != nil {
+		httpjson.Error(w, http.StatusBadRequest, "from_seq must be a sequence number")
+		return
+	}
+	e.mu.Lock()
+	s, ok := e.seqs[r.PathValue("id")]
+	e.mu.Unlock()
+	if !ok {
+		httpjson.Error(w, http.StatusNotFound, "no such request")
+		return
+	}
+	e.stream(w, r, s, from)
+}
+
+// next returns the frames from seq on and a channel that closes on news.
+func (e *Engine) next(s *sequence, seq uint64) (frames []Frame, ended bool, changed <-chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if seq < uint64(len(s.frames)) {
+		frames = s.frames[seq:]
+	}
+	return frames, s.ended, s.changed
+}
+
+// takeSilent reports whether this stream is to stop sending while open.
+func (e *Engine) takeSilent() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.SilentStreams > 0 {
+		e.faults.SilentStreams--
+		return true
+	}
+	return false
+}
+
+// silentAfter is the number of frames that a silent stream still sends.
+const silentAfter = 3
+
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, s *sequence, seq uint64) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	rc := http.NewResponseController(w)
+	silent := e.takeSilent()
+	ticker := time.NewTicker(e.o.KeepAliveInterval)
+	defer ticker.Stop()
+	sent := 0
+	for {
+		frames, ended, changed := e.next(s, seq)
+		for _, f := range frames {
+			if silent && sent >= silentAfter {
+				<-r.Context().Done()
+				return
+			}
+			if e.cutNow(s, sent) {
+				panic(http.ErrAbortHandler)
+			}
+			writeFrame(w, f, e.fault().WrongAttempt)
+			seq++
+			sent++
+		}
+		if ended {
+			_, _ = io.WriteString(w, "data: [DONE]\n\n")
+			return
+		}
+		if rc.Flush() != nil {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ticker.C:
+			_, _ = io.WriteString(w, ": keep-alive\n\n")
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (e *Engine) cutNow(s *sequence, sent int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.CutAfter == 0 || s.cutDone || sent < e.faults.CutAfter {
+		return false
+	}
+	s.cutDone = true
+	return true
+}
+
+func writeFrame(w io.Writer, f Frame, wrong bool) {
+	if wrong {
+		f.ID = "another-" + f.ID
+	}
+	b, _ := json.Marshal(f) // a Frame always marshals
+	_, _ = fmt.Fprintf(w, "data: %s\n\n", b)
+}
+
+func (e *Engine) handleEvents(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.FormValue("after"), 10, 64)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := []Event{}
+	for _, ev := range e.cache.events {
+		if ev.Number > after && !e.faults.LoseEvents {
+			out = append(out, ev)
+		}
+	}
+	httpjson.Write(w, http.StatusOK, out)
+}
+
+func blockOf(w http.ResponseWriter, r *http.Request) (h prefix.Hash, ok bool) {
+	b, err := hex.DecodeString(r.PathValue("block"))
+	if err != nil || len(b) != len(h) {
+		httpjson.Error(w, http.StatusBadRequest, "block must be 32 hex digits")
+		return h, false
+	}
+	return prefix.Hash(b), true
+}
+
+func (e *Engine) handleExport(w http.ResponseWriter, r *http.Request) {
+	h, ok := blockOf(w, r)
+	if !ok {
+		return
+	}
+	e.mu.Lock()
+	held := e.cache.has(h)
+	version := e.state.WeightVersion
+	e.mu.Unlock()
+	if !held {
+		httpjson.Error(w, http.StatusNotFound, "the block is not cached")
+		return
+	}
+	w.Header().Set("Weight-Version", version)
+	_, _ = w.Write(PieceData(h, e.o.PieceBytes))
+}
+
+func (e *Engine) handleImport(w http.ResponseWriter, r *http.Request) {
+	h, ok := blockOf(w, r)
+	if !ok {
+		return
+	}
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 64<<20))
+	if err != nil {
+		httpjson.Error(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if v := r.FormValue("weight_version"); v != e.state.WeightVersion {
+		httpjson.Error(w, http.StatusConflict, errVersion.Error())
+		return
+	}
+	if !bytes.Equal(data, PieceData(h, e.o.PieceBytes)) {
+		e.state.BadImports++
+	}
+	e.cache.add(h)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// handleOrder loads a weight version. Running sequences go on with theirs.
+func (e *Engine) handleOrder(w http.ResponseWriter, r *http.Request) {
+	var o Order
+	if !httpjson.Read(w, r, &o) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.o.ChecksFencing && o.Fencing <= e.state.Fencing {
+		httpjson.Error(w, http.StatusConflict, fmt.Sprintf("fencing number %d is not above %d", o.Fencing, e.state.Fencing))
+		return
+	}
+	e.state.Fencing = max(e.state.Fencing, o.Fencing)
+	if o.WeightVersion != e.state.WeightVersion && !e.state.Loading {
+		e.state.Loading = true
+		time.AfterFunc(e.o.LoadTime, func() { e.loaded(o.WeightVersion) })
+	}
+	httpjson.Write(w, http.StatusAccepted, e.state)
+}
+
+func (e *Engine) loaded(version string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state.Loading = false
+	e.state.WeightVersion = version
+	e.cache.clear()
+}
