Run membership and configuration over gRPC in both programs

Cause: both programs read the log and the host list once a second, knew nothing of each other, and had no service towards their peers. Change: package peer drives the two state machines over gRPC, the log and the host list, and replaces the followers of package node. Conclusion: the operators' commands can ask every process.

--- a/cmd/galenaweir-agent/main.go
+++ b/cmd/galenaweir-agent/main.go
@@ -3,13 +3,13 @@
 
 import (
 	"context"
-	"fmt"
-	"net"
+	"math/rand/v2"
 	"os"
 	"time"
 
 	"github.com/phuslu/log"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/galenaweir/galenaweir/agent"
 	"github.com/galenaweir/galenaweir/core/kernel"
@@ -17,10 +17,12 @@
 	"github.com/galenaweir/galenaweir/logsvc"
 	"github.com/galenaweir/galenaweir/node"
 	"github.com/galenaweir/galenaweir/operator"
+	"github.com/galenaweir/galenaweir/peer"
 	"github.com/galenaweir/galenaweir/process"
 	"github.com/galenaweir/galenaweir/protocol"
 	_ "github.com/galenaweir/galenaweir/protocol/streaming"
 	"github.com/galenaweir/galenaweir/rpc"
+	"github.com/galenaweir/galenaweir/rpc/dial"
 	"github.com/galenaweir/galenaweir/settings"
 )
 
@@ -35,35 +37,36 @@
 func run(s settings.Settings) error {
 	drain, stop := process.Signals()
 	timeout := time.Duration(s.LogTimeoutMs) * time.Millisecond
-	cfg := node.NewLogConfig(logsvc.New(s.LogAddress, timeout))
-	members := node.NewListMembers(hostlist.New(s.HostListAddress, timeout))
-	go cfg.Run(stop)
-	go members.Run(stop)
+	pool := dial.New(insecure.NewCredentials())
+	defer pool.Close()
+	p := peer.New(peer.Options{
+		ID: s.ID, Role: node.RoleAgent, Address: s.RPCAddress, FailureDomain: s.FailureDomain, Region: s.Region,
+		Log: logsvc.New(s.LogAddress, timeout), HostList: hostlist.New(s.HostListAddress, timeout), Contacts: s.Peers, Pool: pool,
+		Seed: rand.Uint64(), Build: process.Version, Retention: time.Duration(s.LogRetentionS) * time.Second,
+	})
 	engine, err := kernel.New[protocol.Engine]("protocol.streaming")
 	if err != nil {
 		return err
 	}
 	a := agent.New(agent.Options{
 		ID: s.ID, CacheSecret: process.Secret(s), SilenceLimit: time.Duration(s.SilenceLimitMs) * time.Millisecond,
-		Config: cfg, Members: members, Engine: engine,
+		Config: p, Members: p, Engine: engine,
 	})
-	l, err := net.Listen("tcp", s.RPCAddress)
+	srv, err := peer.Serve(s.RPCAddress, p, func(r grpc.ServiceRegistrar) { rpc.RegisterAgentServer(r, a) })
 	if err != nil {
-		return fmt.Errorf("listen on %s: %w; free the port or change rpc_address", s.RPCAddress, err)
+		return err
 	}
-	srv := grpc.NewServer()
-	rpc.RegisterAgentServer(srv, a)
-	go func() { _ = srv.Serve(l) }()
-	closeOperators, err := process.ServeOperators(s.OperatorAddress, func() bool { return cfg.Current() != nil && !a.Leaving() })
+	defer srv.Stop()
+	go p.Run(stop)
+	closeOperators, err := process.ServeOperators(s.OperatorAddress, p.Ready)
 	if err != nil {
 		return err
 	}
 	defer closeOperators()
 	log.Info().Str("rpc_address", s.RPCAddress).Msg("agent started")
 	<-drain.Done()
+	p.Leave()
 	ctx, cancel := context.WithTimeout(stop, time.Duration(s.DrainTimeoutMs)*time.Millisecond)
 	defer cancel()
-	err = a.Drain(ctx)
-	srv.Stop()
-	return err
+	return a.Drain(ctx)
 }
--- a/cmd/galenaweir-entry/main.go
+++ b/cmd/galenaweir-entry/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"os"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/galenaweir/galenaweir/hostlist"
 	"github.com/galenaweir/galenaweir/logsvc"
 	"github.com/galenaweir/galenaweir/node"
+	"github.com/galenaweir/galenaweir/peer"
 	"github.com/galenaweir/galenaweir/process"
 	"github.com/galenaweir/galenaweir/rpc/dial"
 	"github.com/galenaweir/galenaweir/settings"
@@ -33,20 +35,27 @@
 func run(s settings.Settings) error {
 	drain, stop := process.Signals()
 	timeout := time.Duration(s.LogTimeoutMs) * time.Millisecond
-	cfg := node.NewLogConfig(logsvc.New(s.LogAddress, timeout))
-	members := node.NewListMembers(hostlist.New(s.HostListAddress, timeout))
-	go cfg.Run(stop)
-	go members.Run(stop)
 	policy, err := kernel.New[routing.Policy]("routing.least_load")
 	if err != nil {
 		return err
 	}
 	pool := dial.New(insecure.NewCredentials())
 	defer pool.Close()
+	p := peer.New(peer.Options{
+		ID: s.ID, Role: node.RoleEntry, Address: s.RPCAddress, FailureDomain: s.FailureDomain, Region: s.Region,
+		Log: logsvc.New(s.LogAddress, timeout), HostList: hostlist.New(s.HostListAddress, timeout), Contacts: s.Peers, Pool: pool,
+		Seed: rand.Uint64(), Build: process.Version, Retention: time.Duration(s.LogRetentionS) * time.Second,
+	})
+	srv, err := peer.Serve(s.RPCAddress, p)
+	if err != nil {
+		return err
+	}
+	defer srv.Stop()
+	go p.Run(stop)
 	e := entry.New(entry.Options{
 		ID: s.ID, FailureDomain: s.FailureDomain, CacheSecret: process.Secret(s),
 		SilenceLimit: time.Duration(s.SilenceLimitMs) * time.Millisecond, MaxBodyBytes: s.MaxBodyBytes,
-		Config: cfg, Members: members, Pool: pool, Routing: policy, Seed: uint64(time.Now().UnixNano()),
+		Config: p, Members: p, Pool: pool, Routing: policy, Seed: uint64(time.Now().UnixNano()),
 	})
 	h, err := e.Handler()
 	if err != nil {
@@ -57,13 +66,14 @@
 		return err
 	}
 	defer closeCallers()
-	closeOperators, err := process.ServeOperators(s.OperatorAddress, e.Ready)
+	closeOperators, err := process.ServeOperators(s.OperatorAddress, func() bool { return p.Ready() && e.Ready() })
 	if err != nil {
 		return err
 	}
 	defer closeOperators()
 	log.Info().Str("caller_address", s.CallerAddress).Msg("entry started")
 	<-drain.Done()
+	p.Leave()
 	ctx, cancel := context.WithTimeout(stop, time.Duration(s.DrainTimeoutMs)*time.Millisecond)
 	defer cancel()
 	return e.Drain(ctx)
--- a/core/config/stream.go
+++ b/core/config/stream.go
@@ -293,3 +293,7 @@
 	}
 	return nil
 }
+
+// Publisher returns who published the version in force, empty when this stream
+// didn't read its record.
+func (s *Stream) Publisher() string { return s.publisher }
--- a/core/membership/compose.go
+++ b/core/membership/compose.go
@@ -167,3 +167,7 @@
 	}
 	return out, room
 }
+
+// Message returns a message to a process, for an indirect probe on behalf of
+// another.
+func (m *Machine) Message(now time.Duration, to string) Message { return m.compose(now, to) }
--- a/node/node.go
+++ b/node/node.go
@@ -1,17 +1,21 @@
 // Package node holds what both programs share: the configuration in force, the
-// members, and the addresses of the other processes.
+// members, and the addresses of the other processes. Package peer implements it.
 package node
 
 import (
 	"github.com/galenaweir/galenaweir/core/config"
+	"github.com/galenaweir/galenaweir/core/membership"
 )
 
+// ConfigStream is the stream of the platform's log that holds the configuration.
+const ConfigStream = "config"
+
 // ConfigState is one version of the configuration. It is never changed once
 // published.
 type ConfigState struct {
 	Version int64
 	Hash    []byte
-	Offset  int64 // of the record in the log that made the version
+	Offset  int64 // last record of the log that the version accounted for when it came into force
 	Doc     *config.Document
 }
 
@@ -28,10 +32,10 @@
 
 // The states of a member, as in docs/design.md, section 5.
 const (
-	Live MemberState = iota + 1
-	Suspect
-	Leaving
-	Gone
+	Live    = MemberState(membership.Live)
+	Suspect = MemberState(membership.Suspect)
+	Leaving = MemberState(membership.Leaving)
+	Gone    = MemberState(membership.Gone)
 )
 
 // Member is one process of the system.
@@ -42,12 +46,13 @@
 	FailureDomain string
 	Region        string
 	State         MemberState
+	Endpoints     []membership.Endpoint // as the member announces them
 }
 
 // The roles of a member.
 const (
-	RoleEntry = "entry"
-	RoleAgent = "agent"
+	RoleEntry = membership.RoleEntry
+	RoleAgent = membership.RoleAgent
 )
 
 // Members gives the other processes as this one sees them.
--- /dev/null
+++ b/peer/follow.go
@@ -0,0 +1,92 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/galenaweir/galenaweir/core/config"
+	"github.com/galenaweir/galenaweir/logsvc"
+	"github.com/galenaweir/galenaweir/node"
+	"github.com/galenaweir/galenaweir/rpc"
+	"github.com/galenaweir/galenaweir/rpc/dial"
+)
+
+// readPage reads the log once from an offset on and decodes the records.
+func readPage(ctx context.Context, l logsvc.Log, from int64) (logsvc.Page, []config.Entry, error) {
+	p, err := l.Read(ctx, node.ConfigStream, from, 0)
+	if err != nil {
+		return p, nil, fmt.Errorf("read the configuration stream: %w", err)
+	}
+	entries := make([]config.Entry, 0, len(p.Records))
+	for _, r := range p.Records {
+		entries = append(entries, config.Entry{Offset: r.Offset, TimeMs: r.TimeMs, Record: parseRecord(r.Data)})
+	}
+	return p, entries, nil
+}
+
+// Follow reads the log until the stream is at its end, or stuck in a gap, and
+// returns the outcomes of the records on the way. It is for the operators'
+// command; processes read page by page.
+func Follow(ctx context.Context, l logsvc.Log, s *config.Stream) ([]config.Outcome, error) {
+	var all []config.Outcome
+	for {
+		p, entries, err := readPage(ctx, l, s.Next())
+		if err != nil {
+			return all, err
+		}
+		all = append(all, s.Page(p.First, p.Next, entries)...)
+		if s.AtEnd() || s.Stuck() {
+			return all, nil
+		}
+	}
+}
+
+// AppendRecord appends a record to the configuration stream.
+func AppendRecord(ctx context.Context, l logsvc.Log, r *config.Record) (int64, error) {
+	b, err := proto.Marshal(EncodeRecord(r))
+	if err != nil {
+		return 0, fmt.Errorf("encode the record: %w", err)
+	}
+	a, err := l.Append(ctx, node.ConfigStream, b)
+	if err != nil {
+		return 0, fmt.Errorf("append to the configuration stream: %w", err)
+	}
+	return a.Offset, nil
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// fetchStateTimeout bounds FetchState.
+const fetchStateTimeout = 5 * time.Second
+
+// FetchState asks one process for its version in force, nil when it has none. It
+// is for the operators' command.
+func FetchState(ctx context.Context, pool *dial.Pool, address string) (*config.State, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchStateTimeout)
+	defer cancel()
+	conn, err := pool.Get(address)
+	if err != nil {
+		return nil, err
+	}
+	r, err := rpc.NewPeerClient(conn).FetchConfig(ctx, &rpc.FetchConfigRequest{})
+	if err != nil {
+		return nil, fmt.Errorf("fetch the configuration from %s: %w", address, err)
+	}
+	w := r.GetState()
+	if w.GetVersion() == 0 {
+		return nil, nil
+	}
+	return config.NewState(w.Version, w.Hash, w.Offset, w.Document)
+}
--- /dev/null
+++ b/peer/serve.go
@@ -0,0 +1,32 @@
+package peer
+
+import (
+	"errors"
+	"fmt"
+	"net"
+
+	"github.com/phuslu/log"
+	"google.golang.org/grpc"
+
+	"github.com/galenaweir/galenaweir/rpc"
+)
+
+// Serve serves the peer and the process's other services on an IP number and
+// port until the returned server is stopped.
+func Serve(address string, p *Peer, register ...func(grpc.ServiceRegistrar)) (*grpc.Server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w; free the port or change rpc_address", address, err)
+	}
+	s := grpc.NewServer()
+	rpc.RegisterPeerServer(s, p)
+	for _, f := range register {
+		f(s)
+	}
+	go func() {
+		if err := s.Serve(l); err != nil && !errors.Is(err, grpc.ErrServerStopped) {
+			log.Error().Str("address", address).Err(err).Msg("gRPC server ended")
+		}
+	}()
+	return s, nil
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -32,6 +32,7 @@
 
 	SilenceLimitMs int64 `json:"silence_limit_ms"` // default 2000, 100 to 10000
 	LogTimeoutMs   int64 `json:"log_timeout_ms"`   // default 1000, 50 to 30000
+	LogRetentionS  int64 `json:"log_retention_s"`  // default 604800; how long the log keeps records
 	DrainTimeoutMs int64 `json:"drain_timeout_ms"` // default 600000; how long running answers may take after SIGTERM
 
 	MaxBodyBytes int64 `json:"max_body_bytes"` // entries only; default 4 MiB
@@ -51,7 +52,7 @@
 
 // Defaults returns settings with the defaults set.
 func Defaults() Settings {
-	return Settings{SilenceLimitMs: 2000, LogTimeoutMs: 1000, DrainTimeoutMs: 600_000, MaxBodyBytes: 4 << 20}
+	return Settings{SilenceLimitMs: 2000, LogTimeoutMs: 1000, LogRetentionS: 604_800, DrainTimeoutMs: 600_000, MaxBodyBytes: 4 << 20}
 }
 
 // Load reads and checks the file.
@@ -116,6 +117,7 @@
 	need(len(s.CacheSecret) == cacheSecretHexDigits, "cache_secret has not 64 hex digits; make one with openssl rand -hex 32")
 	need(s.SilenceLimitMs >= 100 && s.SilenceLimitMs <= 10_000, "silence_limit_ms is outside 100 to 10000; use 2000")
 	need(s.LogTimeoutMs >= 50 && s.LogTimeoutMs <= 30_000, "log_timeout_ms is outside 50 to 30000; use 1000")
+	need(s.LogRetentionS > 0, "log_retention_s is not positive; use the retention of the platform's log")
 	need(s.DrainTimeoutMs > 0, "drain_timeout_ms is not positive; use 600000")
 	need(s.MaxBodyBytes > 0, "max_body_bytes is not positive; use 4194304")
 	need(s.TLS.Off || (s.TLS.CertFile != "" && s.TLS.KeyFile != "" && s.TLS.CAFile != ""),
