Publish the configuration as patches and tell who won

Cause: publish appended whole documents unseen, and operators couldn't compare documents or see what is in force. Change: publish computes the merge patch, looks a lost answer up by its publish ID and names the winner; diff, status and members are new.

--- a/operator/operator.go
+++ b/operator/operator.go
@@ -2,24 +2,27 @@
 package operator
 
 import (
+	"bytes"
+	"cmp"
 	"context"
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"os"
+	"os/user"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/jessevdk/go-flags"
 	"github.com/tailscale/hujson"
-	"google.golang.org/protobuf/proto"
+	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/galenaweir/galenaweir/core/config"
 	"github.com/galenaweir/galenaweir/logsvc"
-	"github.com/galenaweir/galenaweir/node"
-	"github.com/galenaweir/galenaweir/rpc"
+	"github.com/galenaweir/galenaweir/rpc/dial"
 )
 
 const logTimeout = 5 * time.Second
@@ -35,7 +38,10 @@
 		data              flags.Commander
 	}{
 		{"validate", "check a configuration document", &validateCommand{}},
+		{"diff", "compare a configuration document with the version in force", &diffCommand{}},
 		{"publish", "publish a configuration document", &publishCommand{}},
+		{"status", "print the version in force on each process", &statusCommand{}},
+		{"members", "print the members as a process sees them", &membersCommand{}},
 		{"key", "make a caller's key and its entry in the document", &keyCommand{}},
 	} {
 		if _, err := op.AddCommand(c.name, c.description, c.description, c.data); err != nil {
@@ -45,7 +51,15 @@
 	return nil
 }
 
-// readDocument reads and validates a document from a file.
+func stdout(w io.Writer) io.Writer {
+	if w == nil {
+		return os.Stdout
+	}
+	return w
+}
+
+// readDocument reads a document from a file, checks it and returns its canonical
+// form. Unknown fields are errors here, since they are most likely mistyped.
 func readDocument(path string) ([]byte, error) {
 	b, err := os.ReadFile(path)
 	if err != nil {
@@ -55,54 +69,119 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s is not valid JSON with comments: %w", path, err)
 	}
-	var d config.Document
-	if err := json.Unmarshal(b, &d); err != nil {
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	if err := d.Decode(new(config.Document)); err != nil {
+		return nil, fmt.Errorf("%s: %w; remove the field or correct its name", path, err)
+	}
+	c, err := config.Canonical(b)
+	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	if err := d.Validate(); err != nil {
+	if _, err := config.Decode(c); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	return json.Marshal(d)
+	return c, nil
 }
 
-type validateCommand struct {
-	File string `long:"file" required:"true" description:"configuration document"`
+type file struct {
+	File string `long:"file" required:"true" description:"configuration document, JSON with comments"`
 }
 
+type validateCommand struct{ file }
+
 // Execute implements flags.Commander.
 func (c *validateCommand) Execute([]string) error {
-	if _, err := readDocument(c.File); err != nil {
+	doc, err := readDocument(c.File)
+	if err != nil {
 		return err
 	}
-	fmt.Println("the document is valid")
+	fmt.Println("the document is valid; its hash is", config.HashOf(doc))
 	return nil
 }
 
-type publishCommand struct {
-	File string `long:"file" required:"true" description:"configuration document"`
-	Log  string `long:"log" required:"true" description:"IP number and port of the log service"`
-	Base int64  `long:"base" default:"0" description:"version that the document was made from"`
+// source tells where the version in force is read.
+type source struct {
+	Log   string   `long:"log" required:"true" description:"IP number and port of the log service"`
+	Peers []string `long:"peer" description:"IP number and port of a process, asked when the log no longer tells the version in force; may be repeated"`
 }
 
-// Execute implements flags.Commander.
-func (c *publishCommand) Execute([]string) error {
+func (s *source) client() logsvc.Log { return logsvc.New(s.Log, logTimeout) }
+
+type diffCommand struct {
+	file
+	source
+	out io.Writer
+}
+
+// Execute implements flags.Commander: it prints the merge patch from the version
+// in force to the document.
+func (c *diffCommand) Execute([]string) error {
 	doc, err := readDocument(c.File)
 	if err != nil {
 		return err
 	}
-	hash := sha256.Sum256(doc)
-	b, err := proto.Marshal(&rpc.ConfigRecord{PublishId: uuid.NewString(), BaseVersion: c.Base, NewVersion: c.Base + 1, NewHash: hash[:], Document: doc})
+	pool := dial.New(insecure.NewCredentials())
+	defer pool.Close()
+	s, err := inForce(context.Background(), c.client(), pool, c.Peers)
+	if err != nil {
+		return err
+	}
+	st := s.State()
+	if st == nil {
+		fmt.Fprintln(stdout(c.out), "no version is in force yet")
+		return nil
+	}
+	if st.Hash == config.HashOf(doc) {
+		fmt.Fprintf(stdout(c.out), "the document is version %d, which is in force\n", st.Version)
+		return nil
+	}
+	patch, err := config.Diff(st.Text, doc)
 	if err != nil {
-		return fmt.Errorf("encode the record: %w", err)
+		return err
+	}
+	var b bytes.Buffer
+	if err := json.Indent(&b, patch, "", "  "); err != nil {
+		return fmt.Errorf("print the difference: %w", err)
 	}
-	a, err := logsvc.New(c.Log, logTimeout).Append(context.Background(), node.ConfigStream, b)
+	fmt.Fprintf(stdout(c.out), "changes to version %d (JSON merge patch; null removes):\n%s\n", st.Version, b.Bytes())
+	return nil
+}
+
+type publishCommand struct {
+	file
+	source
+	Base      *int64 `long:"base" description:"version that the document was made from; by default the version in force"`
+	Publisher string `long:"publisher" description:"who publishes; by default the user"`
+}
+
+// Execute implements flags.Commander.
+func (c *publishCommand) Execute([]string) error {
+	doc, err := readDocument(c.File)
 	if err != nil {
 		return err
 	}
-	fmt.Printf("version %d is at offset %d\n", c.Base+1, a.Offset)
+	pool := dial.New(insecure.NewCredentials())
+	defer pool.Close()
+	p, err := Publish(context.Background(), PublishOptions{Log: c.client(), Pool: pool, Peers: c.Peers, Document: doc, Base: c.Base, Publisher: cmp.Or(c.Publisher, userName())})
+	switch {
+	case err != nil:
+		return err
+	case p.Unchanged:
+		fmt.Printf("the document is version %d, which is in force; nothing was published\n", p.Version)
+	default:
+		fmt.Printf("version %d is accepted\n", p.Version)
+	}
 	return nil
 }
 
+func userName() string {
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unknown"
+}
+
 type keyCommand struct {
 	Customer string `long:"customer" required:"true" description:"customer ID"`
 }
@@ -114,6 +193,9 @@
 
 // Execute implements flags.Commander.
 func (c *keyCommand) Execute([]string) error {
+	if c.Customer == "" {
+		return errors.New("the customer ID is empty; give --customer")
+	}
 	secret, salt := make([]byte, secretBytes), make([]byte, saltBytes)
 	_, _ = rand.Read(secret) // never fails
 	_, _ = rand.Read(salt)
