Test peers and operators over real sockets

Cause: the peer package and the publish command had no tests, and usage figures spread over all processes though only entries need them. Change: tests with the log stand-in on loopback; entries exchange usage on a finger ring of their own. Conclusion: readiness, outage, races and trims are covered over sockets.

--- a/core/config/stream_test.go
+++ b/core/config/stream_test.go
@@ -406,9 +406,8 @@
 		l, clock := &memLog{}, int64(0)
 		var ops []porcupine.Operation
 		type call struct {
-			op     porcupine.Operation
-			id     string
-			states *config.Stream
+			op porcupine.Operation
+			id string
 		}
 		open := make([]*call, clients)
 		states := make([]*config.Stream, clients)
--- a/core/membership/compose.go
+++ b/core/membership/compose.go
@@ -23,8 +23,8 @@
 	headerBytes   = 48 // incarnation, configuration version, 8 bytes of its hash
 	memberBytes   = 34
 	endpointBytes = 10
-	usageBytes    = 20
-	maxUsageBytes = 90 // of a message
+	usageBytes    = 16
+	maxUsageBytes = 340 // of a message
 )
 
 func (u *Member) size() int {
@@ -41,7 +41,9 @@
 func (m *Machine) compose(now time.Duration, to string) Message {
 	msg := Message{From: m.self.ID, Incarnation: m.self.Incarnation, ConfigVersion: m.configVersion, ConfigHash: m.configHash}
 	room := m.o.MessageBytes - headerBytes - len(m.self.ID)
-	msg.Usage, room = m.composeUsage(now, room)
+	if r := m.members[to]; m.self.Role == RoleEntry && r != nil && r.Role == RoleEntry {
+		msg.Usage, room = m.composeUsage(now, to, room)
+	}
 	put := func(u Member) bool {
 		if n := u.size(); n <= room {
 			room -= n
@@ -125,7 +127,7 @@
 const usageSlack = 1
 
 func (m *Machine) putUsage(now time.Duration, u Usage) {
-	item := usageItem{u, now - u.Age, sendFactor * bits.Len(uint(len(m.ring)))}
+	item := usageItem{u, now - u.Age, sendFactor * bits.Len(uint(len(m.entries())))}
 	m.usage = slices.DeleteFunc(m.usage, func(x usageItem) bool { return now-x.at > m.o.UsageMaxAge })
 	for i, x := range m.usage {
 		if x.Customer == u.Customer && x.Entry == u.Entry {
@@ -149,14 +151,43 @@
 	return out
 }
 
-func (m *Machine) composeUsage(now time.Duration, room int) ([]Usage, int) {
+// entries returns the entries on the ring, this process included.
+func (m *Machine) entries() []*record {
+	m.sort()
+	var out []*record
+	for _, r := range m.ring {
+		if r.Role == RoleEntry {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// usageTurn returns the entry that this entry exchanges with besides its ring
+// neighbour while there is usage to pass on. Only entries need the usage figures,
+// so they spread on a finger ring of their own.
+func (m *Machine) usageTurn(now time.Duration) *record {
+	m.usage = slices.DeleteFunc(m.usage, func(x usageItem) bool { return now-x.at > m.o.UsageMaxAge })
+	if m.self.Role != RoleEntry || len(m.usage) == 0 {
+		return nil
+	}
+	es := m.entries()
+	ns := fingers(es, slices.Index(es, m.self))
+	if len(ns) == 0 {
+		return nil
+	}
+	m.usageAt = (m.usageAt + 1) % len(ns)
+	return ns[m.usageAt]
+}
+
+func (m *Machine) composeUsage(now time.Duration, to string, room int) ([]Usage, int) {
 	var out []Usage
 	left := min(room, maxUsageBytes)
 	slices.SortStableFunc(m.usage, func(a, b usageItem) int { return b.sends - a.sends })
 	for i := range m.usage {
 		x := &m.usage[i]
 		n := usageBytes + len(x.Customer) + len(x.Entry)
-		if x.sends == 0 || n > left || now-x.at > m.o.UsageMaxAge {
+		if x.sends == 0 || x.Entry == to || n > left || now-x.at > m.o.UsageMaxAge {
 			continue
 		}
 		x.sends--
--- a/core/membership/machine.go
+++ b/core/membership/machine.go
@@ -57,12 +57,12 @@
 	healing  time.Duration // a gone member was heard: until then one is probed at every tick
 	grants   int
 
-	listAt time.Duration
-	listed bool // a host list was read
+	listAt time.Duration // last host list
 
 	configVersion int64
 	configHash    []byte
 	usage         []usageItem
+	usageAt       int // next entry to exchange with
 }
 
 // New returns a machine that knows only itself.
@@ -167,10 +167,13 @@
 // neighbours returns the members at distance 1, 2, 4, … on the ring.
 func (m *Machine) neighbours() []*record {
 	m.sort()
-	at := m.position()
+	return fingers(m.ring, m.position())
+}
+
+func fingers(ring []*record, at int) []*record {
 	var out []*record
-	for d := 1; d < len(m.ring); d *= 2 {
-		out = append(out, m.ring[(at+d)%len(m.ring)])
+	for d := 1; d < len(ring); d *= 2 {
+		out = append(out, ring[(at+d)%len(ring)])
 	}
 	return out
 }
@@ -209,6 +212,9 @@
 		m.reprobe = now + m.o.Reprobe
 		cs = append(cs, m.probeGone(now)...)
 	}
+	if r := m.usageTurn(now); r != nil {
+		cs = append(cs, m.exchange(now, r))
+	}
 	if ns := m.neighbours(); len(ns) > 0 {
 		m.turn = (m.turn + 1) % len(ns)
 		cs = append(cs, m.exchange(now, ns[m.turn]))
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,402 @@
+package peer_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/galenaweir/galenaweir/core/apierr"
+	"github.com/galenaweir/galenaweir/core/config"
+	"github.com/galenaweir/galenaweir/core/membership"
+	"github.com/galenaweir/galenaweir/core/membership/simnet"
+	"github.com/galenaweir/galenaweir/hostlist"
+	"github.com/galenaweir/galenaweir/logsvc"
+	"github.com/galenaweir/galenaweir/node"
+	"github.com/galenaweir/galenaweir/operator"
+	"github.com/galenaweir/galenaweir/peer"
+	"github.com/galenaweir/galenaweir/rpc"
+	"github.com/galenaweir/galenaweir/rpc/dial"
+	standinlog "github.com/galenaweir/galenaweir/standin/logsvc"
+)
+
+const (
+	interval = 50 * time.Millisecond
+	limit    = 30 * time.Second // of a wait that usually takes far less
+	seed     = 11
+)
+
+// cluster is a log, a host list and processes on loopback.
+type cluster struct {
+	t     *testing.T
+	log   *standinlog.Log
+	addr  string // of the log
+	pool  *dial.Pool
+	mu    sync.Mutex
+	hosts []hostlist.Host
+	peers []*peer.Peer
+}
+
+// Hosts implements peer.HostList.
+func (c *cluster) Hosts(context.Context) (hostlist.List, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return hostlist.List{Hosts: append([]hostlist.Host(nil), c.hosts...)}, nil
+}
+
+func newCluster(t *testing.T, n int) *cluster {
+	c := &cluster{t: t, log: standinlog.New(0, time.Now)}
+	s := httptest.NewServer(c.log.Handler())
+	t.Cleanup(s.Close)
+	c.addr = s.Listener.Addr().String()
+	c.pool = c.newPool()
+	ls := make([]net.Listener, n)
+	for i := range n {
+		ls[i] = c.listen()
+	}
+	for i := range n {
+		c.peers = append(c.peers, c.start(i, ls[i]))
+	}
+	return c
+}
+
+func (c *cluster) newPool() *dial.Pool {
+	p := dial.New(insecure.NewCredentials())
+	c.t.Cleanup(p.Close)
+	return p
+}
+
+// listen adds a host.
+func (c *cluster) listen() net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(c.t, err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := len(c.hosts)
+	c.hosts = append(c.hosts, hostlist.Host{ID: fmt.Sprintf("host-%02d", i), Role: "agent", Address: l.Addr().String(), FailureDomain: fmt.Sprint(i % 3), Region: "r"})
+	return l
+}
+
+func (c *cluster) start(i int, l net.Listener) *peer.Peer {
+	h := c.hosts[i]
+	p := peer.New(peer.Options{ID: h.ID, Role: h.Role, Address: h.Address, FailureDomain: h.FailureDomain, Region: h.Region,
+		Log: logsvc.New(c.addr, time.Second), HostList: c, Pool: c.newPool(), Seed: seed, Interval: interval})
+	s := peer.ServeOn(l, p)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { p.Run(ctx); close(done) }()
+	c.t.Cleanup(func() { cancel(); s.Stop(); <-done })
+	return p
+}
+
+func (c *cluster) eventually(what string, f func() bool) {
+	c.t.Helper()
+	require.Eventually(c.t, f, limit, interval/10, what)
+}
+
+// all reports whether the condition holds for all processes.
+func (c *cluster) all(f func(p *peer.Peer) bool) func() bool {
+	return func() bool {
+		for _, p := range c.peers {
+			if !f(p) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func (c *cluster) inForce(version int64) func() bool {
+	return c.all(func(p *peer.Peer) bool { return p.Current() != nil && p.Current().Version == version })
+}
+
+func (c *cluster) publish(name, publisher string, base *int64) (operator.Published, error) {
+	return operator.Publish(context.Background(), operator.PublishOptions{Log: logsvc.New(c.addr, time.Second), Pool: c.pool,
+		Document: document(c.t, name), Base: base, Publisher: publisher, Retry: time.Millisecond})
+}
+
+func document(t *testing.T, name string) []byte {
+	b, err := json.Marshal(config.Document{
+		Deployment:     name,
+		FailureDomains: map[string]config.FailureDomain{"a": {Region: "r"}},
+		Priorities:     map[string]config.Priority{"standard": {DefaultDeadlineMs: 1000}},
+		Claims:         config.Claims{Partitions: 8, KeyWindowSeconds: 3600, GroupIntervalMs: 40, MaxAnswerBytes: 1024},
+	})
+	require.NoError(t, err)
+	d, err := config.Canonical(b)
+	require.NoError(t, err)
+	return d
+}
+
+// Guards against two winners of one version, a loser that isn't told, and a
+// repeated publication that makes a second version.
+func TestTwoOperatorsAtOnce(t *testing.T) {
+	c := newCluster(t, 6)
+	_, err := c.publish("first", "eve", nil)
+	require.NoError(t, err)
+	base := int64(1)
+	var results [2]operator.Published
+	var errs [2]error
+	var wg sync.WaitGroup
+	for i := range 2 {
+		wg.Go(func() { results[i], errs[i] = c.publish(fmt.Sprint("by-", i), fmt.Sprint("operator-", i), &base) })
+	}
+	wg.Wait()
+	won := 0
+	if errs[0] != nil {
+		won = 1
+	}
+	require.NoError(t, errs[won])
+	require.EqualValues(t, 2, results[won].Version)
+	require.ErrorContains(t, errs[1-won], fmt.Sprintf("version 2 of operator-%d", won))
+	assert.Equal(t, apierr.NotRun, apierr.From(errs[1-won]).Ran)
+	c.eventually("version 2 everywhere", c.inForce(2))
+	for _, p := range c.peers {
+		assert.Equal(t, fmt.Sprint("by-", won), p.Current().Doc.Deployment)
+	}
+	again, err := c.publish(fmt.Sprint("by-", won), "x", &base)
+	require.NoError(t, err)
+	assert.Equal(t, operator.Published{Version: 2, Unchanged: true}, again)
+	statuses := operator.Statuses(context.Background(), c.pool, []string{c.hosts[0].Address, c.hosts[5].Address})
+	for i, s := range statuses {
+		require.NoError(t, s.Err)
+		assert.EqualValues(t, 2, s.Reply.ConfigVersion)
+		assert.Len(t, s.Reply.Members, 6, "process %d", i)
+	}
+}
+
+// Guards against a publication that is reported wrongly or takes effect twice
+// when the log loses answers, refuses, or takes a record late.
+func TestPublishThroughLogFaults(t *testing.T) {
+	for _, f := range []struct {
+		name   string
+		faults standinlog.Faults
+		want   error
+	}{
+		{"lost answer", standinlog.Faults{LoseAnswers: 1}, nil},
+		{"late append", standinlog.Faults{LateAppends: 1, LateByMs: 20}, nil},
+		{"outage", standinlog.Faults{Outage: true}, apierr.New(apierr.LogUnavailable, apierr.NotRun, "", "")},
+	} {
+		t.Run(f.name, func(t *testing.T) {
+			c := newCluster(t, 1)
+			_, err := c.publish("first", "eve", nil)
+			require.NoError(t, err)
+			c.log.SetFaults(f.faults)
+			p, err := c.publish("second", "eve", nil)
+			c.log.SetFaults(standinlog.Faults{})
+			if f.want != nil {
+				require.True(t, apierr.Is(err, apierr.From(f.want).Kind), "%v", err)
+				assert.Equal(t, apierr.NotRun, apierr.From(err).Ran)
+				return
+			}
+			require.NoError(t, err)
+			assert.EqualValues(t, 2, p.Version)
+			c.eventually("version 2", c.inForce(2))
+			s := config.NewStream()
+			_, err = peer.Follow(context.Background(), logsvc.New(c.addr, time.Second), s)
+			require.NoError(t, err)
+			assert.EqualValues(t, 2, s.Version())
+		})
+	}
+}
+
+// Guards against a process that can't start while the log is unavailable.
+func TestStartDuringOutageTakesPeersVersion(t *testing.T) {
+	c := newCluster(t, 4)
+	_, err := c.publish("first", "eve", nil)
+	require.NoError(t, err)
+	c.eventually("ready", c.all(func(p *peer.Peer) bool { return p.Ready() && p.Current() != nil }))
+	c.log.SetFaults(standinlog.Faults{Outage: true})
+	p := c.start(4, c.listen())
+	c.eventually("ready from peers", p.Ready)
+	require.EqualValues(t, 1, p.Current().Version)
+	c.peers = append(c.peers, p)
+	c.log.SetFaults(standinlog.Faults{})
+	_, err = c.publish("second", "eve", nil)
+	require.NoError(t, err)
+	c.eventually("version 2 everywhere", c.inForce(2))
+
+	c.peers[0].Leave()
+	assert.False(t, c.peers[0].Ready())
+	c.eventually("leaving is known", func() bool { m, _ := p.Get("host-00"); return m.State == node.Leaving })
+}
+
+// fakeLog counts reads and fails while down.
+type fakeLog struct {
+	logsvc.Log
+	down  atomic.Bool
+	reads atomic.Int64
+}
+
+func (l *fakeLog) Read(ctx context.Context, s string, from int64, w time.Duration) (logsvc.Page, error) {
+	l.reads.Add(1)
+	if l.down.Load() {
+		return logsvc.Page{}, logsvc.ErrUnavailable
+	}
+	return l.Log.Read(ctx, s, from, w)
+}
+
+// fakePeer hands out one state and counts the requests.
+type fakePeer struct {
+	rpc.UnimplementedPeerServer
+	state atomic.Pointer[rpc.ConfigState]
+	asked atomic.Int64
+}
+
+func (f *fakePeer) FetchConfig(context.Context, *rpc.FetchConfigRequest) (*rpc.FetchConfigReply, error) {
+	f.asked.Add(1)
+	return &rpc.FetchConfigReply{State: f.state.Load()}, nil
+}
+
+type noHosts struct{}
+
+func (noHosts) Hosts(context.Context) (hostlist.List, error) {
+	return hostlist.List{}, errors.New("unavailable")
+}
+
+// Guards against a process that reports ready with neither log nor peers, or
+// while the peers disagree on the version.
+func TestReadiness(t *testing.T) {
+	c := newCluster(t, 0)
+	state := func(version int64) *rpc.ConfigState {
+		doc := document(t, fmt.Sprint("v", version))
+		h := config.HashOf(doc)
+		return &rpc.ConfigState{Version: version, Hash: h[:], Offset: version, Document: doc}
+	}
+	var fakes [2]fakePeer
+	var contacts []string
+	for i := range fakes {
+		fakes[i].state.Store(state(int64(i + 1)))
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		s := grpc.NewServer()
+		rpc.RegisterPeerServer(s, &fakes[i])
+		go func() { _ = s.Serve(l) }()
+		t.Cleanup(s.Stop)
+		contacts = append(contacts, l.Addr().String())
+	}
+	start := func(contacts []string) (*peer.Peer, *fakeLog) {
+		l := &fakeLog{Log: logsvc.New(c.addr, time.Second)}
+		l.down.Store(true)
+		p := peer.New(peer.Options{ID: "x", Role: node.RoleAgent, Address: "127.0.0.1:1", Log: l, HostList: noHosts{}, Contacts: contacts, Pool: c.newPool(), Seed: seed, Interval: interval})
+		ctx, cancel := context.WithCancel(context.Background())
+		t.Cleanup(cancel)
+		go p.Run(ctx)
+		return p, l
+	}
+	const rounds = 4
+	t.Run("neither log nor peers", func(t *testing.T) {
+		p, l := start(nil)
+		c.eventually("several reads", func() bool { return l.reads.Load() >= rounds })
+		assert.False(t, p.Ready())
+		_, err := c.publish("v1", "eve", nil)
+		require.NoError(t, err)
+		l.down.Store(false)
+		c.eventually("ready from the log", p.Ready)
+	})
+	t.Run("peers disagree", func(t *testing.T) {
+		p, l := start(contacts)
+		c.eventually("several rounds", func() bool {
+			return l.reads.Load() >= rounds && fakes[0].asked.Load() >= rounds && fakes[1].asked.Load() >= rounds
+		})
+		assert.False(t, p.Ready())
+		assert.EqualValues(t, 2, p.Current().Version)
+		fakes[0].state.Store(state(2))
+		c.eventually("ready when they agree", p.Ready)
+	})
+}
+
+// Guards against processes that stay stuck when the log dropped records that
+// nobody has read, and against snapshots that are never written.
+func TestSnapshotAfterUnreadTrim(t *testing.T) {
+	c := newCluster(t, 3)
+	_, err := c.publish("first", "eve", nil)
+	require.NoError(t, err)
+	c.eventually("ready", c.all(func(p *peer.Peer) bool { return p.Ready() && p.Current() != nil }))
+	c.log.SetFaults(standinlog.Faults{Outage: true})
+	c.log.Append(node.ConfigStream, []byte("dropped unread"))
+	c.log.Trim(node.ConfigStream, 2)
+	c.log.SetFaults(standinlog.Faults{})
+	c.eventually("a snapshot", func() bool {
+		page, _ := c.log.Read(node.ConfigStream, 2, 10)
+		var r rpc.ConfigRecord
+		return len(page.Records) > 0 && proto.Unmarshal(page.Records[0].Data, &r) == nil && r.Snapshot && r.AsOfOffset == 1
+	})
+	p, err := c.publish("second", "eve", nil)
+	require.NoError(t, err)
+	assert.EqualValues(t, 2, p.Version)
+	c.eventually("version 2 everywhere", c.inForce(2))
+}
+
+// Guards against a configuration that reaches only some processes, and prints
+// how long it takes to reach all of 20.
+func TestNewVersionReachesTwentyProcesses(t *testing.T) {
+	c := newCluster(t, 20)
+	_, err := c.publish("first", "eve", nil)
+	require.NoError(t, err)
+	c.eventually("ready", c.all(func(p *peer.Peer) bool { return p.Ready() && len(p.All()) == 20 }))
+	start := time.Now()
+	_, err = c.publish("second", "eve", nil)
+	require.NoError(t, err)
+	for _, p := range c.peers {
+		for {
+			changed := p.Changed()
+			if p.Current().Version == 2 {
+				break
+			}
+			select {
+			case <-changed:
+			case <-time.After(limit):
+				require.Fail(t, "version 2 isn't in force everywhere")
+			}
+		}
+	}
+	t.Logf("version 2 was in force on all 20 processes after %v, with an exchange every %v", time.Since(start).Round(time.Millisecond), interval)
+}
+
+// Guards against messages beyond the bound that the control cost is computed
+// from, also while many members restart and customers' usage is passed on.
+func TestEncodedMessagesStayWithinTheBound(t *testing.T) {
+	const bound, entries = 400, 8
+	largest := 0
+	n := simnet.New(simnet.Options{Seed: seed, Nodes: 120, Domains: 12, Size: func(m membership.Message) int {
+		b := proto.Size(peer.EncodeMessage(m))
+		largest = max(largest, b)
+		return b
+	}})
+	for _, x := range n.Nodes {
+		x.M.SetEndpoints([]membership.Endpoint{{ID: "naviq-engine-00", WeightVersion: "2026-12-03-a"}, {ID: "naviq-engine-01", WeightVersion: "2026-12-03-a", Leaving: true}})
+		x.M.SetConfig(1<<30, make([]byte, 8))
+	}
+	for range 5 {
+		for _, x := range n.Nodes[:entries] {
+			x.M.SetUsage(n.Now, []membership.Usage{{Customer: "vadodara-roadways", TokensPerSecond: 1 << 30}, {Customer: "kutch-haulage", TokensPerSecond: 1 << 30}})
+		}
+		n.Run(2 * time.Second)
+	}
+	for _, x := range n.Nodes[:entries] {
+		assert.Equal(t, 2*entries, len(x.M.Usage(n.Now)), "usage of all entries at %s", x.ID)
+	}
+	for _, x := range n.Nodes[:20] {
+		n.Stop(x)
+	}
+	n.Run(20 * time.Second)
+	for _, x := range n.Nodes[:20] {
+		n.Start(x)
+	}
+	n.Run(20 * time.Second)
+	t.Logf("largest message: %d bytes", largest)
+	assert.LessOrEqual(t, largest, bound)
+}
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -18,6 +18,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w; free the port or change rpc_address", address, err)
 	}
+	return ServeOn(l, p, register...), nil
+}
+
+// ServeOn is Serve on an open listener, which it closes at the end.
+func ServeOn(l net.Listener, p *Peer, register ...func(grpc.ServiceRegistrar)) *grpc.Server {
 	s := grpc.NewServer()
 	rpc.RegisterPeerServer(s, p)
 	for _, f := range register {
@@ -25,8 +30,8 @@
 	}
 	go func() {
 		if err := s.Serve(l); err != nil && !errors.Is(err, grpc.ErrServerStopped) {
-			log.Error().Str("address", address).Err(err).Msg("gRPC server ended")
+			log.Error().Str("address", l.Addr().String()).Err(err).Msg("gRPC server ended")
 		}
 	}()
-	return s, nil
+	return s
 }
