Add the metrics registry

Cause: the processes published no figures. Change: package metrics holds counters, counters by label, gauges and HDR histograms of durations, published as one expvar at /debug/vars. Conclusion: any package adds its own figures with one line each.

--- /dev/null
+++ b/metrics/metrics_test.go
@@ -0,0 +1,39 @@
+package metrics
+
+import (
+	"encoding/json"
+	"expvar"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against figures that readers of /debug/vars can't parse, and against
+// quantiles that are off by a unit.
+func TestRegistry(t *testing.T) {
+	r := New()
+	r.Count("resumes").Add(2)
+	require.Same(t, r.Count("resumes"), r.Count("resumes"))
+	r.CountBy("refusals").Add("overloaded", 1)
+	r.Gauge("running", func() any { return 7 })
+	for i := range 100 {
+		r.Durations("first_token").Observe("batch", time.Duration(i+1)*time.Millisecond)
+	}
+	r.Durations("first_token").Observe("standard", time.Hour)
+	var out struct {
+		Resumes    int                `json:"resumes"`
+		Refusals   map[string]int     `json:"refusals"`
+		Running    int                `json:"running"`
+		FirstToken map[string]Summary `json:"first_token"`
+	}
+	require.NoError(t, json.Unmarshal([]byte(r.String()), &out))
+	require.Equal(t, 2, out.Resumes)
+	require.Equal(t, map[string]int{"overloaded": 1}, out.Refusals)
+	require.Equal(t, 7, out.Running)
+	require.EqualValues(t, 100, out.FirstToken["batch"].Count)
+	require.InEpsilon(t, 50, out.FirstToken["batch"].P50Ms, 0.02)
+	require.InEpsilon(t, 99, out.FirstToken["batch"].P99Ms, 0.02)
+	require.InEpsilon(t, 600_000, out.FirstToken["standard"].P99Ms, 0.02)
+	require.NotNil(t, expvar.Get("galenaweir"))
+}
