Name key and line of each wrong setting

Cause: the decoder's offset is at the end of the file when a key is unknown, so the line in the error was wrong; units, defaults and limits stood in comments and again in the checks. Change: keys are checked on the parsed tree, keys given twice are refused, limits and defaults come from the tags of the fields, from which docs/settings.md is made. drain_delay_ms and caller_timeout_ms are new. Conclusion: the struct is the one place for a setting.

--- a/settings/settings.go
+++ b/settings/settings.go
@@ -1,8 +1,9 @@
-// Package settings reads the settings of a process: JSON with comments.
+// Package settings reads the settings of a process: JSON with comments. The tags
+// of the fields are the one place for their units, defaults and limits; they are
+// what Parse checks and what docs/settings.md is made from.
 package settings
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -12,46 +13,44 @@
 	"github.com/tailscale/hujson"
 )
 
-// Settings of one process. Every field has its unit in its name or comment.
+//go:generate go run ./gendoc ../docs/settings.md
+
+// Settings of one process.
 type Settings struct {
-	ID            string `json:"id"`             // unique among all processes
-	FailureDomain string `json:"failure_domain"` // as in the configuration document
-	Region        string `json:"region"`
+	ID            string `json:"id" doc:"name of this process, unique in the deployment"`
+	FailureDomain string `json:"failure_domain" doc:"failure domain of this host, as in the configuration document"`
+	Region        string `json:"region" doc:"region of the failure domain" optional:"true"`
 
-	RPCAddress      string `json:"rpc_address"`      // IP number and port for other processes
-	CallerAddress   string `json:"caller_address"`   // entries only: IP number and port for callers
-	OperatorAddress string `json:"operator_address"` // IP number and port for metrics and health
+	RPCAddress      string `json:"rpc_address" unit:"IP number and port" doc:"gRPC server towards the other processes"`
+	CallerAddress   string `json:"caller_address" unit:"IP number and port" optional:"true" doc:"entries only: HTTP server towards callers"`
+	OperatorAddress string `json:"operator_address" unit:"IP number and port" doc:"HTTP server with /debug/vars, /healthz and /readyz; not for callers"`
 
-	LogAddress      string   `json:"log_address"`       // platform's log service
-	HostListAddress string   `json:"host_list_address"` // platform's host list
-	Peers           []string `json:"peers"`             // addresses to try when the host list is unavailable
+	LogAddress      string   `json:"log_address" unit:"IP number and port" doc:"the platform's log service"`
+	HostListAddress string   `json:"host_list_address" unit:"IP number and port" doc:"the platform's host list"`
+	Peers           []string `json:"peers" unit:"IP numbers and ports" optional:"true" doc:"processes to try when the host list is unavailable"`
 
-	// CacheSecret is 32 bytes in hex, the same on all processes of a
-	// deployment; all customer keys derive from it.
-	CacheSecret string `json:"cache_secret"`
+	// CacheSecret is the root of all customer keys.
+	CacheSecret string `json:"cache_secret" unit:"64 hex digits" doc:"the same secret on all processes of a deployment; made with openssl rand -hex 32"`
 
-	SilenceLimitMs int64 `json:"silence_limit_ms"` // default 2000, 100 to 10000
-	LogTimeoutMs   int64 `json:"log_timeout_ms"`   // default 1000, 50 to 30000
-	DrainTimeoutMs int64 `json:"drain_timeout_ms"` // default 600000; how long running answers may take after SIGTERM
+	SilenceLimitMs int64 `json:"silence_limit_ms" unit:"ms" default:"2000" min:"100" max:"10000" doc:"how long an open stream may send nothing before it is resumed on a new connection"`
+	LogTimeoutMs   int64 `json:"log_timeout_ms" unit:"ms" default:"1000" min:"50" max:"30000" doc:"for one call of the log service"`
+	DrainDelayMs   int64 `json:"drain_delay_ms" unit:"ms" default:"3000" min:"0" max:"60000" doc:"entries only: how long requests are still taken after the readiness has failed, until the balancer has noticed"`
+	DrainTimeoutMs int64 `json:"drain_timeout_ms" unit:"ms" default:"600000" min:"1" max:"3600000" doc:"how long running answers may take after SIGTERM"`
 
-	MaxBodyBytes int64 `json:"max_body_bytes"` // entries only; default 4 MiB
+	MaxBodyBytes    int64 `json:"max_body_bytes" unit:"bytes" default:"4194304" min:"1024" max:"14680064" doc:"entries only: largest body of a request; below the 16 MiB of a message between processes"`
+	CallerTimeoutMs int64 `json:"caller_timeout_ms" unit:"ms" default:"30000" min:"100" max:"600000" doc:"entries only: for a caller to send its body, and to take each piece of its answer"`
 
-	TLS TLS `json:"tls"`
+	TLS TLS `json:"tls" doc:"certificate files"`
 }
 
-// TLS names certificate files. Plain TCP is used only when Off is true.
+// TLS names certificate files in PEM form. They are read again when they change.
 type TLS struct {
-	Off        bool   `json:"off"`
-	CertFile   string `json:"cert_file"`
-	KeyFile    string `json:"key_file"`
-	CAFile     string `json:"ca_file"`     // for mutual TLS between own processes
-	CallerCert string `json:"caller_cert"` // entries only; towards callers
-	CallerKey  string `json:"caller_key"`
-}
-
-// Defaults returns settings with the defaults set.
-func Defaults() Settings {
-	return Settings{SilenceLimitMs: 2000, LogTimeoutMs: 1000, DrainTimeoutMs: 600_000, MaxBodyBytes: 4 << 20}
+	Off        bool   `json:"off" optional:"true" doc:"plain TCP, for a trusted network; without it the files below are needed"`
+	CertFile   string `json:"cert_file" unit:"path" optional:"true" doc:"certificate of this process, for its IP number"`
+	KeyFile    string `json:"key_file" unit:"path" optional:"true" doc:"key of the certificate"`
+	CAFile     string `json:"ca_file" unit:"path" optional:"true" doc:"CA of all processes of the deployment"`
+	CallerCert string `json:"caller_cert" unit:"path" optional:"true" doc:"entries only: certificate towards callers"`
+	CallerKey  string `json:"caller_key" unit:"path" optional:"true" doc:"entries only: key of caller_cert"`
 }
 
 // Load reads and checks the file.
@@ -71,34 +70,76 @@
 // are errors that name the key and the line.
 func Parse(text []byte) (Settings, error) {
 	s := Defaults()
-	std, err := hujson.Standardize(bytes.Clone(text))
+	v, err := hujson.Parse(text)
 	if err != nil {
 		return s, fmt.Errorf("not valid JSON with comments: %w", err)
 	}
-	d := json.NewDecoder(bytes.NewReader(std))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&s); err != nil {
-		return s, describe(std, d.InputOffset(), err)
+	root, ok := v.Value.(*hujson.Object)
+	if !ok {
+		return s, errors.New("line 1: not an object; write the settings as { \"id\": … }")
+	}
+	if err := checkKeys(text, root, "", Fields()); err != nil {
+		return s, err
+	}
+	v.Standardize()
+	if err := json.Unmarshal(v.Pack(), &s); err != nil {
+		return s, wrongType(v.Pack(), err)
 	}
 	return s, s.check()
 }
 
-func describe(text []byte, offset int64, err error) error {
+// checkKeys reports the keys of an object that are unknown or given twice.
+func checkKeys(text []byte, o *hujson.Object, prefix string, known []Field) error {
+	var errs []error
+	seen := map[string]bool{}
+	for _, m := range o.Members {
+		key := prefix + m.Name.Value.(hujson.Literal).String()
+		at := line(text, m.Name.StartOffset)
+		switch {
+		case !isKnown(known, key):
+			errs = append(errs, fmt.Errorf("line %d: unknown key %q; remove it or correct its name, see docs/settings.md", at, key))
+		case seen[key]:
+			errs = append(errs, fmt.Errorf("line %d: key %q is given twice; remove one", at, key))
+		}
+		seen[key] = true
+		if nested, ok := m.Value.Value.(*hujson.Object); ok {
+			errs = append(errs, checkKeys(text, nested, key+".", known))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+func isKnown(known []Field, key string) bool {
+	for _, f := range known {
+		if f.Key == key {
+			return true
+		}
+	}
+	return false
+}
+
+func wrongType(text []byte, err error) error {
 	var t *json.UnmarshalTypeError
 	if errors.As(err, &t) {
-		return fmt.Errorf("line %d: %s has the wrong type %s; give a %s", line(text, t.Offset), t.Field, t.Value, t.Type)
+		return fmt.Errorf("line %d: %s has the wrong type %s; give a %s", line(text, int(t.Offset)), t.Field, t.Value, t.Type)
 	}
-	return fmt.Errorf("line %d: %w; remove the key or correct its name", line(text, offset), err)
+	return fmt.Errorf("not valid: %w", err)
 }
 
-func line(text []byte, offset int64) int {
-	return 1 + bytes.Count(text[:min(int(offset), len(text))], []byte("\n"))
+func line(text []byte, offset int) int {
+	n := 1
+	for _, c := range text[:min(offset, len(text))] {
+		if c == '\n' {
+			n++
+		}
+	}
+	return n
 }
 
 const cacheSecretHexDigits = 64
 
 func (s *Settings) check() error {
-	var errs []error
+	errs := s.checkLimits()
 	need := func(ok bool, format string, args ...any) {
 		if !ok {
 			errs = append(errs, fmt.Errorf(format, args...))
@@ -109,16 +150,24 @@
 	for _, a := range []struct{ key, value string }{
 		{"rpc_address", s.RPCAddress}, {"operator_address", s.OperatorAddress},
 		{"log_address", s.LogAddress}, {"host_list_address", s.HostListAddress},
+		{"caller_address", s.CallerAddress},
 	} {
 		_, err := netip.ParseAddrPort(a.value)
-		need(err == nil, "%s %q is not an IP number and port; write it as 10.0.0.7:7000", a.key, a.value)
+		need(err == nil || (a.value == "" && a.key == "caller_address"), "%s %q is not an IP number and port; write it as 10.0.0.7:7000", a.key, a.value)
 	}
-	need(len(s.CacheSecret) == cacheSecretHexDigits, "cache_secret has not 64 hex digits; make one with openssl rand -hex 32")
-	need(s.SilenceLimitMs >= 100 && s.SilenceLimitMs <= 10_000, "silence_limit_ms is outside 100 to 10000; use 2000")
-	need(s.LogTimeoutMs >= 50 && s.LogTimeoutMs <= 30_000, "log_timeout_ms is outside 50 to 30000; use 1000")
-	need(s.DrainTimeoutMs > 0, "drain_timeout_ms is not positive; use 600000")
-	need(s.MaxBodyBytes > 0, "max_body_bytes is not positive; use 4194304")
+	need(isHex(s.CacheSecret, cacheSecretHexDigits), "cache_secret has not 64 hex digits; make one with openssl rand -hex 32")
 	need(s.TLS.Off || (s.TLS.CertFile != "" && s.TLS.KeyFile != "" && s.TLS.CAFile != ""),
 		"tls needs cert_file, key_file and ca_file; give them, or set tls.off to true on a trusted network")
+	need(s.TLS.Off || s.CallerAddress == "" || (s.TLS.CallerCert != "" && s.TLS.CallerKey != ""),
+		"tls needs caller_cert and caller_key on an entry; give them, or set tls.off to true on a trusted network")
 	return errors.Join(errs...)
 }
+
+func isHex(s string, digits int) bool {
+	for _, c := range s {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F') {
+			return false
+		}
+	}
+	return len(s) == digits
+}
