Correct the attempts of the agent

Cause: reading the agent showed: WaitGroup.Add beside Wait while draining; a drain that ended before the last frames were sent; an orphan timer that could cancel an attempt whose follower had come back; a deadline of zero or less taken for none; not_run after a request that had been sent; a second customer given the first one's attempt in a race, or by name after a restart; foreign frames taken for a sign of life; a caller's cancel lost on a restarted agent. Change: work counts as running until its last frame is delivered or nobody comes for it; the orphan timer checks that nobody joined since; the runner notes whether the engine may have seen the request; the engine's ID of an attempt derives from the customer's key; cancel of an unknown attempt goes to the engines and refuses the ID for a while; after a silence the idle connections to the engine are closed too; gRPC pings close dead connections. A request that the engine never received is sent again under its ID.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -4,17 +4,21 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
 
 	"github.com/galenaweir/galenaweir/core/apierr"
 	"github.com/galenaweir/galenaweir/core/config"
 	"github.com/galenaweir/galenaweir/core/prefix"
+	"github.com/galenaweir/galenaweir/inflight"
 	"github.com/galenaweir/galenaweir/node"
 	"github.com/galenaweir/galenaweir/protocol"
 	"github.com/galenaweir/galenaweir/rpc"
@@ -36,8 +40,26 @@
 	orphanGrace    = 5 * time.Second        // before an attempt that nobody follows is cancelled
 	frameKeepAlive = 500 * time.Millisecond // interval of keep-alive frames
 	cancelTimeout  = 2 * time.Second
+	maxRunTime     = time.Hour // of an attempt whose request states no deadline
 )
 
+// Keep-alive pings of the gRPC server. They close a connection that has gone
+// silent, so that a follower on it doesn't hold an attempt that nobody reads.
+const (
+	pingInterval = 10 * time.Second
+	pingTimeout  = 3 * time.Second
+)
+
+// ServerOptions returns the options of a gRPC server for an agent.
+func ServerOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingInterval, Timeout: pingTimeout}),
+		grpc.MaxRecvMsgSize(maxMessageBytes),
+	}
+}
+
+const maxMessageBytes = 16 << 20 // as in rpc/dial
+
 // Agent implements rpc.AgentServer.
 type Agent struct {
 	rpc.UnimplementedAgentServer
@@ -45,8 +67,7 @@
 
 	mu       sync.Mutex
 	attempts map[string]*attempt
-	draining bool
-	running  sync.WaitGroup
+	work     inflight.Group
 
 	waiting      atomic.Int64
 	active       atomic.Int64
@@ -79,45 +100,41 @@
 // enter admits one piece of work unless the agent is draining; the work must end
 // with a call of leave.
 func (a *Agent) enter() error {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.draining {
+	if !a.work.Enter() {
 		return apierr.Retry(apierr.Draining, apierr.NotRun, 100*time.Millisecond, "agent "+a.o.ID+" is leaving", "retry; another endpoint is tried")
 	}
-	a.running.Add(1)
 	return nil
 }
 
-func (a *Agent) leave() { a.running.Done() }
+func (a *Agent) leave() { a.work.Leave() }
 
 // Leaving reports whether the agent refuses new work.
-func (a *Agent) Leaving() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.draining
-}
+func (a *Agent) Leaving() bool { return a.work.Closed() }
 
 // BeginDrain refuses new work from now on.
-func (a *Agent) BeginDrain() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.draining = true
-}
+func (a *Agent) BeginDrain() { a.work.Close() }
 
-// Drain refuses new work and waits until all running work has ended or ctx ends.
+// Drain refuses new work and waits until all running work has ended and its last
+// frame was sent, or until ctx ends; then the error names the attempts cut.
 func (a *Agent) Drain(ctx context.Context) error {
 	a.BeginDrain()
-	ended := make(chan struct{})
-	go func() {
-		a.running.Wait()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-		return nil
-	case <-ctx.Done():
-		return fmt.Errorf("drain agent %s: %d attempts were cut: %w", a.o.ID, a.active.Load(), ctx.Err())
+	if err := a.work.Wait(ctx); err != nil {
+		return fmt.Errorf("drain agent %s: cut %s: %w", a.o.ID, strings.Join(a.unfinished(), ", "), err)
 	}
+	return nil
+}
+
+// unfinished returns the IDs of the attempts that still run.
+func (a *Agent) unfinished() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var ids []string
+	for id, at := range a.attempts {
+		if !at.ended() {
+			ids = append(ids, id)
+		}
+	}
+	return ids
 }
 
 func (a *Agent) load(endpoint, version string) *rpc.LoadReport {
@@ -137,11 +154,11 @@
 }
 
 // attempt returns the attempt that the request names, and starts it if needed.
+// A resumed attempt is running work, which a leaving agent finishes.
 func (a *Agent) attempt(req *rpc.GenerateRequest) (*attempt, error) {
 	a.mu.Lock()
-	at, ok := a.attempts[req.AttemptId]
-	a.mu.Unlock()
-	if ok {
+	defer a.mu.Unlock()
+	if at, ok := a.attempts[req.AttemptId]; ok {
 		if at.customer != req.Customer {
 			return nil, apierr.New(apierr.Forbidden, apierr.NotRun, "the attempt belongs to another customer", "use the customer's own request")
 		}
@@ -151,143 +168,113 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := a.enter(); err != nil && !req.Resume {
+	if req.DeadlineMs < 0 {
+		return nil, apierr.New(apierr.DeadlineExceeded, apierr.NotRun, "the deadline passed before the attempt began", "allow more time with Galenaweir-Deadline-Ms")
+	}
+	if req.Resume {
+		a.work.Continue()
+	} else if err := a.enter(); err != nil {
 		return nil, err
-	} else if err != nil {
-		a.running.Add(1) // a resumed attempt is running work, which a leaving agent finishes
 	}
-	return a.start(req, e, doc), nil
+	at := newAttempt(req, e.Address, prefix.DeriveCustomerKey(a.o.CacheSecret, req.Customer))
+	a.attempts[req.AttemptId] = at
+	a.start(at, req, doc)
+	return at, nil
 }
 
-func (a *Agent) start(req *rpc.GenerateRequest, e config.Endpoint, doc *config.Document) *attempt {
-	ctx, cancel := context.WithCancelCause(context.Background())
-	stop := func() {}
+// start runs the attempt in the background.
+func (a *Agent) start(at *attempt, req *rpc.GenerateRequest, doc *config.Document) {
+	limit := maxRunTime
 	if req.DeadlineMs > 0 {
-		ctx, stop = context.WithTimeout(ctx, time.Duration(req.DeadlineMs)*time.Millisecond)
-	}
-	at := &attempt{id: req.AttemptId, customer: req.Customer, endpoint: req.Endpoint, address: e.Address, cancel: cancel, changed: make(chan struct{})}
-	a.mu.Lock()
-	if other, ok := a.attempts[req.AttemptId]; ok {
-		a.mu.Unlock()
-		a.leave()
-		stop()
-		return other
+		limit = min(limit, time.Duration(req.DeadlineMs)*time.Millisecond)
 	}
-	a.attempts[req.AttemptId] = at
-	a.mu.Unlock()
+	ctx, cancel := context.WithCancelCause(context.Background())
+	at.cancel = cancel
+	ctx, stop := context.WithTimeout(ctx, limit)
 	go func() {
 		defer a.leave()
 		defer stop()
 		a.execute(ctx, at, req, doc)
+		a.forgetLater(at)
+		<-at.delivered
 	}()
-	return at
 }
 
-// execute runs the attempt to its end and forgets it a while later.
+// forgetLater keeps the ended attempt a while for followers that come back.
+func (a *Agent) forgetLater(at *attempt) {
+	time.AfterFunc(keepEnded, func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		delete(a.attempts, at.id)
+	})
+}
+
+// execute runs the attempt to its end.
 func (a *Agent) execute(ctx context.Context, at *attempt, req *rpc.GenerateRequest, doc *config.Document) {
 	a.active.Add(1)
 	defer a.active.Add(-1)
 	key := prefix.DeriveCustomerKey(a.o.CacheSecret, req.Customer)
 	salt := prefix.Derive(key, "salt", req.Model, req.Adapter)
-	r := runner{engine: a.o.Engine, silence: a.o.SilenceLimit, dropped: func() { a.dropped.Add(1) }}
+	r := runner{
+		engine: a.o.Engine, silence: a.o.SilenceLimit, dropped: func() { a.dropped.Add(1) },
+		mayRestart: req.ResumeSeq == 0 && !(req.Resume && a.Leaving()),
+	}
 	err := r.run(ctx, at, &protocol.Request{
-		AttemptID: req.AttemptId, Model: req.Model, Prompt: req.Prompt, Continue: req.PrefixOutput,
+		AttemptID: at.engineID, Model: req.Model, Prompt: req.Prompt, Continue: req.PrefixOutput,
 		MaxTokens: int(req.MaxTokens), Priority: doc.Priorities[req.Priority].Rank,
 		CacheSalt: fmt.Sprintf("%x", salt), WeightVersion: req.WeightVersion,
 	}, req.Resume)
-	if err != nil {
-		a.abandon(at)
-		frames, _, _, _ := at.since(0)
-		err = translate(err, at.endpoint, len(frames) > 0)
-		log.Warn().Str("request", req.RequestId).Str("attempt", at.id).Str("endpoint", at.endpoint).Err(err).Msg("attempt failed")
+	if err == nil {
+		at.finish(nil)
+		return
+	}
+	log.Warn().Str("request", req.RequestId).Str("attempt", at.id).Str("endpoint", at.endpoint).Str("ran", string(r.ran)).Err(err).Msg("attempt failed")
+	at.finish(translate(err, at.endpoint, r.ran))
+	if r.ran != apierr.NotRun {
+		a.abandon(at.address, at.engineID)
 	}
-	at.finish(err)
-	time.AfterFunc(keepEnded, func() {
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		delete(a.attempts, at.id)
-	})
 }
 
-// abandon frees the attempt's place in the engine.
-func (a *Agent) abandon(at *attempt) {
+// abandon frees an attempt's place in the engine.
+func (a *Agent) abandon(address, engineID string) {
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
-	if err := a.o.Engine.Cancel(ctx, at.address, at.id); err != nil {
-		log.Debug().Str("attempt", at.id).Err(err).Msg("cancel at the engine failed; it ends by itself")
+	err := a.o.Engine.Cancel(ctx, address, engineID)
+	if err != nil && !errors.Is(err, protocol.ErrNotFound) {
+		log.Warn().Str("attempt", engineID).Err(err).Msg("cancel at the engine failed; it ends by itself")
 	}
 }
 
-// Cancel implements rpc.AgentServer.
+// Cancel implements rpc.AgentServer. An attempt that this agent doesn't know may
+// have been started before a restart, so it is cancelled at the engines; it may
+// also still be on its way here, so its ID is refused for a while.
 func (a *Agent) Cancel(_ context.Context, req *rpc.CancelRequest) (*rpc.CancelReply, error) {
 	a.mu.Lock()
 	at, ok := a.attempts[req.AttemptId]
+	if !ok {
+		at = newAttempt(&rpc.GenerateRequest{AttemptId: req.AttemptId, Customer: req.Customer}, "", prefix.DeriveCustomerKey(a.o.CacheSecret, req.Customer))
+		at.finish(translate(errCancelled, "", apierr.Unknown))
+		a.attempts[req.AttemptId] = at
+	}
 	a.mu.Unlock()
-	if ok && at.customer == req.Customer {
+	switch {
+	case !ok:
+		a.forgetLater(at)
+		a.cancelUnknown(at.engineID)
+	case at.customer == req.Customer:
 		at.cancel(errCancelled)
 	}
 	return &rpc.CancelReply{}, nil
 }
 
-// follow sends the attempt's frames from seq on until it ends or ctx does.
-func (a *Agent) follow(ctx context.Context, at *attempt, seq uint64, send func(*rpc.Frame) error) error {
-	at.join()
-	defer at.part(orphanGrace)
-	keepAlive := time.NewTicker(frameKeepAlive)
-	defer keepAlive.Stop()
-	for {
-		frames, done, changed, err := at.since(seq)
-		for _, f := range frames {
-			if f.GetStart() != nil || f.GetEnd() != nil {
-				f = &rpc.Frame{AttemptId: f.AttemptId, Customer: f.Customer, Seq: f.Seq, Body: f.Body, Load: a.load(at.endpoint, "")}
-			}
-			if err := send(f); err != nil {
-				return err
-			}
-			seq++
-		}
-		if done {
-			if err != nil {
-				return send(&rpc.Frame{AttemptId: at.id, Customer: at.customer, Seq: seq, Body: &rpc.Frame_Error{Error: rpc.EncodeError(err)}, Load: a.load(at.endpoint, "")})
-			}
-			return nil
-		}
-		select {
-		case <-changed:
-		case <-keepAlive.C:
-			if err := send(&rpc.Frame{AttemptId: at.id, Customer: at.customer, Body: &rpc.Frame_KeepAlive{KeepAlive: &rpc.KeepAlive{}}}); err != nil {
-				return err
-			}
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
-// join counts a follower.
-func (a *attempt) join() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.followers++
-	if a.orphaned != nil {
-		a.orphaned.Stop()
+func (a *Agent) cancelUnknown(engineID string) {
+	st := a.o.Config.Current()
+	if st == nil {
+		return
 	}
-}
-
-// part counts a follower out; the attempt is cancelled when nobody comes back
-// within the grace.
-func (a *attempt) part(grace time.Duration) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.followers--
-	if a.followers == 0 && !a.done {
-		a.orphaned = time.AfterFunc(grace, func() {
-			a.mu.Lock()
-			alone := a.followers == 0
-			a.mu.Unlock()
-			if alone {
-				a.cancel(errOrphaned)
-			}
-		})
+	for _, e := range st.Doc.Endpoints {
+		if e.Agent == a.o.ID && e.Model != "" {
+			a.abandon(e.Address, engineID)
+		}
 	}
 }
--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"sync"
@@ -10,6 +11,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/galenaweir/galenaweir/core/apierr"
+	"github.com/galenaweir/galenaweir/core/prefix"
 	"github.com/galenaweir/galenaweir/core/stream"
 	"github.com/galenaweir/galenaweir/protocol"
 	"github.com/galenaweir/galenaweir/rpc"
@@ -19,6 +21,7 @@
 // far, kept for followers that come back after a silent connection.
 type attempt struct {
 	id       string
+	engineID string // the ID that the engine knows
 	customer string
 	endpoint string
 	address  string // of the engine
@@ -30,7 +33,21 @@
 	done      bool
 	changed   chan struct{}
 	followers int
-	orphaned  *time.Timer
+	joined    int // followers so far
+
+	handedOver bool
+	delivered  chan struct{} // closes when no follower needs to be waited for
+}
+
+// newAttempt returns an attempt without frames. The engine's ID derives from the
+// customer's key, so that no customer can name another's attempt to an engine,
+// not even through an agent that has restarted.
+func newAttempt(req *rpc.GenerateRequest, address string, key prefix.CustomerKey) *attempt {
+	id := prefix.Derive(key, "attempt", req.AttemptId)
+	return &attempt{
+		id: req.AttemptId, engineID: hex.EncodeToString(id[:]), customer: req.Customer, endpoint: req.Endpoint,
+		address: address, cancel: func(error) {}, changed: make(chan struct{}), delivered: make(chan struct{}),
+	}
 }
 
 func (a *attempt) wake() {
@@ -48,6 +65,29 @@
 	return frames, a.done, a.changed, a.err
 }
 
+// has reports whether all frames below seq exist.
+func (a *attempt) has(seq uint64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return seq <= uint64(len(a.frames))
+}
+
+func (a *attempt) ended() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.done
+}
+
+// weightVersion returns the version that the attempt runs on, once known.
+func (a *attempt) weightVersion() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.frames) == 0 {
+		return ""
+	}
+	return a.frames[0].GetStart().GetWeightVersion()
+}
+
 func (a *attempt) add(f *rpc.Frame) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -55,10 +95,15 @@
 	a.wake()
 }
 
+// finish ends the attempt. Nobody is expected to come back for one that was
+// cancelled.
 func (a *attempt) finish(err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.done, a.err = true, err
+	if apierr.Is(err, apierr.Cancelled) {
+		a.deliverLocked()
+	}
 	a.wake()
 }
 
@@ -71,8 +116,12 @@
 // errCancelled is the cause of an attempt that its caller gave up.
 var errCancelled = errors.New("the caller cancelled the attempt")
 
-// maxEngineResumes bounds the reconnections of one attempt without progress.
-const maxEngineResumes = 5
+// Limits of the reconnections of one attempt without progress. A silent one
+// costs the silence limit, so fewer are made.
+const (
+	maxEngineResumes = 5
+	maxSilentInRow   = 2
+)
 
 // resumePause is the time before a stream is resumed after an error.
 const resumePause = 50 * time.Millisecond
@@ -83,39 +132,64 @@
 	engine  protocol.Engine
 	silence time.Duration
 	dropped func() // counts a frame that didn't fit
+	// mayRestart allows to send the request again, under the same ID, when the
+	// engine doesn't know the attempt and no frame of it was passed on.
+	mayRestart bool
+	ran        apierr.Ran // what a failed attempt may have done
 }
 
 // run returns nil when the answer is whole.
 func (r *runner) run(ctx context.Context, a *attempt, req *protocol.Request, resume bool) error {
-	check := stream.NewChecker(a.id, a.customer)
-	failures := 0
+	check := stream.NewChecker(req.AttemptID, a.customer)
+	r.ran = apierr.NotRun
+	failures, silent := 0, 0
 	for {
 		before := check.Next()
 		err := r.once(ctx, a, req, check, resume)
+		r.note(err, check, resume)
 		switch {
 		case check.Whole():
 			return nil
 		case ctx.Err() != nil:
 			return context.Cause(ctx)
 		case errors.Is(err, protocol.ErrVersion), errors.Is(err, protocol.ErrRefused),
-			errors.Is(err, protocol.ErrNoConnect) && !resume, errors.Is(err, protocol.ErrNotFound):
+			errors.Is(err, protocol.ErrNoConnect) && r.ran == apierr.NotRun:
+			return err
+		case errors.Is(err, protocol.ErrNotFound) && (!resume || !r.mayRestart || check.Next() > 0):
 			return err
 		}
 		if check.Next() > before {
-			failures = 0
+			failures, silent = 0, 0
 		}
 		failures++
-		if failures > maxEngineResumes {
+		if errors.Is(err, errSilent) {
+			silent++
+		}
+		if failures > maxEngineResumes || silent > maxSilentInRow {
 			return fmt.Errorf("gave up after %d resumes without progress: %w", failures-1, err)
 		}
 		log.Warn().Str("attempt", a.id).Str("endpoint", a.endpoint).Uint64("seq", check.Next()).Err(err).Msg("engine stream resumed")
-		resume = true
+		resume = !errors.Is(err, protocol.ErrNotFound)
 		if !sleep(ctx, resumePause) {
 			return context.Cause(ctx)
 		}
 	}
 }
 
+// note updates what the attempt may have done, after one connection.
+func (r *runner) note(err error, check *stream.Checker, resumed bool) {
+	notSent := errors.Is(err, protocol.ErrNoConnect) || errors.Is(err, protocol.ErrRefused) || errors.Is(err, protocol.ErrVersion)
+	switch {
+	case check.Next() > 0:
+		r.ran = apierr.DidRun
+	case resumed || !notSent:
+		r.ran = apierr.Unknown
+	}
+}
+
+// renewer is implemented by protocols that keep idle connections.
+type renewer interface{ CloseIdle() }
+
 // once follows one connection to the engine until it ends or goes silent.
 func (r *runner) once(ctx context.Context, a *attempt, req *protocol.Request, check *stream.Checker, resume bool) error {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -123,25 +197,35 @@
 	watchdog := time.AfterFunc(r.silence, func() { cancel(errSilent) })
 	defer watchdog.Stop()
 	sink := func(e protocol.Event) error {
-		watchdog.Reset(r.silence)
-		return r.accept(a, check, e)
+		alive, err := r.accept(a, check, e)
+		if alive {
+			watchdog.Reset(r.silence)
+		}
+		return err
 	}
 	var err error
 	if resume {
-		err = r.engine.Resume(ctx, a.address, a.id, check.Next(), sink)
+		err = r.engine.Resume(ctx, a.address, req.AttemptID, check.Next(), sink)
 	} else {
 		err = r.engine.Generate(ctx, a.address, req, sink)
 	}
 	if cause := context.Cause(ctx); errors.Is(cause, errSilent) {
+		if c, ok := r.engine.(renewer); ok {
+			c.CloseIdle() // they may have gone silent as well
+		}
 		return cause
 	}
+	if err == nil {
+		return protocol.ErrCut // whether the answer is whole is for the checker to say
+	}
 	return err
 }
 
-// accept checks one event and keeps it as a frame.
-func (r *runner) accept(a *attempt, check *stream.Checker, e protocol.Event) error {
+// accept checks one event and keeps it as a frame. A frame of another attempt is
+// no sign that this one is alive.
+func (r *runner) accept(a *attempt, check *stream.Checker, e protocol.Event) (alive bool, err error) {
 	if e.Kind == protocol.KeepAlive {
-		return nil
+		return true, nil
 	}
 	var v stream.Verdict
 	if e.Kind == protocol.Ended {
@@ -155,9 +239,9 @@
 	case stream.Foreign:
 		r.dropped()
 	case stream.Gap:
-		return fmt.Errorf("%w: frame %d came, %d was expected", protocol.ErrCut, e.Seq, check.Next())
+		return false, fmt.Errorf("%w: frame %d came, %d was expected", protocol.ErrCut, e.Seq, check.Next())
 	}
-	return nil
+	return v == stream.Accept, nil
 }
 
 func frameOf(a *attempt, e protocol.Event) *rpc.Frame {
@@ -190,21 +274,16 @@
 	}
 }
 
-// translate turns an error of an attempt into its typed kind. ran tells whether
-// any frame had come from the engine.
-func translate(err error, endpoint string, ran bool) error {
-	outcome := apierr.NotRun
-	if ran {
-		outcome = apierr.DidRun
-	}
+// translate turns an error of an attempt into its typed kind.
+func translate(err error, endpoint string, ran apierr.Ran) error {
 	const retryAfter = 200 * time.Millisecond
 	switch {
 	case errors.Is(err, errCancelled), errors.Is(err, errOrphaned):
-		return apierr.New(apierr.Cancelled, outcome, "the attempt was cancelled", "send the request again if its answer is still wanted")
+		return apierr.New(apierr.Cancelled, ran, "the attempt was cancelled", "send the request again if its answer is still wanted").WithCause(err)
 	case errors.Is(err, context.DeadlineExceeded):
-		return apierr.New(apierr.DeadlineExceeded, outcome, "the deadline passed", "allow more time with Galenaweir-Deadline-Ms")
+		return apierr.New(apierr.DeadlineExceeded, ran, "the deadline passed", "allow more time with Galenaweir-Deadline-Ms").WithCause(err)
 	case errors.Is(err, protocol.ErrVersion):
-		return apierr.Retry(apierr.EndpointFailed, apierr.NotRun, retryAfter, "endpoint "+endpoint+" has another weight version loaded", "retry; another endpoint is tried").WithCause(err)
+		return apierr.Retry(apierr.EndpointFailed, ran, retryAfter, "endpoint "+endpoint+" has another weight version loaded", "retry; another endpoint is tried").WithCause(err)
 	}
-	return apierr.Retry(apierr.EndpointFailed, outcome, retryAfter, "endpoint "+endpoint+" failed", "retry; if it persists, look at the endpoint's host").WithCause(err)
+	return apierr.Retry(apierr.EndpointFailed, ran, retryAfter, "endpoint "+endpoint+" failed", "retry; if it persists, look at the endpoint's host").WithCause(err)
 }
--- a/protocol/streaming/streaming.go
+++ b/protocol/streaming/streaming.go
@@ -45,6 +45,9 @@
 	}}}
 }
 
+// CloseIdle closes the idle connections; the next call makes a new one.
+func (c *Client) CloseIdle() { c.http.CloseIdleConnections() }
+
 type completion struct {
 	RequestID     string `json:"request_id"`
 	Model         string `json:"model"`
