Continue an answer on another endpoint

Cause: an engine or agent that went away after the first token ended the answer; retries had no budget; a slow caller looked like a silent agent; the last bytes of an answer could be cut by the server's Close after a drain. Change: a new attempt carries the text so far and the weight version, and the usage adds up; else the error says ran. A drain shuts the server down after the answers, readiness fails first, and a second signal names the requests it cuts. Bodies are read whole within a time limit and checked for UTF-8, shape and numbers that overflow; text parts are accepted. Figures go to package metrics. Conclusion: prompts survive the loss of any one process but their entry.

--- a/cmd/galenaweir-agent/main.go
+++ b/cmd/galenaweir-agent/main.go
@@ -22,6 +22,7 @@
 	_ "github.com/galenaweir/galenaweir/protocol/streaming"
 	"github.com/galenaweir/galenaweir/rpc"
 	"github.com/galenaweir/galenaweir/settings"
+	"github.com/galenaweir/galenaweir/tlsconf"
 )
 
 func main() {
@@ -51,19 +52,24 @@
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w; free the port or change rpc_address", s.RPCAddress, err)
 	}
-	srv := grpc.NewServer()
+	creds, err := tlsconf.Peers(s.TLS)
+	if err != nil {
+		return err
+	}
+	srv := grpc.NewServer(append(agent.ServerOptions(), grpc.Creds(creds))...)
 	rpc.RegisterAgentServer(srv, a)
 	go func() { _ = srv.Serve(l) }()
-	closeOperators, err := process.ServeOperators(s.OperatorAddress, func() bool { return cfg.Current() != nil && !a.Leaving() })
+	operators, err := process.ServeOperators(s.OperatorAddress, func() bool { return cfg.Current() != nil && !a.Leaving() })
 	if err != nil {
 		return err
 	}
-	defer closeOperators()
+	defer operators.Close()
 	log.Info().Str("rpc_address", s.RPCAddress).Msg("agent started")
 	<-drain.Done()
 	ctx, cancel := context.WithTimeout(stop, time.Duration(s.DrainTimeoutMs)*time.Millisecond)
 	defer cancel()
+	log.Info().Msg("agent leaves")
 	err = a.Drain(ctx)
-	srv.Stop()
+	process.StopGRPC(ctx, srv)
 	return err
 }
--- a/cmd/galenaweir-entry/main.go
+++ b/cmd/galenaweir-entry/main.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/phuslu/log"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/galenaweir/galenaweir/core/kernel"
 	"github.com/galenaweir/galenaweir/core/routing"
@@ -20,6 +19,7 @@
 	"github.com/galenaweir/galenaweir/process"
 	"github.com/galenaweir/galenaweir/rpc/dial"
 	"github.com/galenaweir/galenaweir/settings"
+	"github.com/galenaweir/galenaweir/tlsconf"
 )
 
 func main() {
@@ -41,30 +41,45 @@
 	if err != nil {
 		return err
 	}
-	pool := dial.New(insecure.NewCredentials())
+	creds, err := tlsconf.Peers(s.TLS)
+	if err != nil {
+		return err
+	}
+	callerTLS, err := tlsconf.Callers(s.TLS)
+	if err != nil {
+		return err
+	}
+	pool := dial.New(creds)
 	defer pool.Close()
 	e := entry.New(entry.Options{
 		ID: s.ID, FailureDomain: s.FailureDomain, CacheSecret: process.Secret(s),
 		SilenceLimit: time.Duration(s.SilenceLimitMs) * time.Millisecond, MaxBodyBytes: s.MaxBodyBytes,
-		Config: cfg, Members: members, Pool: pool, Routing: policy, Seed: uint64(time.Now().UnixNano()),
+		CallerTimeout: time.Duration(s.CallerTimeoutMs) * time.Millisecond,
+		Config:        cfg, Members: members, Pool: pool, Routing: policy, Seed: uint64(time.Now().UnixNano()),
 	})
 	h, err := e.Handler()
 	if err != nil {
 		return err
 	}
-	closeCallers, err := process.Serve(s.CallerAddress, h)
+	callers, err := process.Serve(s.CallerAddress, h, callerTLS)
 	if err != nil {
 		return err
 	}
-	defer closeCallers()
-	closeOperators, err := process.ServeOperators(s.OperatorAddress, e.Ready)
+	defer callers.Close()
+	operators, err := process.ServeOperators(s.OperatorAddress, e.Ready)
 	if err != nil {
 		return err
 	}
-	defer closeOperators()
+	defer operators.Close()
 	log.Info().Str("caller_address", s.CallerAddress).Msg("entry started")
 	<-drain.Done()
+	e.BeginDrain()
+	log.Info().Msg("entry leaves")
+	process.Pause(stop, time.Duration(s.DrainDelayMs)*time.Millisecond)
 	ctx, cancel := context.WithTimeout(stop, time.Duration(s.DrainTimeoutMs)*time.Millisecond)
 	defer cancel()
-	return e.Drain(ctx)
+	if err := e.Drain(ctx); err != nil {
+		return err
+	}
+	return callers.Shutdown(ctx)
 }
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -20,18 +20,14 @@
 	chat         bool
 	includeUsage bool
 	created      int64
-	begun        bool // the status and headers are sent
+	begun        bool          // the status and headers are sent
+	limit        time.Duration // for the caller to take each event
 }
 
 func newAnswer(c iris.Context, p *prompt, chat, includeUsage bool) *answer {
 	return &answer{c: c, p: p, chat: chat, includeUsage: includeUsage, created: time.Now().Unix()}
 }
 
-type message struct {
-	Role    string `json:"role,omitempty"`
-	Content string `json:"content"`
-}
-
 type choice struct {
 	Index        int      `json:"index"`
 	Delta        *message `json:"delta,omitempty"`
@@ -104,7 +100,7 @@
 // text implements sink.
 func (a *answer) text(t string) error {
 	if a.chat {
-		return a.event(a.completion("chat.completion.chunk", choice{Delta: &message{Content: t}}))
+		return a.event(a.completion("chat.completion.chunk", choice{Delta: &message{Content: textParts(t)}}))
 	}
 	return a.event(a.completion("text_completion", choice{Text: &t}))
 }
@@ -131,7 +127,20 @@
 	_ = a.event(bodyOf(err, a.p.id))
 }
 
+func (a *answer) controller() *http.ResponseController {
+	return http.NewResponseController(a.c.ResponseWriter().Naive())
+}
+
+// extend gives the caller the limit again; a caller that doesn't read is cut.
+func (a *answer) extend() {
+	_ = a.controller().SetWriteDeadline(time.Now().Add(a.limit)) // a recorder in a test has none
+}
+
+// unlimit ends the limit, which would otherwise stay with the connection.
+func (a *answer) unlimit() { _ = a.controller().SetWriteDeadline(time.Time{}) }
+
 func (a *answer) event(v any) error {
+	a.extend()
 	b, err := json.Marshal(v)
 	if err != nil {
 		return fmt.Errorf("encode an event: %w", err)
@@ -143,18 +152,19 @@
 }
 
 func (a *answer) flush() error {
-	return http.NewResponseController(a.c.ResponseWriter().Naive()).Flush()
+	return a.controller().Flush()
 }
 
 // body sends a whole answer at once.
 func (a *answer) body(text string, end *rpc.End) {
 	object, ch := "text_completion", choice{Text: &text, FinishReason: &end.FinishReason}
 	if a.chat {
-		object, ch = "chat.completion", choice{Message: &message{"assistant", text}, FinishReason: &end.FinishReason}
+		object, ch = "chat.completion", choice{Message: &message{"assistant", textParts(text)}, FinishReason: &end.FinishReason}
 	}
 	v := a.completion(object, ch)
 	v.Usage = usageOf(end)
 	a.c.ContentType("application/json")
+	a.extend()
 	b, _ := json.Marshal(v) // strings and numbers always marshal
 	_, _ = a.c.Write(b)     // the caller has gone if this fails
 }
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -15,69 +15,54 @@
 	"github.com/galenaweir/galenaweir/core/prefix"
 )
 
-// completionRequest is the body of chat completions and completions.
-type completionRequest struct {
-	Model               string           `json:"model"`
-	Messages            []prefix.Message `json:"messages"`
-	Prompt              string           `json:"prompt"`
-	MaxTokens           int              `json:"max_tokens"`
-	MaxCompletionTokens int              `json:"max_completion_tokens"`
-	Stream              bool             `json:"stream"`
-	StreamOptions       *struct {
-		IncludeUsage bool `json:"include_usage"`
-	} `json:"stream_options"`
-}
-
 const (
 	defaultMaxTokens = 256
 	defaultPriority  = "standard"
 )
 
-func (e *Entry) handleChat(c iris.Context) {
-	e.handle(c, true, func(r *completionRequest) (string, error) {
-		if len(r.Messages) == 0 {
-			return "", apierr.New(apierr.InvalidRequest, apierr.NotRun, "messages is empty", "send at least one message")
-		}
-		return prefix.Render(r.Messages), nil
-	})
-}
+func (e *Entry) handleChat(c iris.Context) { e.handle(c, true) }
 
-func (e *Entry) handleCompletion(c iris.Context) {
-	e.handle(c, false, func(r *completionRequest) (string, error) {
-		if r.Prompt == "" {
-			return "", apierr.New(apierr.InvalidRequest, apierr.NotRun, "prompt is empty", "send a prompt")
-		}
-		return r.Prompt, nil
-	})
+func (e *Entry) handleCompletion(c iris.Context) { e.handle(c, false) }
+
+// handle serves both kinds of completions.
+func (e *Entry) handle(c iris.Context, chat bool) {
+	kind := "completion"
+	if chat {
+		kind = "chat"
+	}
+	outcome := "ok"
+	if err := e.serve(c, chat); err != nil {
+		outcome = string(apierr.From(err).Kind)
+	}
+	e.m.requests.Add(kind+"."+outcome, 1)
 }
 
-// handle serves both kinds of completions; text extracts the prompt.
-func (e *Entry) handle(c iris.Context, chat bool, text func(*completionRequest) (string, error)) {
-	var r completionRequest
-	if err := e.decode(c, &r); err != nil {
-		fail(c, err)
-		return
-	}
-	t, err := text(&r)
-	if err != nil {
-		fail(c, err)
-		return
+// serve answers one completion; an error it returns has been sent.
+func (e *Entry) serve(c iris.Context, chat bool) error {
+	body, err := e.readBody(c)
+	var r *completionRequest
+	if err == nil {
+		r, err = parseCompletion(body, chat)
+	}
+	var p *prompt
+	if err == nil {
+		p, err = e.prompt(c, r)
 	}
-	p, err := e.prompt(c, &r, t)
 	if err != nil {
-		fail(c, err)
-		return
+		e.fail(c, err)
+		return err
 	}
-	w := newAnswer(c, p, chat, r.StreamOptions != nil && r.StreamOptions.IncludeUsage)
+	w := newAnswer(c, p, chat, r.includeUsage())
+	w.limit = e.o.CallerTimeout
+	defer w.unlimit()
 	if r.Stream {
-		e.stream(c, p, w)
-		return
+		return e.stream(c, p, w)
 	}
-	e.whole(c, p, w)
+	return e.whole(c, p, w)
 }
 
 // prompt checks the request against the configuration.
-func (e *Entry) prompt(c iris.Context, r *completionRequest, text string) (*prompt, error) {
+func (e *Entry) prompt(c iris.Context, r *completionRequest) (*prompt, error) {
 	st := configOf(c)
 	customer := st.Doc.Customers[customerOf(c)]
 	m, ok := st.Doc.Models[r.Model]
@@ -85,14 +70,12 @@
 		return nil, apierr.New(apierr.UnknownModel, apierr.NotRun, fmt.Sprintf("no model %q for this customer", r.Model), "use a model of the subscription")
 	}
 	p := &prompt{
-		id: requestOf(c), customer: customerOf(c), model: r.Model, text: text,
-		maxTokens: max(r.MaxTokens, r.MaxCompletionTokens), state: st,
-	}
-	if p.maxTokens <= 0 {
-		p.maxTokens = defaultMaxTokens
+		id: requestOf(c), customer: customerOf(c), model: r.Model, text: r.text(),
+		maxTokens: r.maxTokens(), state: st, begun: time.Now(),
 	}
-	if n := prefix.Tokens(text) + p.maxTokens; n > m.MaxContextTokens {
-		return nil, apierr.New(apierr.TooLarge, apierr.NotRun, fmt.Sprintf("the prompt and max_tokens come to about %d tokens; model %q takes %d", n, r.Model, m.MaxContextTokens), "shorten the conversation or lower max_tokens")
+	// Compared one by one: the sum of a caller's number may overflow.
+	if n := prefix.Tokens(p.text); n > m.MaxContextTokens || p.maxTokens > m.MaxContextTokens-n {
+		return nil, apierr.New(apierr.TooLarge, apierr.NotRun, fmt.Sprintf("the prompt of about %d tokens and %d tokens of answer are more than the %d that model %q takes", n, p.maxTokens, m.MaxContextTokens, r.Model), "shorten the conversation or lower max_tokens")
 	}
 	if err := setPriority(p, st.Doc, customer, c.GetHeader(headerPriority)); err != nil {
 		return nil, err
@@ -146,9 +129,10 @@
 		h := prefix.Derive(k, "conversation", id)
 		return hex.EncodeToString(h[:])
 	}
-	parts := []string{r.Model, r.Prompt[:min(len(r.Prompt), prefix.PieceBytes)]}
+	prompt := string(r.Prompt)
+	parts := []string{r.Model, prompt[:min(len(prompt), prefix.PieceBytes)]}
 	for _, m := range r.Messages {
-		parts = append(parts, m.Role, m.Content)
+		parts = append(parts, m.Role, string(m.Content))
 		if m.Role == "user" {
 			break
 		}
@@ -158,27 +142,30 @@
 }
 
 // stream answers with server-sent events.
-func (e *Entry) stream(c iris.Context, p *prompt, w *answer) {
+func (e *Entry) stream(c iris.Context, p *prompt, w *answer) error {
 	end, err := e.relay(c.Request().Context(), p, w)
 	switch {
 	case err == nil:
 		w.finish(end)
 	case !w.begun:
-		fail(c, err)
+		e.fail(c, err)
 	default:
+		e.m.refusals.Add(string(apierr.From(err).Kind), 1)
 		w.abort(err)
 	}
+	return err
 }
 
 // whole collects the answer and sends it in one body.
-func (e *Entry) whole(c iris.Context, p *prompt, w *answer) {
+func (e *Entry) whole(c iris.Context, p *prompt, w *answer) error {
 	b := &collector{}
 	end, err := e.relay(c.Request().Context(), p, b)
 	if err != nil {
-		fail(c, err)
-		return
+		e.fail(c, err)
+		return err
 	}
 	w.headers(b.started)
 	c.StatusCode(http.StatusOK)
 	w.body(b.b.String(), end)
+	return nil
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,7 +4,12 @@
 
 import (
 	"context"
+	"expvar"
+	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +17,8 @@
 	"google.golang.org/grpc"
 
 	"github.com/galenaweir/galenaweir/core/routing"
+	"github.com/galenaweir/galenaweir/inflight"
+	"github.com/galenaweir/galenaweir/metrics"
 	"github.com/galenaweir/galenaweir/node"
 	"github.com/galenaweir/galenaweir/rpc"
 	"github.com/galenaweir/galenaweir/rpc/dial"
@@ -29,8 +36,15 @@
 	Pool          *dial.Pool
 	Routing       routing.Policy
 	Seed          uint64 // of the random source that breaks ties
+
+	CallerTimeout time.Duration     // for a caller to send its body, and to take each piece of its answer
+	Budget        Budget            // of repeated attempts; nil for the default
+	Metrics       *metrics.Registry // nil for metrics.Default
 }
 
+// defaultCallerTimeout is used when the options give none.
+const defaultCallerTimeout = 30 * time.Second
+
 // Entry serves callers.
 type Entry struct {
 	o    Options
@@ -39,34 +53,88 @@
 	rngMu sync.Mutex
 	rng   *rand.Rand
 
-	draining atomic.Bool
-	running  sync.WaitGroup
-	foreign  atomic.Int64 // frames of another attempt or customer
-	resumes  atomic.Int64
+	leaving atomic.Bool
+	work    inflight.Group
+	m       figures
+
+	requestsMu sync.Mutex
+	requests   map[string]bool // IDs of the running requests
 }
 
 // New returns an entry.
 func New(o Options) *Entry {
-	return &Entry{o: o, view: newView(), rng: rand.New(rand.NewPCG(o.Seed, 0))}
+	if o.Budget == nil {
+		o.Budget = newWindowBudget(time.Now, o.Seed)
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.Default
+	}
+	if o.CallerTimeout <= 0 {
+		o.CallerTimeout = defaultCallerTimeout
+	}
+	e := &Entry{o: o, view: newView(), rng: rand.New(rand.NewPCG(o.Seed, 0)), m: newFigures(o.Metrics), requests: map[string]bool{}}
+	o.Metrics.Gauge("running", func() any { return e.work.Count() })
+	o.Metrics.Gauge("config_version", func() any {
+		if st := o.Config.Current(); st != nil {
+			return st.Version
+		}
+		return 0
+	})
+	o.Metrics.Gauge("members", func() any { return len(o.Members.All()) })
+	return e
+}
+
+// figures are the entry's metrics.
+type figures struct {
+	requests      *expvar.Map // by kind and outcome
+	refusals      *expvar.Map // by error kind
+	promptTokens  *expvar.Map // cached, recomputed
+	firstToken    *metrics.Durations
+	betweenTokens *metrics.Durations
+	retries       *expvar.Int
+	continued     *expvar.Int // attempts that continued an answer elsewhere
+	resumes       *expvar.Int
+	foreign       *expvar.Int // frames of another attempt or customer
+}
+
+func newFigures(r *metrics.Registry) figures {
+	return figures{
+		requests: r.CountBy("requests"), refusals: r.CountBy("refusals"), promptTokens: r.CountBy("prompt_tokens"),
+		firstToken: r.Durations("first_token"), betweenTokens: r.Durations("between_tokens"),
+		retries: r.Count("retries"), continued: r.Count("continued"), resumes: r.Count("resumes"), foreign: r.Count("foreign_frames"),
+	}
 }
 
 // Ready reports whether the entry can serve: it has a configuration and isn't
 // leaving.
-func (e *Entry) Ready() bool { return !e.draining.Load() && e.o.Config.Current() != nil }
+func (e *Entry) Ready() bool { return !e.leaving.Load() && e.o.Config.Current() != nil }
+
+// BeginDrain fails the readiness. Requests are still taken, because the balancer
+// needs a while to send them elsewhere; their connections are closed afterwards.
+func (e *Entry) BeginDrain() { e.leaving.Store(true) }
 
-// Drain refuses new requests and waits until the running ones have ended.
+// Drain refuses new requests and waits until the running ones have ended, or
+// until ctx ends; then the error names the requests cut.
 func (e *Entry) Drain(ctx context.Context) error {
-	e.draining.Store(true)
-	ended := make(chan struct{})
-	go func() {
-		e.running.Wait()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	e.BeginDrain()
+	e.work.Close()
+	if err := e.work.Wait(ctx); err != nil {
+		e.requestsMu.Lock()
+		defer e.requestsMu.Unlock()
+		return fmt.Errorf("drain entry %s: cut %s: %w", e.o.ID, strings.Join(slices.Sorted(maps.Keys(e.requests)), ", "), err)
+	}
+	return nil
+}
+
+// track notes a running request until the returned function is called.
+func (e *Entry) track(id string) func() {
+	e.requestsMu.Lock()
+	defer e.requestsMu.Unlock()
+	e.requests[id] = true
+	return func() {
+		e.requestsMu.Lock()
+		defer e.requestsMu.Unlock()
+		delete(e.requests, id)
 	}
 }
 
--- a/entry/http.go
+++ b/entry/http.go
@@ -3,7 +3,11 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
+	"io"
 	"net/http"
+	"os"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -42,7 +46,7 @@
 	app.Post("/v1/completions", e.handleCompletion)
 	app.OnAnyErrorCode(func(c iris.Context) {
 		if c.GetStatusCode() == http.StatusNotFound {
-			fail(c, apierr.New(apierr.NotFound, apierr.NotRun, "no such path: "+c.Path(), "see the README for the paths"))
+			e.fail(c, apierr.New(apierr.NotFound, apierr.NotRun, "no such path: "+c.Path(), "see the README for the paths"))
 		}
 	})
 	if err := app.Build(); err != nil {
@@ -51,26 +55,38 @@
 	return app, nil
 }
 
+// maxHeaderBytes bounds the headers of a request; gRPC metadata and logs carry
+// none of them, but each one is held in memory while its request runs.
+const maxHeaderBytes = 32 << 10
+
 // begin identifies the request, refuses it while draining or unready, and
 // authenticates the caller.
 func (e *Entry) begin(c iris.Context) {
-	e.running.Add(1)
-	defer e.running.Done()
 	id := uuid.NewString()
 	c.Values().Set(valueRequest, id)
 	c.Header(headerRequest, id)
-	if e.draining.Load() {
-		fail(c, apierr.Retry(apierr.Draining, apierr.NotRun, 100*time.Millisecond, "this entry is leaving", "retry; the balancer chooses another entry"))
+	if e.leaving.Load() {
+		c.Header("Connection", "close") // so that the caller's next request goes through the balancer
+	}
+	if !e.work.Enter() {
+		e.fail(c, apierr.Retry(apierr.Draining, apierr.NotRun, 100*time.Millisecond, "this entry is leaving", "retry; the balancer chooses another entry"))
+		return
+	}
+	defer e.work.Leave()
+	defer e.track(id)()
+	defer e.recovered(c)
+	if n := headerBytes(c.Request().Header); n > maxHeaderBytes {
+		e.fail(c, apierr.New(apierr.TooLarge, apierr.NotRun, fmt.Sprintf("the headers have %d bytes; %d are allowed", n, maxHeaderBytes), "send fewer headers"))
 		return
 	}
 	st := e.o.Config.Current()
 	if st == nil {
-		fail(c, apierr.Retry(apierr.NotReady, apierr.NotRun, time.Second, "this entry has no configuration yet", "retry; the balancer chooses another entry"))
+		e.fail(c, apierr.Retry(apierr.NotReady, apierr.NotRun, time.Second, "this entry has no configuration yet", "retry; the balancer chooses another entry"))
 		return
 	}
 	customer, err := authenticate(st.Doc, c.GetHeader("Authorization"))
 	if err != nil {
-		fail(c, err)
+		e.fail(c, err)
 		return
 	}
 	c.Header(headerConfigVersion, strconv.FormatInt(st.Version, 10))
@@ -79,6 +95,29 @@
 	c.Next()
 }
 
+func headerBytes(h http.Header) int {
+	n := 0
+	for k, vs := range h {
+		for _, v := range vs {
+			n += len(k) + len(v)
+		}
+	}
+	return n
+}
+
+// recovered turns a panic of a handler into an error for this caller only.
+func (e *Entry) recovered(c iris.Context) {
+	v := recover()
+	if v == nil {
+		return
+	}
+	log.Error().Str("request", requestOf(c)).Str("stack", string(debug.Stack())).Msg("handler panicked")
+	if c.ResponseWriter().Written() >= 0 {
+		panic(http.ErrAbortHandler) // the answer has begun: break the connection
+	}
+	e.fail(c, apierr.New(apierr.Internal, apierr.Unknown, "unexpected error", "report the request's ID to the operators"))
+}
+
 func configOf(c iris.Context) *node.ConfigState {
 	return c.Values().Get(valueConfig).(*node.ConfigState)
 }
@@ -113,8 +152,9 @@
 }
 
 // fail answers with an error before anything else has been sent.
-func fail(c iris.Context, err error) {
+func (e *Entry) fail(c iris.Context, err error) {
 	ae := apierr.From(err)
+	e.m.refusals.Add(string(ae.Kind), 1)
 	if ae.Retryable {
 		seconds := int64((ae.RetryAfter + time.Second - 1) / time.Second)
 		c.Header("Retry-After", strconv.FormatInt(seconds, 10))
@@ -129,16 +169,21 @@
 	c.StopExecution()
 }
 
-// decode reads a JSON body of at most the limit.
-func (e *Entry) decode(c iris.Context, v any) error {
-	body := http.MaxBytesReader(c.ResponseWriter(), c.Request().Body, e.o.MaxBodyBytes)
-	err := json.NewDecoder(body).Decode(v)
+// readBody reads a body of at most the limit within the callers' timeout. The
+// whole body is read, since the server notices only then that a caller leaves.
+func (e *Entry) readBody(c iris.Context) ([]byte, error) {
+	rc := http.NewResponseController(c.ResponseWriter().Naive())
+	_ = rc.SetReadDeadline(time.Now().Add(e.o.CallerTimeout)) // a recorder in a test has none
+	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
+	b, err := io.ReadAll(http.MaxBytesReader(c.ResponseWriter(), c.Request().Body, e.o.MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
-		return nil
+		return b, nil
 	case errors.As(err, &tooLarge):
-		return apierr.New(apierr.TooLarge, apierr.NotRun, "the body is larger than "+strconv.FormatInt(e.o.MaxBodyBytes, 10)+" bytes", "shorten the conversation")
+		return nil, apierr.New(apierr.TooLarge, apierr.NotRun, "the body is larger than "+strconv.FormatInt(e.o.MaxBodyBytes, 10)+" bytes", "shorten the conversation")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, apierr.New(apierr.InvalidRequest, apierr.NotRun, "the body did not arrive within "+e.o.CallerTimeout.String(), "send the body at once")
 	}
-	return apierr.New(apierr.InvalidRequest, apierr.NotRun, "the body is not valid JSON of the expected shape", "correct the body").WithCause(err)
+	return nil, apierr.New(apierr.InvalidRequest, apierr.NotRun, "the body ended early", "send the whole body").WithCause(err)
 }
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -4,12 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/phuslu/log"
-	"google.golang.org/grpc"
 
 	"github.com/galenaweir/galenaweir/core/apierr"
 	"github.com/galenaweir/galenaweir/core/routing"
@@ -27,6 +26,7 @@
 	text         string
 	maxTokens    int
 	priority     string
+	begun        time.Time
 	deadline     time.Time
 	state        *node.ConfigState
 }
@@ -40,65 +40,161 @@
 // Limits of the attempts for one prompt.
 const (
 	maxEndpointsTried = 4
-	maxStreamResumes  = 6
 	avoidTime         = 2 * time.Second // an endpoint that refused or failed
-	cancelTimeout     = time.Second
-	resumePause       = 20 * time.Millisecond // doubles with each failure in a row
 )
 
-var errSilent = errors.New("the agent's stream went silent")
+// relay is the run of one prompt over as many attempts as it takes.
+type relay struct {
+	e    *Entry
+	p    *prompt
+	out  sink
+	skip map[string]bool
+
+	first    *rpc.Start      // of the first attempt that started
+	answer   strings.Builder // text passed to the sink
+	tokens   uint32          // and its tokens
+	previous uint32          // tokens of the attempts before the current one
+	lastText time.Time
+	ran      apierr.Ran // what all attempts so far may have done
+}
 
-// relay runs the prompt and returns its end frame. Text that was passed to the
-// sink is never repeated.
+// relay runs the prompt and returns its end frame, with the usage of all
+// attempts. Text that was passed to the sink is never repeated.
 func (e *Entry) relay(ctx context.Context, p *prompt, out sink) (*rpc.End, error) {
 	ctx, cancel := context.WithDeadline(ctx, p.deadline)
 	defer cancel()
-	skip := map[string]bool{}
+	r := &relay{e: e, p: p, out: out, skip: map[string]bool{}, ran: apierr.NotRun}
+	e.o.Budget.Request()
 	var last error
-	for range maxEndpointsTried {
-		end, endpoint, err := e.attempt(ctx, p, out, skip)
+	for n := range maxEndpointsTried {
+		end, endpoint, err := r.attempt(ctx)
 		if err == nil {
-			return end, nil
+			return r.total(end), nil
+		}
+		r.note(err)
+		if endpoint == "" && last != nil {
+			break // the failure before says more than that no endpoint is left
 		}
 		last = err
-		ae := apierr.From(err)
-		if endpoint == "" || ae.Ran != apierr.NotRun || !ae.Retryable || ctx.Err() != nil {
+		if endpoint == "" || !r.again(ctx, err, n) {
 			break
 		}
-		skip[endpoint] = true
+		r.skip[endpoint] = true
 		e.view.avoidFor(endpoint, time.Now().Add(avoidTime))
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) && !apierr.Is(last, apierr.DeadlineExceeded) {
-		last = apierr.New(apierr.DeadlineExceeded, apierr.From(last).Ran, "the deadline passed", "allow more time with Galenaweir-Deadline-Ms").WithCause(last)
+	return nil, r.failure(ctx, last)
+}
+
+// note keeps the strongest of the attempts' outcomes.
+func (r *relay) note(err error) {
+	ran := apierr.From(err).Ran
+	if ran == apierr.DidRun || r.answer.Len() > 0 {
+		r.ran = apierr.DidRun
+	} else if ran == apierr.Unknown && r.ran == apierr.NotRun {
+		r.ran = apierr.Unknown
+	}
+}
+
+// again reports whether another endpoint is to be tried, after the backoff. A
+// prompt has no effect but its answer, so an attempt whose outcome is unknown
+// may be repeated too. The budget is spared where the earlier attempt cost its
+// endpoint nothing because the agent is leaving, and where an answer that has
+// begun would be lost.
+func (r *relay) again(ctx context.Context, err error, n int) bool {
+	ae := apierr.From(err)
+	if !ae.Retryable || ctx.Err() != nil {
+		return false
+	}
+	if ae.Kind == apierr.Draining || r.answer.Len() > 0 {
+		return true
+	}
+	if !r.e.o.Budget.Allow() {
+		log.Warn().Str("request", r.p.id).Err(err).Msg("not repeated: the retry budget is used up")
+		return false
+	}
+	r.e.m.retries.Add(1)
+	return sleep(ctx, r.e.o.Budget.Backoff(n))
+}
+
+// failure describes the end of a prompt that no attempt completed.
+func (r *relay) failure(ctx context.Context, last error) error {
+	ae := apierr.From(last)
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) && ae.Kind != apierr.DeadlineExceeded {
+		ae = apierr.New(apierr.DeadlineExceeded, r.ran, "the deadline passed", "allow more time with Galenaweir-Deadline-Ms").WithCause(last)
+	}
+	c := *ae
+	c.Ran, c.RequestID = r.ran, r.p.id
+	return &c
+}
+
+// total adds the tokens of earlier attempts to the usage of the last one. The
+// prompt is counted once, as the first attempt saw it.
+func (r *relay) total(end *rpc.End) *rpc.End {
+	cached := min(r.first.GetCachedTokens(), r.first.GetPromptTokens())
+	r.e.m.promptTokens.Add("cached", int64(cached))
+	r.e.m.promptTokens.Add("recomputed", int64(r.first.GetPromptTokens()-cached))
+	return &rpc.End{
+		FinishReason: end.FinishReason, LengthBytes: uint64(r.answer.Len()), PromptTokens: r.first.GetPromptTokens(),
+		CachedTokens: cached, CompletionTokens: r.previous + end.CompletionTokens,
 	}
-	return nil, last
 }
 
-// attempt routes the prompt once and follows the attempt to its end.
-func (e *Entry) attempt(ctx context.Context, p *prompt, out sink, skip map[string]bool) (*rpc.End, string, error) {
-	endpoint, address, err := e.route(p, skip)
+// attempt routes the prompt once and follows the attempt to its end. When text
+// has been passed on, the attempt continues it on the same weight version.
+func (r *relay) attempt(ctx context.Context) (*rpc.End, string, error) {
+	version := ""
+	if r.answer.Len() > 0 {
+		version = r.first.GetWeightVersion()
+		r.e.m.continued.Add(1)
+	}
+	endpoint, address, err := r.e.route(r.p, r.skip, version)
 	if err != nil {
 		return nil, "", err
 	}
-	a := &follower{e: e, p: p, out: out, address: address}
-	a.req = &rpc.GenerateRequest{
-		RequestId: p.id, AttemptId: uuid.NewString(), Customer: p.customer, Endpoint: endpoint, Model: p.model,
-		Conversation: p.conversation, Prompt: p.text, MaxTokens: uint32(p.maxTokens), Priority: p.priority,
-		ConfigVersion: p.state.Version,
+	r.previous = r.tokens
+	f := &follower{e: r.e, r: r, address: address}
+	f.req = &rpc.GenerateRequest{
+		RequestId: r.p.id, AttemptId: uuid.NewString(), Customer: r.p.customer, Endpoint: endpoint, Model: r.p.model,
+		Conversation: r.p.conversation, Prompt: r.p.text, MaxTokens: uint32(r.p.maxTokens), Priority: r.p.priority,
+		ConfigVersion: r.p.state.Version, PrefixOutput: r.answer.String(), WeightVersion: version,
 	}
-	a.check = stream.NewChecker(a.req.AttemptId, p.customer)
-	end, err := a.run(ctx)
-	if err != nil {
-		a.cancelRemote()
+	f.check = stream.NewChecker(f.req.AttemptId, r.p.customer)
+	end, err := f.run(ctx)
+	if err != nil && f.sent {
+		f.cancelRemote()
 	}
 	return end, endpoint, err
 }
 
-// route chooses an endpoint and logs the decision with its inputs.
-func (e *Entry) route(p *prompt, skip map[string]bool) (endpoint, address string, err error) {
+// start passes the start of the first attempt on.
+func (r *relay) start(s *rpc.Start) error {
+	if r.first != nil && r.answer.Len() > 0 {
+		return nil
+	}
+	r.first = s
+	return r.out.start(s)
+}
+
+// text passes text on and measures the time since the text before.
+func (r *relay) text(t *rpc.Token) error {
+	now := time.Now()
+	if r.lastText.IsZero() {
+		r.e.m.firstToken.Observe(r.p.priority, now.Sub(r.p.begun))
+	} else {
+		r.e.m.betweenTokens.Observe(r.p.priority, now.Sub(r.lastText))
+	}
+	r.lastText = now
+	r.answer.WriteString(t.Text)
+	r.tokens += t.Tokens
+	return r.out.text(t.Text)
+}
+
+// route chooses an endpoint and logs the decision with its inputs. A version, if
+// given, leaves out the endpoints known to have another loaded.
+func (e *Entry) route(p *prompt, skip map[string]bool, version string) (endpoint, address string, err error) {
 	doc := p.state.Doc
 	m := doc.Models[p.model]
-	cs := e.view.candidates(doc, e.o.Members, p.model, skip, time.Now())
+	cs := e.view.candidates(doc, e.o.Members, candidateQuery{p.model, version, skip}, time.Now())
 	req := &routing.Request{
 		Customer: p.customer, Conversation: p.conversation, Priority: p.priority,
 		PromptTokens: max(1, len(p.text)/4), MaxTokens: p.maxTokens, PrefillRate: m.PrefillTokensPerSecond,
@@ -118,173 +214,3 @@
 		Str("endpoint", c.Endpoint).Dur("estimate", choice.Estimate).Any("candidates", cs).Msg("routed")
 	return c.Endpoint, mem.Address, nil
 }
-
-// follower follows one attempt over as many connections as it takes.
-type follower struct {
-	e       *Entry
-	p       *prompt
-	out     sink
-	address string
-	req     *rpc.GenerateRequest
-	check   *stream.Checker
-	end     *rpc.End
-}
-
-// run returns the end frame when the answer is whole.
-func (f *follower) run(ctx context.Context) (*rpc.End, error) {
-	failures := 0
-	for {
-		before := f.check.Next()
-		err := f.once(ctx)
-		if f.check.Whole() {
-			return f.end, nil
-		}
-		var ae *apierr.Error
-		if errors.As(err, &ae) {
-			return nil, err
-		}
-		if ctx.Err() != nil {
-			return nil, f.gaveUp(ctx.Err())
-		}
-		if f.check.Next() > before {
-			failures = 0
-		}
-		failures++
-		if failures > maxStreamResumes {
-			return nil, f.gaveUp(err)
-		}
-		f.e.resumes.Add(1)
-		log.Warn().Str("request", f.p.id).Str("attempt", f.req.AttemptId).Str("endpoint", f.req.Endpoint).
-			Uint64("seq", f.check.Next()).Err(err).Msg("stream resumed on a new connection")
-		f.req.Resume, f.req.ResumeSeq = true, f.check.Next()
-		if !sleep(ctx, resumePause<<(failures-1)) {
-			return nil, f.gaveUp(ctx.Err())
-		}
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// gaveUp describes an attempt whose end is not known.
-func (f *follower) gaveUp(cause error) error {
-	ran := apierr.Unknown
-	if f.check.Next() > 0 {
-		ran = apierr.DidRun
-	}
-	switch {
-	case errors.Is(cause, context.DeadlineExceeded):
-		return apierr.New(apierr.DeadlineExceeded, ran, "the deadline passed", "allow more time with Galenaweir-Deadline-Ms").WithCause(cause)
-	case errors.Is(cause, context.Canceled):
-		return apierr.New(apierr.Cancelled, ran, "the caller went away", "send the request again if its answer is still wanted").WithCause(cause)
-	}
-	return apierr.Retry(apierr.EndpointFailed, ran, time.Second, "the agent before endpoint "+f.req.Endpoint+" can't be reached", "retry").WithCause(cause)
-}
-
-// once follows the attempt over one connection until it ends or goes silent.
-func (f *follower) once(ctx context.Context) error {
-	client, conn, err := f.e.agentClient(f.address)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	watchdog := time.AfterFunc(f.e.o.SilenceLimit, func() { cancel(errSilent) })
-	defer watchdog.Stop()
-	f.req.DeadlineMs = time.Until(f.p.deadline).Milliseconds()
-	s, err := client.Generate(ctx, f.req)
-	if err == nil {
-		err = f.receive(s, watchdog)
-	}
-	if errors.Is(context.Cause(ctx), errSilent) {
-		f.renew(conn)
-		return errSilent
-	}
-	return err
-}
-
-func (f *follower) renew(silent *grpc.ClientConn) {
-	if _, err := f.e.o.Pool.Renew(f.address, silent); err != nil {
-		log.Error().Err(err).Str("address", f.address).Msg("new connection failed")
-	}
-}
-
-func (f *follower) receive(s grpc.ServerStreamingClient[rpc.Frame], watchdog *time.Timer) error {
-	for {
-		fr, err := s.Recv()
-		if errors.Is(err, io.EOF) {
-			return errors.New("the stream ended without its end frame")
-		}
-		if err != nil {
-			return err
-		}
-		watchdog.Reset(f.e.o.SilenceLimit)
-		if err := f.accept(fr); err != nil || f.check.Whole() {
-			return err
-		}
-	}
-}
-
-// accept checks a frame and passes its text on.
-func (f *follower) accept(fr *rpc.Frame) error {
-	if fr.GetKeepAlive() != nil {
-		return nil
-	}
-	if fr.AttemptId != f.req.AttemptId || fr.Customer != f.p.customer {
-		f.e.foreign.Add(1)
-		return nil
-	}
-	f.e.view.report(fr.Load, time.Now())
-	var v stream.Verdict
-	switch b := fr.Body.(type) {
-	case *rpc.Frame_Error:
-		return rpc.DecodeError(b.Error)
-	case *rpc.Frame_End:
-		v = f.check.End(fr.AttemptId, fr.Customer, fr.Seq, b.End.LengthBytes)
-		f.end = b.End
-	default:
-		v = f.check.Frame(fr.AttemptId, fr.Customer, fr.Seq, len(fr.GetToken().GetText()))
-	}
-	switch v {
-	case stream.Accept:
-		return f.pass(fr)
-	case stream.Gap:
-		return fmt.Errorf("frame %d came, %d was expected", fr.Seq, f.check.Next())
-	}
-	return nil
-}
-
-func (f *follower) pass(fr *rpc.Frame) error {
-	var err error
-	switch b := fr.Body.(type) {
-	case *rpc.Frame_Start:
-		err = f.out.start(b.Start)
-	case *rpc.Frame_Token:
-		err = f.out.text(b.Token.Text)
-	}
-	if err != nil {
-		return apierr.New(apierr.Cancelled, apierr.DidRun, "the caller went away", "send the request again if its answer is still wanted").WithCause(err)
-	}
-	return nil
-}
-
-// cancelRemote frees the engine after the attempt has been given up.
-func (f *follower) cancelRemote() {
-	client, _, err := f.e.agentClient(f.address)
-	if err != nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
-	defer cancel()
-	if _, err := client.Cancel(ctx, &rpc.CancelRequest{AttemptId: f.req.AttemptId, Customer: f.p.customer}); err != nil {
-		log.Debug().Err(err).Str("attempt", f.req.AttemptId).Msg("cancel at the agent failed; the attempt ends by itself")
-	}
-}
--- /dev/null
+++ b/entry/request.go
@@ -0,0 +1,173 @@
+package entry
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"unicode/utf8"
+
+	"github.com/galenaweir/galenaweir/core/apierr"
+	"github.com/galenaweir/galenaweir/core/prefix"
+)
+
+// completionRequest is the body of chat completions and completions. Fields that
+// are not listed, such as temperature, top_p, stop, seed and the penalties, are
+// accepted and ignored: the engines' sampling is set by the model's operators.
+// Fields that would change the shape of the answer are refused; docs/callers.md.
+type completionRequest struct {
+	Model               string    `json:"model"`
+	Messages            []message `json:"messages"`
+	Prompt              textParts `json:"prompt"`
+	MaxTokens           int       `json:"max_tokens"`
+	MaxCompletionTokens int       `json:"max_completion_tokens"`
+	Stream              bool      `json:"stream"`
+	StreamOptions       *struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+
+	N         *int              `json:"n"`
+	BestOf    *int              `json:"best_of"`
+	Echo      bool              `json:"echo"`
+	Suffix    string            `json:"suffix"`
+	Tools     []json.RawMessage `json:"tools"`
+	Functions []json.RawMessage `json:"functions"`
+	Logprobs  json.RawMessage   `json:"logprobs"`
+}
+
+// message is one turn of a conversation, in requests and answers.
+type message struct {
+	Role    string    `json:"role,omitempty"`
+	Content textParts `json:"content"`
+}
+
+// textParts is text, given as a string, null, or an array of parts of type text.
+// It is encoded as a string.
+type textParts string
+
+// errParts says that a text has another shape.
+var errParts = errors.New("text must be a string or an array of parts of type text")
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (t *textParts) UnmarshalJSON(b []byte) error {
+	var s *string
+	if json.Unmarshal(b, &s) == nil {
+		if s != nil {
+			*t = textParts(*s)
+		}
+		return nil
+	}
+	var parts []json.RawMessage
+	if json.Unmarshal(b, &parts) != nil {
+		return errParts
+	}
+	*t = ""
+	for _, p := range parts {
+		var part struct {
+			Type string  `json:"type"`
+			Text *string `json:"text"`
+		}
+		if json.Unmarshal(p, &part) != nil || part.Type != "text" || part.Text == nil {
+			return errParts
+		}
+		*t += textParts(*part.Text)
+	}
+	return nil
+}
+
+var roles = map[string]bool{"system": true, "developer": true, "user": true, "assistant": true, "tool": true, "function": true}
+
+func invalid(message, remedy string) *apierr.Error {
+	return apierr.New(apierr.InvalidRequest, apierr.NotRun, message, remedy)
+}
+
+// parseCompletion decodes and checks a body. Its errors quote nothing of it.
+func parseCompletion(body []byte, chat bool) (*completionRequest, error) {
+	if !utf8.Valid(body) {
+		return nil, invalid("the body is not valid UTF-8", "encode the body as UTF-8")
+	}
+	r := &completionRequest{}
+	if err := json.Unmarshal(body, r); err != nil {
+		return nil, shapeError(err)
+	}
+	if chat {
+		r.Prompt = ""
+	} else {
+		r.Messages = nil
+	}
+	if err := r.check(chat); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+// shapeError says what is wrong with a body that can't be decoded.
+func shapeError(err error) error {
+	var typeErr *json.UnmarshalTypeError
+	var syntaxErr *json.SyntaxError
+	switch {
+	case errors.Is(err, errParts):
+		return invalid("a message's content or the prompt has an unsupported shape", errParts.Error())
+	case errors.As(err, &typeErr):
+		return invalid(fmt.Sprintf("the field %q at byte %d has the wrong type", typeErr.Field, typeErr.Offset), "give a "+typeErr.Type.String())
+	case errors.As(err, &syntaxErr):
+		return invalid(fmt.Sprintf("the body is not valid JSON at byte %d", syntaxErr.Offset), "correct the body")
+	}
+	return invalid("the body is not valid JSON of the expected shape", "correct the body")
+}
+
+// check refuses what would change the answer's shape and isn't supported.
+func (r *completionRequest) check(chat bool) error {
+	unsupported := func(field string) error {
+		return invalid(field+" is not supported", "leave "+field+" out")
+	}
+	switch {
+	case r.N != nil && *r.N != 1:
+		return unsupported("n other than 1")
+	case r.BestOf != nil && *r.BestOf != 1:
+		return unsupported("best_of other than 1")
+	case r.Echo:
+		return unsupported("echo")
+	case r.Suffix != "":
+		return unsupported("suffix")
+	case len(r.Tools) > 0 || len(r.Functions) > 0:
+		return unsupported("tools")
+	case len(r.Logprobs) > 0 && string(r.Logprobs) != "false" && string(r.Logprobs) != "null":
+		return unsupported("logprobs")
+	case r.MaxTokens < 0 || r.MaxCompletionTokens < 0:
+		return invalid("max_tokens is negative", "give a positive number, or leave it out")
+	case chat && len(r.Messages) == 0:
+		return invalid("messages is empty", "send at least one message")
+	case !chat && r.Prompt == "":
+		return invalid("prompt is empty", "send a prompt")
+	}
+	for i, m := range r.Messages {
+		if !roles[m.Role] {
+			return invalid(fmt.Sprintf("messages[%d] has an unknown role", i), "use system, developer, user, assistant, tool or function")
+		}
+	}
+	return nil
+}
+
+// text returns the prompt.
+func (r *completionRequest) text() string {
+	if len(r.Messages) == 0 {
+		return string(r.Prompt)
+	}
+	msgs := make([]prefix.Message, len(r.Messages))
+	for i, m := range r.Messages {
+		msgs[i] = prefix.Message{Role: m.Role, Content: string(m.Content)}
+	}
+	return prefix.Render(msgs)
+}
+
+// maxTokens returns the limit of the answer's length in tokens.
+func (r *completionRequest) maxTokens() int {
+	if n := max(r.MaxTokens, r.MaxCompletionTokens); n > 0 {
+		return n
+	}
+	return defaultMaxTokens
+}
+
+func (r *completionRequest) includeUsage() bool {
+	return r.StreamOptions != nil && r.StreamOptions.IncludeUsage
+}
--- a/entry/view.go
+++ b/entry/view.go
@@ -65,14 +65,26 @@
 	v.get(endpoint).avoid = until
 }
 
-// candidates returns the endpoints of the model that may be chosen, in the order
-// of their IDs, without those in skip.
-func (v *view) candidates(doc *config.Document, ms node.Members, model string, skip map[string]bool, now time.Time) []routing.Candidate {
+// leavingHold is how long the word of an agent that it leaves is believed. It is
+// longer than members take to learn of it (3 s), and bounded because the agent
+// may come back under the same ID.
+const leavingHold = 5 * time.Second
+
+// candidateQuery says which endpoints are wanted.
+type candidateQuery struct {
+	model   string
+	version string          // weight version, empty for any
+	skip    map[string]bool // endpoints already tried
+}
+
+// candidates returns the endpoints that may be chosen, in the order of their IDs.
+// Endpoints to avoid are left out unless there are no others.
+func (v *view) candidates(doc *config.Document, ms node.Members, q candidateQuery, now time.Time) []routing.Candidate {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	var cs []routing.Candidate
+	var cs, avoided []routing.Candidate
 	for id, e := range doc.Endpoints {
-		if e.Model != model || skip[id] {
+		if e.Model != q.model || q.skip[id] {
 			continue
 		}
 		m, ok := ms.Get(e.Agent)
@@ -80,9 +92,6 @@
 			continue
 		}
 		l := v.get(id)
-		if now.Before(l.avoid) || (l.report != nil && l.report.Leaving) {
-			continue
-		}
 		c := routing.Candidate{Endpoint: id, Agent: e.Agent, FailureDomain: e.FailureDomain, Slots: e.Slots,
 			OwnInFlight: l.ownFlight, OwnTokens: l.ownTokens, ReportAge: -1, Suspect: m.State == node.Suspect}
 		if r := l.report; r != nil {
@@ -90,7 +99,17 @@
 			c.ReportAge = now.Sub(l.at)
 			c.WeightVersion = r.WeightVersion
 		}
-		cs = append(cs, c)
+		switch {
+		case l.report != nil && l.report.Leaving && now.Sub(l.at) < leavingHold:
+		case q.version != "" && c.WeightVersion != "" && c.WeightVersion != q.version:
+		case now.Before(l.avoid):
+			avoided = append(avoided, c)
+		default:
+			cs = append(cs, c)
+		}
+	}
+	if cs == nil {
+		cs = avoided
 	}
 	sort.Slice(cs, func(i, j int) bool { return cs[i].Endpoint < cs[j].Endpoint })
 	return cs
--- a/process/process.go
+++ b/process/process.go
@@ -4,10 +4,13 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/hex"
 	"errors"
 	"expvar"
 	"fmt"
+	"io"
+	stdlog "log"
 	"net"
 	"net/http"
 	"os"
@@ -17,6 +20,7 @@
 
 	"github.com/jessevdk/go-flags"
 	"github.com/phuslu/log"
+	"google.golang.org/grpc"
 
 	"github.com/galenaweir/galenaweir/settings"
 )
@@ -31,8 +35,11 @@
 	Version bool   `long:"version" description:"print the version and exit"`
 }
 
-// headerTimeout bounds how long a client may take to send its headers.
-const headerTimeout = 10 * time.Second
+// Limits of a client of the HTTP servers.
+const (
+	headerTimeout = 10 * time.Second // to send its headers
+	idleTimeout   = 2 * time.Minute  // between two requests
+)
 
 // Parse reads the command line and the settings. It exits when there is nothing
 // to run: after --help, --version, --check, a subcommand, or an error.
@@ -96,9 +103,8 @@
 	return drain, stop
 }
 
-// ServeOperators serves metrics, health and readiness until the returned
-// function is called.
-func ServeOperators(address string, ready func() bool) (func(), error) {
+// ServeOperators serves metrics, health and readiness.
+func ServeOperators(address string, ready func() bool) (*Server, error) {
 	mux := http.NewServeMux()
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
@@ -109,21 +115,61 @@
 		}
 		w.WriteHeader(http.StatusNoContent)
 	})
-	return Serve(address, mux)
+	return Serve(address, mux, nil)
 }
 
-// Serve serves HTTP on an IP number and port until the returned function is
-// called.
-func Serve(address string, h http.Handler) (func(), error) {
+// Server is a running HTTP server.
+type Server struct{ s *http.Server }
+
+// Serve serves HTTP on an IP number and port, over TLS when conf isn't nil.
+func Serve(address string, h http.Handler, conf *tls.Config) (*Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w; free the port or change the address in the settings", address, err)
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	s := &http.Server{
+		Handler: h, TLSConfig: conf, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ErrorLog: stdlog.New(io.Discard, "", 0), // it would log what callers sent
+	}
+	serve := func() error { return s.Serve(l) }
+	if conf != nil {
+		serve = func() error { return s.ServeTLS(l, "", "") }
+	}
 	go func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := serve(); !errors.Is(err, http.ErrServerClosed) {
 			log.Error().Str("address", address).Err(err).Msg("HTTP server ended")
 		}
 	}()
-	return func() { _ = s.Close() }, nil
+	return &Server{s}, nil
+}
+
+// Shutdown takes no new connection and waits until the answers are on the wire.
+func (s *Server) Shutdown(ctx context.Context) error { return s.s.Shutdown(ctx) }
+
+// Close cuts all connections.
+func (s *Server) Close() { _ = s.s.Close() }
+
+// StopGRPC takes no new call and waits until the running ones have ended, or
+// cuts them when ctx ends.
+func StopGRPC(ctx context.Context, s *grpc.Server) {
+	ended := make(chan struct{})
+	go func() {
+		s.GracefulStop()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+		s.Stop()
+	}
+}
+
+// Pause waits for the time, or until ctx ends.
+func Pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
 }
