--- a/cmd/galenaweir-agent/main.go
+++ b/cmd/galenaweir-agent/main.go
@@ -9,7 +9,6 @@
 
 	"github.com/phuslu/log"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/galenaweir/galenaweir/agent"
 	"github.com/galenaweir/galenaweir/core/kernel"
@@ -24,6 +23,7 @@
 	"github.com/galenaweir/galenaweir/rpc"
 	"github.com/galenaweir/galenaweir/rpc/dial"
 	"github.com/galenaweir/galenaweir/settings"
+	"github.com/galenaweir/galenaweir/tlsconf"
 )
 
 func main() {
@@ -37,7 +37,11 @@
 func run(s settings.Settings) error {
 	drain, stop := process.Signals()
 	timeout := time.Duration(s.LogTimeoutMs) * time.Millisecond
-	pool := dial.New(insecure.NewCredentials())
+	creds, err := tlsconf.Peers(s.TLS)
+	if err != nil {
+		return err
+	}
+	pool := dial.New(creds)
 	defer pool.Close()
 	p := peer.New(peer.Options{
 		ID: s.ID, Role: node.RoleAgent, Address: s.RPCAddress, FailureDomain: s.FailureDomain, Region: s.Region,
@@ -52,21 +56,24 @@
 		ID: s.ID, CacheSecret: process.Secret(s), SilenceLimit: time.Duration(s.SilenceLimitMs) * time.Millisecond,
 		Config: p, Members: p, Engine: engine,
 	})
-	srv, err := peer.Serve(s.RPCAddress, p, func(r grpc.ServiceRegistrar) { rpc.RegisterAgentServer(r, a) })
+	opts := append(agent.ServerOptions(), grpc.Creds(creds))
+	srv, err := peer.Serve(s.RPCAddress, p, opts, func(r grpc.ServiceRegistrar) { rpc.RegisterAgentServer(r, a) })
 	if err != nil {
 		return err
 	}
-	defer srv.Stop()
 	go p.Run(stop)
-	closeOperators, err := process.ServeOperators(s.OperatorAddress, p.Ready)
+	operators, err := process.ServeOperators(s.OperatorAddress, func() bool { return p.Ready() && !a.Leaving() })
 	if err != nil {
 		return err
 	}
-	defer closeOperators()
+	defer operators.Close()
 	log.Info().Str("rpc_address", s.RPCAddress).Msg("agent started")
 	<-drain.Done()
+	log.Info().Msg("agent leaves")
 	p.Leave()
 	ctx, cancel := context.WithTimeout(stop, time.Duration(s.DrainTimeoutMs)*time.Millisecond)
 	defer cancel()
-	return a.Drain(ctx)
+	err = a.Drain(ctx)
+	process.StopGRPC(ctx, srv)
+	return err
 }
--- a/cmd/galenaweir-entry/main.go
+++ b/cmd/galenaweir-entry/main.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/phuslu/log"
-	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc"
 
 	"github.com/galenaweir/galenaweir/core/kernel"
 	"github.com/galenaweir/galenaweir/core/routing"
@@ -22,6 +22,7 @@
 	"github.com/galenaweir/galenaweir/process"
 	"github.com/galenaweir/galenaweir/rpc/dial"
 	"github.com/galenaweir/galenaweir/settings"
+	"github.com/galenaweir/galenaweir/tlsconf"
 )
 
 func main() {
@@ -39,14 +40,22 @@
 	if err != nil {
 		return err
 	}
-	pool := dial.New(insecure.NewCredentials())
+	creds, err := tlsconf.Peers(s.TLS)
+	if err != nil {
+		return err
+	}
+	callerTLS, err := tlsconf.Callers(s.TLS)
+	if err != nil {
+		return err
+	}
+	pool := dial.New(creds)
 	defer pool.Close()
 	p := peer.New(peer.Options{
 		ID: s.ID, Role: node.RoleEntry, Address: s.RPCAddress, FailureDomain: s.FailureDomain, Region: s.Region,
 		Log: logsvc.New(s.LogAddress, timeout), HostList: hostlist.New(s.HostListAddress, timeout), Contacts: s.Peers, Pool: pool,
 		Seed: rand.Uint64(), Build: process.Version, Retention: time.Duration(s.LogRetentionS) * time.Second,
 	})
-	srv, err := peer.Serve(s.RPCAddress, p)
+	srv, err := peer.Serve(s.RPCAddress, p, []grpc.ServerOption{grpc.Creds(creds)})
 	if err != nil {
 		return err
 	}
@@ -55,26 +64,33 @@
 	e := entry.New(entry.Options{
 		ID: s.ID, FailureDomain: s.FailureDomain, CacheSecret: process.Secret(s),
 		SilenceLimit: time.Duration(s.SilenceLimitMs) * time.Millisecond, MaxBodyBytes: s.MaxBodyBytes,
-		Config: p, Members: p, Pool: pool, Routing: policy, Seed: uint64(time.Now().UnixNano()),
+		CallerTimeout: time.Duration(s.CallerTimeoutMs) * time.Millisecond,
+		Config:        p, Members: p, Pool: pool, Routing: policy, Seed: rand.Uint64(),
 	})
 	h, err := e.Handler()
 	if err != nil {
 		return err
 	}
-	closeCallers, err := process.Serve(s.CallerAddress, h)
+	callers, err := process.Serve(s.CallerAddress, h, callerTLS)
 	if err != nil {
 		return err
 	}
-	defer closeCallers()
-	closeOperators, err := process.ServeOperators(s.OperatorAddress, func() bool { return p.Ready() && e.Ready() })
+	defer callers.Close()
+	operators, err := process.ServeOperators(s.OperatorAddress, func() bool { return p.Ready() && e.Ready() })
 	if err != nil {
 		return err
 	}
-	defer closeOperators()
+	defer operators.Close()
 	log.Info().Str("caller_address", s.CallerAddress).Msg("entry started")
 	<-drain.Done()
+	e.BeginDrain()
+	log.Info().Msg("entry leaves")
 	p.Leave()
+	process.Pause(stop, time.Duration(s.DrainDelayMs)*time.Millisecond)
 	ctx, cancel := context.WithTimeout(stop, time.Duration(s.DrainTimeoutMs)*time.Millisecond)
 	defer cancel()
-	return e.Drain(ctx)
+	if err := e.Drain(ctx); err != nil {
+		return err
+	}
+	return callers.Shutdown(ctx)
 }
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -93,7 +93,7 @@
 	h := c.hosts[i]
 	p := peer.New(peer.Options{ID: h.ID, Role: h.Role, Address: h.Address, FailureDomain: h.FailureDomain, Region: h.Region,
 		Log: logsvc.New(c.addr, time.Second), HostList: c, Pool: c.newPool(), Seed: seed, Interval: interval})
-	s := peer.ServeOn(l, p)
+	s := peer.ServeOn(l, p, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { p.Run(ctx); close(done) }()
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -13,17 +13,17 @@
 
 // Serve serves the peer and the process's other services on an IP number and
 // port until the returned server is stopped.
-func Serve(address string, p *Peer, register ...func(grpc.ServiceRegistrar)) (*grpc.Server, error) {
+func Serve(address string, p *Peer, opts []grpc.ServerOption, register ...func(grpc.ServiceRegistrar)) (*grpc.Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w; free the port or change rpc_address", address, err)
 	}
-	return ServeOn(l, p, register...), nil
+	return ServeOn(l, p, opts, register...), nil
 }
 
 // ServeOn is Serve on an open listener, which it closes at the end.
-func ServeOn(l net.Listener, p *Peer, register ...func(grpc.ServiceRegistrar)) *grpc.Server {
-	s := grpc.NewServer()
+func ServeOn(l net.Listener, p *Peer, opts []grpc.ServerOption, register ...func(grpc.ServiceRegistrar)) *grpc.Server {
+	s := grpc.NewServer(opts...)
 	rpc.RegisterPeerServer(s, p)
 	for _, f := range register {
 		f(s)
