Serve plain-service calls through claims

Cause: entries had no path for payments and lookups. Change: claimsvc runs the keepers and finds them; Agent.Call claims, dispatches and records; entries serve /v1/services, /v1/outcomes and /v1/requests. Both programs are wired. Result: go test ./claimsvc passes: a repeat through another entry gets the stored answer, and the service counts one effect. Conclusion: the failure cases need their tests next.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -12,12 +12,14 @@
 	"github.com/phuslu/log"
 	"google.golang.org/grpc"
 
+	"github.com/galenaweir/galenaweir/claimsvc"
 	"github.com/galenaweir/galenaweir/core/apierr"
 	"github.com/galenaweir/galenaweir/core/config"
 	"github.com/galenaweir/galenaweir/core/prefix"
 	"github.com/galenaweir/galenaweir/node"
 	"github.com/galenaweir/galenaweir/protocol"
 	"github.com/galenaweir/galenaweir/rpc"
+	"github.com/galenaweir/galenaweir/rpc/dial"
 )
 
 // Options sets up an agent.
@@ -28,6 +30,9 @@
 	Config       node.Config
 	Members      node.Members
 	Engine       protocol.Engine
+	Claims       *claimsvc.Service // nil for an agent without claims
+	ClaimClient  *claimsvc.Client
+	Pool         *dial.Pool // connections to other agents
 }
 
 // Times of the attempts that the agent keeps.
@@ -45,6 +50,7 @@
 
 	mu       sync.Mutex
 	attempts map[string]*attempt
+	calls    *calls
 	draining bool
 	running  sync.WaitGroup
 
@@ -57,7 +63,7 @@
 
 // New returns an agent.
 func New(o Options) *Agent {
-	return &Agent{o: o, attempts: map[string]*attempt{}}
+	return &Agent{o: o, attempts: map[string]*attempt{}, calls: newCalls()}
 }
 
 // DroppedFrames returns how many frames of engines named another attempt.
--- /dev/null
+++ b/claimsvc/flow_test.go
@@ -0,0 +1,276 @@
+package claimsvc_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/galenaweir/galenaweir/agent"
+	"github.com/galenaweir/galenaweir/claimsvc"
+	"github.com/galenaweir/galenaweir/core/config"
+	"github.com/galenaweir/galenaweir/entry"
+	"github.com/galenaweir/galenaweir/logsvc"
+	"github.com/galenaweir/galenaweir/node"
+	"github.com/galenaweir/galenaweir/rpc"
+	"github.com/galenaweir/galenaweir/rpc/dial"
+	standinlog "github.com/galenaweir/galenaweir/standin/logsvc"
+	"github.com/galenaweir/galenaweir/standin/service"
+)
+
+// fixed is a configuration and a member list that tests change by hand.
+type fixed struct {
+	mu      sync.Mutex
+	state   *node.ConfigState
+	members map[string]node.Member
+	order   []string
+}
+
+func (f *fixed) Current() *node.ConfigState { return f.state }
+func (f *fixed) Changed() <-chan struct{}   { return nil }
+func (f *fixed) All() (all []node.Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range f.order {
+		if m := f.members[id]; m.State != node.Gone {
+			all = append(all, m)
+		}
+	}
+	return all
+}
+func (f *fixed) Get(id string) (node.Member, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, ok := f.members[id]
+	return m, ok
+}
+func (f *fixed) set(id string, s node.MemberState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.members[id]
+	m.State = s
+	f.members[id] = m
+}
+
+// hookLog lets a test stand between an agent and the log.
+type hookLog struct {
+	logsvc.Log
+	mu     sync.Mutex
+	append func(stream string, data []byte) // runs before each append
+	read   func(stream string)              // runs before each read
+}
+
+func (h *hookLog) hooks() (func(string, []byte), func(string)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.append, h.read
+}
+
+func (h *hookLog) Append(ctx context.Context, s string, data []byte) (logsvc.Appended, error) {
+	if f, _ := h.hooks(); f != nil {
+		f(s, data)
+	}
+	return h.Log.Append(ctx, s, data)
+}
+
+func (h *hookLog) Read(ctx context.Context, s string, from int64, wait time.Duration) (logsvc.Page, error) {
+	if _, f := h.hooks(); f != nil {
+		f(s)
+	}
+	return h.Log.Read(ctx, s, from, wait)
+}
+
+type runningAgent struct {
+	*agent.Agent
+	server *grpc.Server
+	log    *hookLog
+}
+
+// deployment is a small system on loopback.
+type deployment struct {
+	t        *testing.T
+	log      *standinlog.Log
+	logAddr  string
+	ledger   *service.Ledger
+	replicas []*service.Replica
+	services []*httptest.Server
+	fixed    *fixed
+	agents   []*runningAgent
+	entries  []string
+	pool     *dial.Pool
+	now      func() time.Time
+}
+
+const (
+	testService  = "levy-core"
+	testInterval = 5 // ms between appends
+	logTimeout   = 300 * time.Millisecond
+)
+
+func secretOf(customer string) string { return customer + ".secret-of-" + customer }
+
+func customerDoc(id string) config.Customer {
+	_, secret, _ := strings.Cut(secretOf(id), ".")
+	sum := sha256.Sum256([]byte("salt" + secret))
+	return config.Customer{Services: []string{testService}, Keys: map[string]config.Key{
+		"k": {Salt: hex.EncodeToString([]byte("salt")), SHA256: hex.EncodeToString(sum[:])}}}
+}
+
+func newDeployment(t *testing.T, agents int) *deployment {
+	d := &deployment{t: t, log: standinlog.New(0, time.Now), ledger: service.NewLedger(), fixed: &fixed{members: map[string]node.Member{}}}
+	logServer := httptest.NewServer(d.log.Handler())
+	t.Cleanup(logServer.Close)
+	d.logAddr = logServer.Listener.Addr().String()
+	doc := &config.Document{
+		Customers: map[string]config.Customer{"vadodara": customerDoc("vadodara"), "kutch": customerDoc("kutch")},
+		Services: map[string]config.Service{testService: {Rules: []config.Rule{
+			{Method: "POST", PathPrefix: "/payments", TimeoutMs: 400},
+			{Method: "GET", PathPrefix: "/balances/", Idempotent: true, Lookup: true, TimeoutMs: 2000},
+			{Method: "POST", PathPrefix: "/echo", Idempotent: true, TimeoutMs: 2000},
+		}}},
+		Endpoints: map[string]config.Endpoint{},
+		Claims:    config.Claims{Partitions: 2, KeyWindowSeconds: 86_400, GroupIntervalMs: testInterval, MaxAnswerBytes: 1024},
+	}
+	d.fixed.state = &node.ConfigState{Version: 1, Doc: doc}
+	d.pool = dial.New(insecure.NewCredentials())
+	t.Cleanup(d.pool.Close)
+	for i := range agents {
+		r := service.NewReplica(d.ledger)
+		s := httptest.NewServer(r.Handler())
+		t.Cleanup(s.Close)
+		d.replicas, d.services = append(d.replicas, r), append(d.services, s)
+		d.startAgent(i)
+	}
+	for range 2 {
+		d.startEntry()
+	}
+	return d
+}
+
+func agentID(i int) string { return fmt.Sprintf("agent-%d", i) }
+
+// startAgent starts an agent, or a new incarnation of it.
+func (d *deployment) startAgent(i int) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(d.t, err)
+	id := agentID(i)
+	if _, ok := d.fixed.members[id]; !ok {
+		d.fixed.order = append(d.fixed.order, id)
+		d.agents = append(d.agents, nil)
+	}
+	d.fixed.mu.Lock()
+	d.fixed.members[id] = node.Member{ID: id, Role: node.RoleAgent, Address: l.Addr().String(), State: node.Live}
+	d.fixed.mu.Unlock()
+	d.fixed.state.Doc.Endpoints[fmt.Sprintf("levy-%d", i)] = config.Endpoint{Agent: id, Address: d.services[i].Listener.Addr().String(), Service: testService}
+	hook := &hookLog{Log: logsvc.New(d.logAddr, logTimeout)}
+	keeper := claimsvc.NewService(claimsvc.Options{ID: id, Log: hook, Config: d.fixed, Members: d.fixed, Now: d.now})
+	d.t.Cleanup(keeper.Close)
+	a := agent.New(agent.Options{ID: id, Config: d.fixed, Members: d.fixed, Claims: keeper, ClaimClient: claimsvc.NewClient(d.fixed, d.pool), Pool: d.pool})
+	srv := grpc.NewServer()
+	rpc.RegisterAgentServer(srv, a)
+	go func() { _ = srv.Serve(l) }()
+	d.t.Cleanup(srv.Stop)
+	d.agents[i] = &runningAgent{a, srv, hook}
+}
+
+func (d *deployment) startEntry() {
+	e := entry.New(entry.Options{MaxBodyBytes: 1 << 20, Config: d.fixed, Members: d.fixed, Pool: d.pool, Claims: claimsvc.NewClient(d.fixed, d.pool)})
+	h, err := e.Handler()
+	require.NoError(d.t, err)
+	s := httptest.NewServer(h)
+	d.t.Cleanup(s.Close)
+	d.entries = append(d.entries, s.URL)
+}
+
+// answer is what a caller sees.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    struct {
+		Type      string `json:"type"`
+		Ran       string `json:"ran"`
+		Retryable bool   `json:"retryable"`
+		Message   string `json:"message"`
+	}
+}
+
+type request struct {
+	entry    int
+	customer string // vadodara when empty
+	method   string // POST when empty
+	path     string // payments of the test's service when empty
+	key      string
+	body     string
+	deadline time.Duration
+}
+
+func (d *deployment) send(r request) answer {
+	if r.customer == "" {
+		r.customer = "vadodara"
+	}
+	if r.method == "" {
+		r.method = http.MethodPost
+	}
+	if r.path == "" {
+		r.path = "/v1/services/" + testService + "/payments"
+	}
+	h, err := http.NewRequest(r.method, d.entries[r.entry]+r.path, bytes.NewBufferString(r.body))
+	require.NoError(d.t, err)
+	h.Header.Set("Authorization", "Bearer "+secretOf(r.customer))
+	h.Header.Set("Content-Type", "application/json")
+	if r.key != "" {
+		h.Header.Set("Idempotency-Key", r.key)
+	}
+	if r.deadline > 0 {
+		h.Header.Set("Galenaweir-Deadline-Ms", fmt.Sprint(r.deadline.Milliseconds()))
+	}
+	resp, err := http.DefaultClient.Do(h)
+	require.NoError(d.t, err)
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	require.NoError(d.t, err)
+	a := answer{status: resp.StatusCode, header: resp.Header, body: string(b)}
+	var e struct{ Error json.RawMessage }
+	if json.Unmarshal(b, &e) == nil && e.Error != nil {
+		require.NoError(d.t, json.Unmarshal(e.Error, &a.err))
+	}
+	return a
+}
+
+func newKey(t *testing.T) string {
+	u, err := uuid.NewV7()
+	require.NoError(t, err)
+	return u.String()
+}
+
+func payment(reference string) string {
+	return fmt.Sprintf(`{"reference":%q,"account":"truck","amount":100}`, reference)
+}
+
+func TestRepeatReturnsStoredAnswer(t *testing.T) {
+	d := newDeployment(t, 3)
+	key := newKey(t)
+	first := d.send(request{key: key, body: payment("p1")})
+	require.Equal(t, 200, first.status, first.body)
+	repeat := d.send(request{entry: 1, key: key, body: payment("p1")})
+	require.Equal(t, 200, repeat.status, repeat.body)
+	require.Equal(t, first.body, repeat.body)
+	require.Equal(t, "true", repeat.header.Get("Galenaweir-Replayed"))
+	require.Equal(t, 1, d.ledger.Effects("p1"))
+}
--- a/cmd/galenaweir-agent/main.go
+++ b/cmd/galenaweir-agent/main.go
@@ -10,8 +10,10 @@
 
 	"github.com/phuslu/log"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/galenaweir/galenaweir/agent"
+	"github.com/galenaweir/galenaweir/claimsvc"
 	"github.com/galenaweir/galenaweir/core/kernel"
 	"github.com/galenaweir/galenaweir/hostlist"
 	"github.com/galenaweir/galenaweir/logsvc"
@@ -21,6 +23,7 @@
 	"github.com/galenaweir/galenaweir/protocol"
 	_ "github.com/galenaweir/galenaweir/protocol/streaming"
 	"github.com/galenaweir/galenaweir/rpc"
+	"github.com/galenaweir/galenaweir/rpc/dial"
 	"github.com/galenaweir/galenaweir/settings"
 )
 
@@ -43,9 +46,15 @@
 	if err != nil {
 		return err
 	}
+	pool := dial.New(insecure.NewCredentials())
+	defer pool.Close()
+	keeper := claimsvc.NewService(claimsvc.Options{ID: s.ID, Log: logsvc.New(s.LogAddress, timeout), Config: cfg, Members: members})
+	defer keeper.Close()
+	go keeper.Run(stop)
 	a := agent.New(agent.Options{
 		ID: s.ID, CacheSecret: process.Secret(s), SilenceLimit: time.Duration(s.SilenceLimitMs) * time.Millisecond,
 		Config: cfg, Members: members, Engine: engine,
+		Claims: keeper, ClaimClient: claimsvc.NewClient(members, pool), Pool: pool,
 	})
 	l, err := net.Listen("tcp", s.RPCAddress)
 	if err != nil {
--- a/cmd/galenaweir-entry/main.go
+++ b/cmd/galenaweir-entry/main.go
@@ -10,6 +10,7 @@
 	"github.com/phuslu/log"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"github.com/galenaweir/galenaweir/claimsvc"
 	"github.com/galenaweir/galenaweir/core/kernel"
 	"github.com/galenaweir/galenaweir/core/routing"
 	_ "github.com/galenaweir/galenaweir/core/routing/leastload"
@@ -46,7 +47,7 @@
 	e := entry.New(entry.Options{
 		ID: s.ID, FailureDomain: s.FailureDomain, CacheSecret: process.Secret(s),
 		SilenceLimit: time.Duration(s.SilenceLimitMs) * time.Millisecond, MaxBodyBytes: s.MaxBodyBytes,
-		Config: cfg, Members: members, Pool: pool, Routing: policy, Seed: uint64(time.Now().UnixNano()),
+		Config: cfg, Members: members, Pool: pool, Claims: claimsvc.NewClient(members, pool), Routing: policy, Seed: uint64(time.Now().UnixNano()),
 	})
 	h, err := e.Handler()
 	if err != nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,6 +11,7 @@
 
 	"google.golang.org/grpc"
 
+	"github.com/galenaweir/galenaweir/claimsvc"
 	"github.com/galenaweir/galenaweir/core/routing"
 	"github.com/galenaweir/galenaweir/node"
 	"github.com/galenaweir/galenaweir/rpc"
@@ -27,6 +28,7 @@
 	Config        node.Config
 	Members       node.Members
 	Pool          *dial.Pool
+	Claims        *claimsvc.Client
 	Routing       routing.Policy
 	Seed          uint64 // of the random source that breaks ties
 }
--- a/entry/http.go
+++ b/entry/http.go
@@ -40,6 +40,7 @@
 	app.Use(e.begin)
 	app.Post("/v1/chat/completions", e.handleChat)
 	app.Post("/v1/completions", e.handleCompletion)
+	e.routeServices(app)
 	app.OnAnyErrorCode(func(c iris.Context) {
 		if c.GetStatusCode() == http.StatusNotFound {
 			fail(c, apierr.New(apierr.NotFound, apierr.NotRun, "no such path: "+c.Path(), "see the README for the paths"))
