--- a/agent/agent.go
+++ b/agent/agent.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
 
+	"github.com/galenaweir/galenaweir/claimsvc"
 	"github.com/galenaweir/galenaweir/core/apierr"
 	"github.com/galenaweir/galenaweir/core/config"
 	"github.com/galenaweir/galenaweir/core/prefix"
@@ -22,6 +23,7 @@
 	"github.com/galenaweir/galenaweir/node"
 	"github.com/galenaweir/galenaweir/protocol"
 	"github.com/galenaweir/galenaweir/rpc"
+	"github.com/galenaweir/galenaweir/rpc/dial"
 )
 
 // Options sets up an agent.
@@ -32,6 +34,9 @@
 	Config       node.Config
 	Members      node.Members
 	Engine       protocol.Engine
+	Claims       *claimsvc.Service // nil for an agent without claims
+	ClaimClient  *claimsvc.Client
+	Pool         *dial.Pool // connections to other agents
 }
 
 // Times of the attempts that the agent keeps.
@@ -68,6 +73,7 @@
 	mu       sync.Mutex
 	attempts map[string]*attempt
 	work     inflight.Group
+	calls    *calls
 
 	waiting      atomic.Int64
 	active       atomic.Int64
@@ -78,7 +84,7 @@
 
 // New returns an agent.
 func New(o Options) *Agent {
-	return &Agent{o: o, attempts: map[string]*attempt{}}
+	return &Agent{o: o, attempts: map[string]*attempt{}, calls: newCalls()}
 }
 
 // DroppedFrames returns how many frames of engines named another attempt.
--- a/cmd/galenaweir-agent/main.go
+++ b/cmd/galenaweir-agent/main.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/galenaweir/galenaweir/agent"
+	"github.com/galenaweir/galenaweir/claimsvc"
 	"github.com/galenaweir/galenaweir/core/kernel"
 	"github.com/galenaweir/galenaweir/hostlist"
 	"github.com/galenaweir/galenaweir/logsvc"
@@ -52,9 +53,13 @@
 	if err != nil {
 		return err
 	}
+	keeper := claimsvc.NewService(claimsvc.Options{ID: s.ID, Log: logsvc.New(s.LogAddress, timeout), Config: p, Members: p})
+	defer keeper.Close()
+	go keeper.Run(stop)
 	a := agent.New(agent.Options{
 		ID: s.ID, CacheSecret: process.Secret(s), SilenceLimit: time.Duration(s.SilenceLimitMs) * time.Millisecond,
 		Config: p, Members: p, Engine: engine,
+		Claims: keeper, ClaimClient: claimsvc.NewClient(p, pool), Pool: pool,
 	})
 	opts := append(agent.ServerOptions(), grpc.Creds(creds))
 	srv, err := peer.Serve(s.RPCAddress, p, opts, func(r grpc.ServiceRegistrar) { rpc.RegisterAgentServer(r, a) })
--- a/cmd/galenaweir-entry/main.go
+++ b/cmd/galenaweir-entry/main.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 	"google.golang.org/grpc"
 
+	"github.com/galenaweir/galenaweir/claimsvc"
 	"github.com/galenaweir/galenaweir/core/kernel"
 	"github.com/galenaweir/galenaweir/core/routing"
 	_ "github.com/galenaweir/galenaweir/core/routing/leastload"
@@ -65,7 +66,7 @@
 		ID: s.ID, FailureDomain: s.FailureDomain, CacheSecret: process.Secret(s),
 		SilenceLimit: time.Duration(s.SilenceLimitMs) * time.Millisecond, MaxBodyBytes: s.MaxBodyBytes,
 		CallerTimeout: time.Duration(s.CallerTimeoutMs) * time.Millisecond,
-		Config:        p, Members: p, Pool: pool, Routing: policy, Seed: rand.Uint64(),
+		Config:        p, Members: p, Pool: pool, Claims: claimsvc.NewClient(p, pool), Routing: policy, Seed: rand.Uint64(),
 	})
 	h, err := e.Handler()
 	if err != nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,6 +16,7 @@
 
 	"google.golang.org/grpc"
 
+	"github.com/galenaweir/galenaweir/claimsvc"
 	"github.com/galenaweir/galenaweir/core/routing"
 	"github.com/galenaweir/galenaweir/inflight"
 	"github.com/galenaweir/galenaweir/metrics"
@@ -34,6 +35,7 @@
 	Config        node.Config
 	Members       node.Members
 	Pool          *dial.Pool
+	Claims        *claimsvc.Client
 	Routing       routing.Policy
 	Seed          uint64 // of the random source that breaks ties
 
