Add the routing policy prefix_cost and its baselines

Cause: routing.least_load knows no caches, so a returning prompt pays again for context that has been built.

--- /dev/null
+++ b/core/routing/nostore/nostore.go
@@ -0,0 +1,15 @@
+// Package nostore registers the baseline policy routing.no_store: the product's
+// policy without regard to prefixes in stores.
+package nostore
+
+import (
+	"github.com/galenaweir/galenaweir/core/kernel"
+	"github.com/galenaweir/galenaweir/core/routing/prefixcost"
+)
+
+// ID is the plug-in's name.
+const ID kernel.ID = "routing.no_store"
+
+func init() {
+	kernel.Register(kernel.Info{ID: ID, New: func() any { return prefixcost.New(prefixcost.Options{NoStore: true}) }})
+}
--- /dev/null
+++ b/core/routing/prefixcost/prefixcost_test.go
@@ -0,0 +1,131 @@
+package prefixcost
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaweir/galenaweir/core/routing"
+)
+
+const seed = 7
+
+func newRng() *rand.Rand { return rand.New(rand.NewPCG(seed, seed)) }
+
+func request() *routing.Request {
+	return &routing.Request{PromptTokens: 8192, MaxTokens: 200, PrefillRate: 10_000, KVBytesPerToken: 65_536}
+}
+
+// candidates returns n equal ones, changed by the function.
+func candidates(n int, change func(i int, c *routing.Candidate)) []routing.Candidate {
+	cs := make([]routing.Candidate, n)
+	for i := range cs {
+		cs[i] = routing.Candidate{Endpoint: fmt.Sprintf("e%03d", i), Slots: 64, SlotTime: 5 * time.Second, FetchRate: 5e9}
+		if change != nil {
+			change(i, &cs[i])
+		}
+	}
+	return cs
+}
+
+// Guards against a term of the estimate that is left out: in each case all other
+// candidates are worse by exactly the term under test.
+func TestEachTermDecides(t *testing.T) {
+	const n, want = 12, 5
+	for name, worse := range map[string]func(c *routing.Candidate){
+		"queue wait by report":      func(c *routing.Candidate) { c.QueuedTokens, c.AheadTokens = 5000, 5000 },
+		"own recent choices":        func(c *routing.Candidate) { c.OwnTokens = 5000 },
+		"slots taken":               func(c *routing.Candidate) { c.Running, c.Waiting = 64, 20 },
+		"hop":                       func(c *routing.Candidate) { c.Hop = 100 * time.Millisecond },
+		"suspect":                   func(c *routing.Candidate) { c.Suspect = true },
+		"prefix in the engine":      func(c *routing.Candidate) { c.EngineTokens = 0 },
+		"prefix in the store":       func(c *routing.Candidate) { c.EngineTokens, c.StoreTokens = 0, 0 },
+		"link wait":                 func(c *routing.Candidate) { c.EngineTokens, c.FetchWait = 0, 300*time.Millisecond },
+		"link down":                 func(c *routing.Candidate) { c.EngineTokens, c.FetchRate = 0, 0 },
+		"cost put on others":        func(c *routing.Candidate) { c.EngineTokens, c.StoreTokens, c.Running = 4096, 0, 60 },
+		"median for unknown report": func(c *routing.Candidate) { c.QueuedTokens, c.AheadTokens = 9000, 9000 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			cs := candidates(n, func(i int, c *routing.Candidate) {
+				c.EngineTokens, c.StoreTokens = 8192, 8192
+				switch name {
+				case "prefix in the store", "link wait", "link down":
+					c.EngineTokens = 0
+				case "cost put on others":
+					c.EngineTokens, c.StoreTokens = 4096, 0
+				}
+				if i != want {
+					worse(c)
+				}
+			})
+			if name == "median for unknown report" {
+				cs[0].ReportAge = -1 // idle by its own fields, which mean nothing
+				cs[0].QueuedTokens, cs[0].AheadTokens = 0, 0
+			}
+			rng := newRng()
+			for range 20 {
+				require.Equal(t, want, New(Options{}).Choose(request(), cs, rng).Index, "seed %d", seed)
+			}
+		})
+	}
+}
+
+// Guards against a choice that fails or always takes the first endpoint when no
+// report has come yet.
+func TestWithoutAnyReport(t *testing.T) {
+	cs := candidates(12, func(_ int, c *routing.Candidate) { c.ReportAge = -1 })
+	rng, seen := newRng(), map[int]bool{}
+	for range 500 {
+		seen[New(Options{}).Choose(request(), cs, rng).Index] = true
+	}
+	require.Len(t, seen, 12, "seed %d", seed)
+	require.Equal(t, -1, New(Options{}).Choose(request(), nil, rng).Index)
+}
+
+// Guards against the herd: 24 entries with the same stale view of 830 endpoints
+// must not meet on the one that is ahead by less than the estimate can resolve.
+func TestNearEqualCandidatesAreSpread(t *testing.T) {
+	cs := candidates(830, func(i int, c *routing.Candidate) {
+		c.EngineTokens = 0
+		c.QueuedTokens = 20 + i%50
+		c.AheadTokens = c.QueuedTokens
+	})
+	cs[400].QueuedTokens, cs[400].AheadTokens = 0, 0
+	chosen := map[int]int{}
+	for e := range 24 {
+		chosen[New(Options{}).Choose(request(), cs, rand.New(rand.NewPCG(seed, uint64(e)))).Index]++
+	}
+	for i, n := range chosen {
+		require.LessOrEqual(t, n, 3, "entries on endpoint %d, seed %d", i, seed)
+	}
+}
+
+// Guards against an allocation in the decision, which runs for each request.
+func TestNoAllocation(t *testing.T) {
+	cs, r, rng, p := candidates(830, func(i int, c *routing.Candidate) { c.ReportAge = time.Duration(i%3 - 1) }), request(), newRng(), New(Options{})
+	require.Zero(t, testing.AllocsPerRun(100, func() { p.Choose(r, cs, rng) }))
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{12, 100, 830} {
+		for name, age := range map[string]time.Duration{"known": 0, "unknown": -1} {
+			b.Run(fmt.Sprintf("%s/%d", name, n), func(b *testing.B) {
+				cs := candidates(n, func(i int, c *routing.Candidate) {
+					c.QueuedTokens, c.AheadTokens, c.EngineTokens, c.StoreTokens = i*13%5000, i*13%5000, i%7*1024, 8192
+					if i%2 == 0 {
+						c.ReportAge = age
+					}
+				})
+				r, rng, p := request(), newRng(), New(Options{})
+				b.ReportAllocs()
+				for b.Loop() {
+					p.Choose(r, cs, rng)
+				}
+				b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(n), "ns/candidate")
+			})
+		}
+	}
+}
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -18,14 +18,16 @@
 	Waiting      int           // requests queued at the agent, by the last report
 	QueuedTokens int           // prefill tokens queued at the agent, by the last report
 	ReportAge    time.Duration // negative when there never was a report
+	AheadTokens  int           // of QueuedTokens, those that go before the request's class
+	SlotTime     time.Duration // mean time that a sequence holds a slot, zero when unknown
 	OwnInFlight  int           // this entry's choices since that report
-	OwnTokens    int           // and their prefill tokens
+	OwnTokens    int           // and their prefill tokens, less what has been computed since
 
 	Hop          time.Duration // one way from the entry
 	EngineTokens int           // prefix tokens believed to be in the engine's cache
 	StoreTokens  int           // prefix tokens believed to be in a store
 	FetchWait    time.Duration // wait until the store's link is free
-	FetchRate    float64       // bytes per second that the link gives now
+	FetchRate    float64       // bytes per second that the link gives now, zero when it gives nothing
 	Suspect      bool
 }
 
--- /dev/null
+++ b/core/routing/sticky/sticky.go
@@ -0,0 +1,48 @@
+// Package sticky registers the baseline policy routing.sticky: the endpoint that
+// a conversation's hash selects, without regard to load.
+package sticky
+
+import (
+	"math/rand/v2"
+
+	"github.com/galenaweir/galenaweir/core/kernel"
+	"github.com/galenaweir/galenaweir/core/routing"
+)
+
+// ID is the plug-in's name.
+const ID kernel.ID = "routing.sticky"
+
+func init() { kernel.Register(kernel.Info{ID: ID, New: func() any { return Policy{} }}) }
+
+// Policy implements routing.Policy.
+type Policy struct{}
+
+// Choose uses rendezvous hashing, so that a lost endpoint moves only its own
+// conversations. A prefix that only the store has is imported.
+func (Policy) Choose(r *routing.Request, cs []routing.Candidate, _ *rand.Rand) routing.Choice {
+	best, bestHash := -1, uint64(0)
+	for i := range cs {
+		h := mix(r.Sticky, cs[i].Endpoint)
+		if best < 0 || h > bestHash {
+			best, bestHash = i, h
+		}
+	}
+	return routing.Choice{Index: best, Fetch: best >= 0 && cs[best].StoreTokens > cs[best].EngineTokens}
+}
+
+// Parameters of FNV-1a and the finalizer of MurmurHash3.
+const (
+	fnvOffset = 14695981039346656037
+	fnvPrime  = 1099511628211
+	murmurMix = 0xff51afd7ed558ccd
+	murmurEnd = 33
+)
+
+func mix(seed uint64, id string) uint64 {
+	h := uint64(fnvOffset) ^ seed
+	for i := range len(id) {
+		h = (h ^ uint64(id[i])) * fnvPrime
+	}
+	h = (h ^ h>>murmurEnd) * murmurMix
+	return h ^ h>>murmurEnd
+}
--- /dev/null
+++ b/core/routing/sticky/sticky_test.go
@@ -0,0 +1,32 @@
+package sticky
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaweir/galenaweir/core/routing"
+)
+
+// Guards against conversations that move although their endpoint is still there,
+// and against a hash that leaves endpoints without conversations.
+func TestOnlyConversationsOfALostEndpointMove(t *testing.T) {
+	cs := make([]routing.Candidate, 12)
+	for i := range cs {
+		cs[i].Endpoint = fmt.Sprintf("e%02d", i)
+	}
+	const conversations = 6000
+	count := map[int]int{}
+	for s := range uint64(conversations) {
+		r := &routing.Request{Sticky: s * 0x9e3779b97f4a7c15}
+		before := (Policy{}).Choose(r, cs, nil).Index
+		count[before]++
+		if after := (Policy{}).Choose(r, cs[:11], nil).Index; before != 11 {
+			require.Equal(t, before, after)
+		}
+	}
+	for i, n := range count {
+		require.InDelta(t, conversations/len(cs), n, 100, "endpoint %d", i)
+	}
+}
