--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,10 @@
 	  --go-grpc_out=.cache/gen --go-grpc_opt=module=github.com/galenaweir/galenaweir rpc/galenaweir.proto
 	@for f in .cache/gen/rpc/*.go; do cmp $$f rpc/$$(basename $$f) || { echo "copy .cache/gen/rpc/*.go to rpc/ and commit them"; exit 1; }; done
 
+# Replays the traces; writes docs/measurements and prints the same table.
+measure:
+	go run ./bench/cmd/measure --out docs/measurements
+
 tidy:
 	@for m in $(MODULES); do (cd $$m && GOWORK=off go mod tidy); done
 
--- /dev/null
+++ b/bench/measure/plots.go
@@ -0,0 +1,85 @@
+package measure
+
+import (
+	"fmt"
+	"path/filepath"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/galenaweir/galenaweir/bench/replay"
+)
+
+// Sizes of the plots.
+const (
+	plotHeight = 12 * vg.Centimeter
+	groupWidth = 3.2 * vg.Centimeter
+	barWidth   = 8 * vg.Millimeter / 2
+)
+
+// plotted are the traces that each figure shows; the fault traces would crowd it.
+var plotted = []string{"returning", "bursts", "rollout", "even", "heavy"}
+
+func (r *Report) plots(dir string) error {
+	for name, f := range map[string]struct {
+		title string
+		value func(*replay.Result) float64
+	}{
+		"first-token-p95.png": {"first token, p95 (ms)", func(x *replay.Result) float64 { return x.FirstToken["all"].P95 }},
+		"recomputed.png":      {"tokens recomputed, of those built before (%)", func(x *replay.Result) float64 { return percent * x.Recomputed }},
+		"links.png":           {"link use, highest mean of a link (%)", highestMean},
+	} {
+		if err := r.plot(filepath.Join(dir, name), f.title, f.value); err != nil {
+			return fmt.Errorf("plot %s: %w", name, err)
+		}
+	}
+	return nil
+}
+
+func highestMean(x *replay.Result) float64 {
+	mean := 0.0
+	for _, l := range x.Links {
+		mean = max(mean, percent*l.Mean)
+	}
+	return mean
+}
+
+// plot draws one group of bars for each trace, one bar for each policy.
+func (r *Report) plot(file, title string, value func(*replay.Result) float64) error {
+	var traces []string
+	for _, run := range r.Runs {
+		_, suffix, _ := strings.Cut(run.Trace, "-")
+		for _, p := range plotted {
+			if strings.HasSuffix(suffix, p) && (len(traces) == 0 || traces[len(traces)-1] != run.Trace) {
+				traces = append(traces, run.Trace)
+			}
+		}
+	}
+	if len(traces) == 0 {
+		return nil
+	}
+	p := plot.New()
+	p.Title.Text = title
+	p.Legend.Top = true
+	p.Y.Min = 0
+	ps := policies()
+	for i, name := range ps {
+		var vs plotter.Values
+		for _, t := range traces {
+			vs = append(vs, value(r.find(t, name)))
+		}
+		bars, err := plotter.NewBarChart(vs, barWidth)
+		if err != nil {
+			return err
+		}
+		bars.Color, bars.LineStyle.Width = plotutil.Color(i), 0
+		bars.Offset = barWidth * vg.Length(float64(i)-float64(len(ps)-1)/2)
+		p.Add(bars)
+		p.Legend.Add(strings.TrimPrefix(name, "routing."), bars)
+	}
+	p.NominalX(traces...)
+	return p.Save(groupWidth*vg.Length(len(traces)+1), plotHeight, file)
+}
--- /dev/null
+++ b/bench/measure/table.go
@@ -0,0 +1,87 @@
+package measure
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/galenaweir/galenaweir/bench/trace"
+)
+
+const percent = 100
+
+// Markdown returns the tables.
+func (r *Report) Markdown() string {
+	var b strings.Builder
+	b.WriteString("# Measurements by replay\n\nWritten by `make measure`. First-token times in milliseconds as the caller sees them; shares in percent.\n")
+	last := ""
+	for _, run := range r.Runs {
+		if run.Trace != last {
+			last = run.Trace
+			fmt.Fprintf(&b, "\n## %s\n\n", run.Trace)
+			b.WriteString("| policy | all p50 / p95 / p99 | interactive p50 / p95 / p99 | standard p95 | batch p95 | between tokens p95 | recomputed | held nowhere | link use mean, peak | refused | late | retries |\n")
+			b.WriteString("|---|---|---|---|---|---|---|---|---|---|---|---|\n")
+		}
+		x := run.Result
+		a, i := x.FirstToken["all"], x.FirstToken[trace.Interactive]
+		var links []string
+		for _, l := range x.Links {
+			links = append(links, fmt.Sprintf("%.0f, %.0f", percent*l.Mean, percent*l.Peak))
+		}
+		fmt.Fprintf(&b, "| %s | %.0f / %.0f / %.0f | %.0f / %.0f / %.0f | %.0f | %.0f | %.1f | %.2f | %.2f | %s | %.2f | %.2f | %.2f |\n",
+			strings.TrimPrefix(run.Policy, "routing."), a.P50, a.P95, a.P99, i.P50, i.P95, i.P99,
+			x.FirstToken[trace.Standard].P95, x.FirstToken[trace.Batch].P95, x.BetweenTokens.P95,
+			percent*x.Recomputed, percent*x.Unavailable, strings.Join(links, "; "), percent*x.Refused, percent*x.Missed, percent*x.Retries)
+	}
+	r.faultTable(&b)
+	b.WriteString("\n## Stated outcomes\n\n| trace | outcome | limit | measured | | source |\n|---|---|---|---|---|---|\n")
+	for _, v := range r.Outcomes {
+		fmt.Fprintf(&b, "| %s | %s | %.4g | %.4g | %s | %s |\n", v.Trace, v.Text, v.Limit, v.Measured, v.verdict(), v.Source)
+	}
+	return b.String()
+}
+
+// faultTable shows what each fault does to the requests that arrive during it.
+func (r *Report) faultTable(b *strings.Builder) {
+	b.WriteString("\n## Requests that arrive during a fault\n\n| trace | policy | first token p50 / p95 / p99 | p95 against the same trace undisturbed | refused | late | retries |\n|---|---|---|---|---|---|---|\n")
+	for _, run := range r.Runs {
+		s, err := trace.Find(run.Trace)
+		if err != nil || len(s.Faults) == 0 {
+			continue
+		}
+		w, ratio := run.Result.Fault, "not run"
+		if base := r.find(s.Base, run.Policy); base != nil {
+			ratio = fmt.Sprintf("%.2f", w.FirstToken.P95/base.FirstToken["all"].P95)
+		}
+		fmt.Fprintf(b, "| %s | %s | %.0f / %.0f / %.0f | %s | %.2f | %.2f | %.2f |\n", run.Trace, strings.TrimPrefix(run.Policy, "routing."),
+			w.FirstToken.P50, w.FirstToken.P95, w.FirstToken.P99, ratio, percent*w.Refused, percent*w.Missed, percent*w.Retries)
+	}
+}
+
+// Files of a measurement.
+const (
+	jsonFile  = "latest.json"
+	tableFile = "latest.md"
+	fileMode  = 0o644
+	dirMode   = 0o755
+)
+
+// Write writes the figures, the table and the plots into the folder.
+func (r *Report) Write(dir string) error {
+	if err := os.MkdirAll(dir, dirMode); err != nil {
+		return fmt.Errorf("create the folder for measurements: %w", err)
+	}
+	data, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		return fmt.Errorf("encode the measurements: %w", err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, jsonFile), append(data, '\n'), fileMode); err != nil {
+		return fmt.Errorf("write the measurements: %w", err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, tableFile), []byte(r.Markdown()), fileMode); err != nil {
+		return fmt.Errorf("write the table: %w", err)
+	}
+	return r.plots(dir)
+}
--- a/bench/trace/deployments.go
+++ b/bench/trace/deployments.go
@@ -15,10 +15,10 @@
 // Sizes of one server and one store that both deployments share. An endpoint has
 // four accelerators (design 1.4: 3,300 in 830 servers).
 const (
-	slots              = 64     // 5,100 requests/s of 275 tokens at 32 ms keep 54 busy on each of 830 servers
-	prefillRate        = 20_000 // tokens per second
-	decodeMs           = 25     // leaves room below the 32 ms of design 1.4
-	engineTokens       = 400_000
+	slots              = 64        // 5,100 requests/s of 275 tokens at 32 ms keep 54 busy on each of 830 servers
+	prefillRate        = 20_000    // tokens per second
+	decodeMs           = 25        // leaves room below the 32 ms of design 1.4
+	engineTokens       = 1_500_000 // 100 GB of four 80 GB accelerators; weights and running sequences take the rest
 	kvBytesPerToken    = 65_536
 	weightLoadMs       = 800 // "under a second", design 1
 	storeMemory        = 512 << 30
--- a/bench/trace/trace.go
+++ b/bench/trace/trace.go
@@ -133,6 +133,9 @@
 	return b.Flush()
 }
 
+// recordedDeadlineMs stands in for a deadline that a decision line doesn't have.
+const recordedDeadlineMs = 60_000
+
 // routed is the entry's decision line. An entry's log without arrivals is read as
 // one arrival for each request, at the time of its first decision.
 type routed struct {
@@ -210,6 +213,12 @@
 			continue
 		}
 		seen[d.Request] = true
+		if d.Conversation == "" {
+			d.Conversation = d.Request
+		}
+		if d.DeadlineMs == 0 {
+			d.DeadlineMs = recordedDeadlineMs
+		}
 		as = append(as, Arrival{
 			AtMs: float64(d.Time.Sub(ds[0].Time)) / float64(time.Millisecond), Request: d.Request, Customer: d.Customer,
 			Conversation: d.Conversation, Model: d.Model, Kind: "recorded", Priority: d.Priority,
--- /dev/null
+++ b/bench/trace/trace_test.go
@@ -0,0 +1,99 @@
+package trace
+
+import (
+	"bytes"
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against traces that change between runs or lose something on the way
+// through their file, and against a heavy customer's load that changes the
+// requests of the others, which the fairness figure compares.
+func TestGeneratedTraces(t *testing.T) {
+	for _, dep := range []string{"guj-west", "gt-central"} {
+		even, err := Find(dep + "-even")
+		require.NoError(t, err)
+		heavy, err := Find(dep + "-heavy")
+		require.NoError(t, err)
+		var first, second bytes.Buffer
+		require.NoError(t, Write(&first, Generate(even)))
+		require.NoError(t, Write(&second, Generate(even)))
+		require.True(t, bytes.Equal(first.Bytes(), second.Bytes()), "seed %d", even.seed)
+		back, err := Read(&first)
+		require.NoError(t, err)
+		var again bytes.Buffer
+		require.NoError(t, Write(&again, back))
+		require.True(t, bytes.Equal(second.Bytes(), again.Bytes()), "seed %d", even.seed)
+
+		lightEven, n := light(Generate(even))
+		lightHeavy, m := light(Generate(heavy))
+		require.Equal(t, lightEven, lightHeavy)
+		require.InDelta(t, heavyFactor, float64(m)/float64(n), 1, "the heavy customer's load, seed %d", heavy.seed)
+	}
+}
+
+// light returns the requests of all customers but the first, and the number of
+// the first one's.
+func light(t *Trace) (as []Arrival, heavy int) {
+	for _, a := range t.Arrivals {
+		if a.Customer == t.Deployment.Customers[0] {
+			heavy++
+			continue
+		}
+		a.Request = ""
+		as = append(as, a)
+	}
+	return as, heavy
+}
+
+// Guards against conversations that shrink or come back before their answer, and
+// against requests before the trace begins.
+func TestConversationsGrow(t *testing.T) {
+	s, err := Find("gt-central-returning")
+	require.NoError(t, err)
+	last := map[string]Arrival{}
+	for _, a := range Generate(s).Arrivals {
+		if b, ok := last[a.Conversation]; ok {
+			require.Greater(t, a.PromptTokens, b.PromptTokens+b.MaxTokens)
+			require.Greater(t, a.AtMs, b.AtMs+float64(b.MaxTokens)*decodeMs)
+		}
+		require.GreaterOrEqual(t, a.AtMs, 0.0)
+		last[a.Conversation] = a
+	}
+}
+
+// Guards against a trace without stated outcomes, and an outcome without a source
+// on the design page.
+func TestEachTraceStatesOutcomes(t *testing.T) {
+	for _, s := range Specs() {
+		os, err := Outcomes(s.Name)
+		require.NoError(t, err)
+		require.NotEmpty(t, os, s.Name)
+		for _, o := range os {
+			require.Regexp(t, `^design \d`, o.Source, s.Name)
+			require.NotEmpty(t, o.Metric, s.Name)
+		}
+	}
+	_, err := Outcomes("no such trace")
+	require.Error(t, err)
+}
+
+// Guards against an entry's own log that can't be replayed. The file is the
+// decision lines of two entries of bench/local, after a line of sizes.
+func TestReadRecordedDecisions(t *testing.T) {
+	f, err := os.Open("recorded/small.jsonl")
+	require.NoError(t, err)
+	defer f.Close()
+	tr, err := Read(f)
+	require.NoError(t, err)
+	require.Len(t, tr.Arrivals, 12)
+	require.Zero(t, tr.Arrivals[0].AtMs)
+	for i, a := range tr.Arrivals[1:] {
+		require.GreaterOrEqual(t, a.AtMs, tr.Arrivals[i].AtMs)
+		require.Positive(t, a.PromptTokens)
+	}
+	_, err = Read(bytes.NewBufferString("{\"message\":\"arrival\",\"at_ms\":\"late\"}\n"))
+	require.ErrorContains(t, err, "line 1")
+}
