Draw old load reports towards the mean in prefix_cost

Change: the wait of a report moves to the mean of all candidates within one second of age; near-equal from 20 to 5 ms, the weight of the cost put on others from 0.5 to 0.25.

--- a/bench/measure/measure.go
+++ b/bench/measure/measure.go
@@ -15,7 +15,8 @@
 	_ "github.com/galenaweir/galenaweir/core/routing/leastload" // plug-in
 	_ "github.com/galenaweir/galenaweir/core/routing/nostore"   // plug-in
 	"github.com/galenaweir/galenaweir/core/routing/prefixcost"
-	_ "github.com/galenaweir/galenaweir/core/routing/sticky" // plug-in
+	_ "github.com/galenaweir/galenaweir/core/routing/prefixcostv1" // plug-in
+	_ "github.com/galenaweir/galenaweir/core/routing/sticky"       // plug-in
 )
 
 // Product is the policy under measurement; Oracle is the name of the replay with
--- a/bench/measure/table.go
+++ b/bench/measure/table.go
@@ -21,8 +21,8 @@
 		if run.Trace != last {
 			last = run.Trace
 			fmt.Fprintf(&b, "\n## %s\n\n", run.Trace)
-			b.WriteString("| policy | all p50 / p95 / p99 | interactive p50 / p95 / p99 | standard p95 | batch p95 | between tokens p95 | recomputed | held nowhere | link use mean, peak | refused | late | retries |\n")
-			b.WriteString("|---|---|---|---|---|---|---|---|---|---|---|---|\n")
+			b.WriteString("| policy | all p50 / p95 / p99 | interactive p50 / p95 / p99 | standard p95 | batch p95 | light customers p95 | between tokens p95 | recomputed | held nowhere | link use mean, peak | refused | late | retries |\n")
+			b.WriteString("|---|---|---|---|---|---|---|---|---|---|---|---|---|\n")
 		}
 		x := run.Result
 		a, i := x.FirstToken["all"], x.FirstToken[trace.Interactive]
@@ -30,9 +30,9 @@
 		for _, l := range x.Links {
 			links = append(links, fmt.Sprintf("%.0f, %.0f", percent*l.Mean, percent*l.Peak))
 		}
-		fmt.Fprintf(&b, "| %s | %.0f / %.0f / %.0f | %.0f / %.0f / %.0f | %.0f | %.0f | %.1f | %.2f | %.2f | %s | %.2f | %.2f | %.2f |\n",
+		fmt.Fprintf(&b, "| %s | %.0f / %.0f / %.0f | %.0f / %.0f / %.0f | %.0f | %.0f | %.0f | %.1f | %.2f | %.2f | %s | %.2f | %.2f | %.2f |\n",
 			strings.TrimPrefix(run.Policy, "routing."), a.P50, a.P95, a.P99, i.P50, i.P95, i.P99,
-			x.FirstToken[trace.Standard].P95, x.FirstToken[trace.Batch].P95, x.BetweenTokens.P95,
+			x.FirstToken[trace.Standard].P95, x.FirstToken[trace.Batch].P95, x.Light.P95, x.BetweenTokens.P95,
 			percent*x.Recomputed, percent*x.Unavailable, strings.Join(links, "; "), percent*x.Refused, percent*x.Missed, percent*x.Retries)
 	}
 	r.faultTable(&b)
--- a/core/routing/prefixcost/prefixcost.go
+++ b/core/routing/prefixcost/prefixcost.go
@@ -25,9 +25,12 @@
 	// weighted with an even chance that the member is dead.
 	SuspectPenalty time.Duration
 	// NearEqual is the difference to the lowest cost below which candidates
-	// count as equal. It is of the size of one hop and one decode step, which
-	// the estimate can't resolve.
+	// count as equal. It is of the size of a few hops, which the estimate can't
+	// resolve.
 	NearEqual time.Duration
+	// Reversion is the age at which a report's wait says no more than the mean
+	// of all candidates: other entries' choices since then are unknown.
+	Reversion time.Duration
 	// OthersWeight scales the cost put on other requests.
 	OthersWeight float64
 	// NoStore leaves prefixes in stores out of account.
@@ -37,8 +40,9 @@
 const (
 	defaultReportLifetime = 10 * time.Second
 	defaultSuspectPenalty = time.Second
-	defaultNearEqual      = 20 * time.Millisecond
-	defaultOthersWeight   = 0.5
+	defaultNearEqual      = 5 * time.Millisecond
+	defaultReversion      = time.Second
+	defaultOthersWeight   = 0.25
 )
 
 // Policy implements routing.Policy.
@@ -55,6 +59,9 @@
 	if o.NearEqual == 0 {
 		o.NearEqual = defaultNearEqual
 	}
+	if o.Reversion == 0 {
+		o.Reversion = defaultReversion
+	}
 	if o.OthersWeight == 0 {
 		o.OthersWeight = defaultOthersWeight
 	}
@@ -74,8 +81,10 @@
 	prompt        float64 // tokens
 	perToken      float64 // seconds of prefill
 	bytesPerToken float64
-	unknown       float64 // seconds of wait without a usable report
 	lifetime      time.Duration
+	reversion     float64 // per second of a report's age
+	mean          float64 // seconds of wait by the reports of all candidates
+	unknown       float64 // seconds of wait without a usable report: their median
 	suspect       float64 // seconds
 	others        float64
 	store         bool
@@ -97,27 +106,40 @@
 	if len(cs) == 0 {
 		return routing.Choice{Index: -1}
 	}
-	t := terms{
-		prompt: float64(r.PromptTokens), perToken: 1 / r.PrefillRate, bytesPerToken: float64(r.KVBytesPerToken),
-		lifetime: p.o.ReportLifetime, suspect: seconds(p.o.SuspectPenalty), others: p.o.OthersWeight, store: !p.o.NoStore,
-	}
+	t := p.terms(r, cs)
 	var kept [maxKept]float64
-	t.limit = math.Inf(1)
-	nearEqual, median := seconds(p.o.NearEqual), false
 	for i := range cs {
-		if !median && !t.known(&cs[i]) {
-			t.unknown, median = t.medianWait(cs), true
-		}
-		e := t.estimate(&cs[i])
+		cost := t.estimate(&cs[i]).cost
 		if i < maxKept {
-			kept[i] = e.cost
+			kept[i] = cost
 		}
-		t.limit = min(t.limit, e.cost+nearEqual)
+		t.limit = min(t.limit, cost+seconds(p.o.NearEqual))
 	}
+	first, second := t.twoNearLowest(cs, kept[:min(len(cs), maxKept)], rng)
+	index, best := first, t.estimate(&cs[first])
+	if e := t.estimate(&cs[second]); e.cost < best.cost {
+		index, best = second, e
+	}
+	return routing.Choice{Index: index, Estimate: time.Duration(best.firstToken * float64(time.Second)), Fetch: best.fetch}
+}
+
+func (p Policy) terms(r *routing.Request, cs []routing.Candidate) terms {
+	t := terms{
+		prompt: float64(r.PromptTokens), perToken: 1 / r.PrefillRate, bytesPerToken: float64(r.KVBytesPerToken),
+		lifetime: p.o.ReportLifetime, reversion: 1 / seconds(p.o.Reversion), suspect: seconds(p.o.SuspectPenalty),
+		others: p.o.OthersWeight, store: !p.o.NoStore, limit: math.Inf(1),
+	}
+	t.sample(cs)
+	return t
+}
+
+// twoNearLowest returns two random candidates of those below the limit, by
+// reservoir sampling; the same one twice when there is only one.
+func (t *terms) twoNearLowest(cs []routing.Candidate, kept []float64, rng *rand.Rand) (int, int) {
 	var picks [2]int
 	near := 0
 	for i := range cs {
-		if i < maxKept && kept[i] > t.limit || i >= maxKept && t.estimate(&cs[i]).cost > t.limit {
+		if i < len(kept) && kept[i] > t.limit || i >= len(kept) && t.estimate(&cs[i]).cost > t.limit {
 			continue
 		}
 		near++
@@ -127,17 +149,13 @@
 			picks[j] = i
 		}
 	}
-	if near > 1 && rng.IntN(len(picks)) == 0 { // the sample's places aren't equally likely
-		picks[0], picks[1] = picks[1], picks[0]
+	if near == 1 {
+		return picks[0], picks[0]
 	}
-	index := picks[0]
-	best := t.estimate(&cs[index])
-	if near > 1 {
-		if second := t.estimate(&cs[picks[1]]); second.cost < best.cost {
-			best, index = second, picks[1]
-		}
+	if rng.IntN(len(picks)) == 0 { // the sample's places aren't equally likely
+		return picks[1], picks[0]
 	}
-	return routing.Choice{Index: index, Estimate: time.Duration(best.firstToken * float64(time.Second)), Fetch: best.fetch}
+	return picks[0], picks[1]
 }
 
 // estimate adds up the terms of design section 9.4. It stops when hop and wait
@@ -173,32 +191,39 @@
 
 func (t *terms) known(c *routing.Candidate) bool { return c.ReportAge >= 0 && c.ReportAge < t.lifetime }
 
-// queueWait is the wait by the last report in seconds: the prefill tokens that
-// are left, and for a slot when none is free.
+// queueWait is the wait by the last report in seconds, drawn towards the mean of
+// all candidates the older the report is, since other entries add work meanwhile.
 func (t *terms) queueWait(c *routing.Candidate) float64 {
 	age := seconds(c.ReportAge)
-	wait := max(0, float64(c.QueuedTokens)*t.perToken-age)
+	old := min(1, age*t.reversion)
+	return (1-old)*max(0, t.reportedWait(c)-age) + old*t.mean
+}
+
+// reportedWait is the wait at the time of the report: the prefill tokens, and the
+// wait for a slot when none is free.
+func (t *terms) reportedWait(c *routing.Candidate) float64 {
+	wait := float64(c.QueuedTokens) * t.perToken
 	if ahead := c.Running + c.Waiting + c.OwnInFlight - c.Slots + 1; ahead > 0 {
-		wait += max(0, float64(ahead)*seconds(c.SlotTime)/float64(max(1, c.Slots))-age)
+		wait += float64(ahead) * seconds(c.SlotTime) / float64(max(1, c.Slots))
 	}
 	return wait
 }
 
-// medianSamples bounds the work for the median; an endpoint without a report is
-// rare, and the rank of a sample of this size is close enough for it.
-const medianSamples = 33
-
-// medianWait returns the median wait of the candidates with a report, for those
-// without one. It looks at an even sample and is zero when there is no report.
-func (t *terms) medianWait(cs []routing.Candidate) float64 {
-	var sorted [medianSamples]float64
-	n := 0
-	stride := max(1, (len(cs)+medianSamples-1)/medianSamples)
-	for i := 0; i < len(cs) && n < medianSamples; i += stride {
+// samples bounds the work for mean and median.
+const samples = 33
+
+// sample sets the mean and the median wait by the reports of an even sample of
+// the candidates; both are zero when there is no report.
+func (t *terms) sample(cs []routing.Candidate) {
+	var sorted [samples]float64
+	n, sum := 0, 0.0
+	stride := max(1, (len(cs)+samples-1)/samples)
+	for i := 0; i < len(cs) && n < samples; i += stride {
 		if !t.known(&cs[i]) {
 			continue
 		}
-		w := t.queueWait(&cs[i])
+		w := t.reportedWait(&cs[i])
+		sum += w
 		j := n
 		for ; j > 0 && sorted[j-1] > w; j-- {
 			sorted[j] = sorted[j-1]
@@ -206,5 +231,6 @@
 		sorted[j] = w
 		n++
 	}
-	return sorted[n/2]
+	t.unknown = sorted[n/2]
+	t.mean = sum / float64(max(1, n))
 }
--- a/core/routing/prefixcost/prefixcost_test.go
+++ b/core/routing/prefixcost/prefixcost_test.go
@@ -46,6 +46,7 @@
 		"link wait":                 func(c *routing.Candidate) { c.EngineTokens, c.FetchWait = 0, 300*time.Millisecond },
 		"link down":                 func(c *routing.Candidate) { c.EngineTokens, c.FetchRate = 0, 0 },
 		"cost put on others":        func(c *routing.Candidate) { c.EngineTokens, c.StoreTokens, c.Running = 4096, 0, 60 },
+		"old report":                func(c *routing.Candidate) { c.QueuedTokens = 6000 },
 		"median for unknown report": func(c *routing.Candidate) { c.QueuedTokens, c.AheadTokens = 9000, 9000 },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -61,6 +62,9 @@
 					worse(c)
 				}
 			})
+			if name == "old report" {
+				cs[0].QueuedTokens, cs[0].ReportAge = 0, 5*time.Second // others have chosen it since
+			}
 			if name == "median for unknown report" {
 				cs[0].ReportAge = -1 // idle by its own fields, which mean nothing
 				cs[0].QueuedTokens, cs[0].AheadTokens = 0, 0
