--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -19,6 +19,7 @@
 	"github.com/galenaweir/galenaweir/standin/hostlist"
 	"github.com/galenaweir/galenaweir/standin/logsvc"
 	"github.com/galenaweir/galenaweir/standin/service"
+	"github.com/galenaweir/galenaweir/standin/store"
 )
 
 type logCommand struct {
@@ -99,6 +100,25 @@
 	return first
 }
 
+type storeCommand struct {
+	Listen string  `long:"listen" required:"true" description:"IP number and port"`
+	Memory int64   `long:"memory-bytes" default:"67108864" description:"size of the memory tier"`
+	Disk   int64   `long:"disk-bytes" default:"268435456" description:"size of the disk tier"`
+	Link   float64 `long:"link" default:"50000000" description:"rate of the link in bytes per second"`
+	Rate   float64 `long:"disk-rate" default:"20000000" description:"rate of the disk in bytes per second"`
+}
+
+// uncommittedTTL frees the slots of writers that died before their commit.
+const uncommittedTTL = time.Minute
+
+// Execute implements flags.Commander.
+func (c *storeCommand) Execute([]string) error {
+	return serve(store.New(store.Options{
+		MemoryBytes: c.Memory, DiskBytes: c.Disk, LinkBytesPerSecond: c.Link,
+		DiskBytesPerSecond: c.Rate, UncommittedTTL: uncommittedTTL,
+	}).Handler(), c.Listen)
+}
+
 // headerTimeout bounds how long a client may take to send its headers.
 const headerTimeout = 10 * time.Second
 
@@ -134,6 +154,7 @@
 		{"hostlist", "list of hosts", &hostlistCommand{}},
 		{"engine", "model engine", &engineCommand{}},
 		{"service", "plain service", &serviceCommand{}},
+		{"store", "store host for cache blocks", &storeCommand{}},
 	} {
 		if _, err := p.AddCommand(c.name, c.description, c.description, c.data); err != nil {
 			panic(err) // a mistake in the options' tags
