Give each frame of the engine stand-in its own usage

Cause: the first frame shared its usage with the sequence, which changed the count of output tokens while the frame was encoded. Change: the first frame has a copy. Result: go test -race ./agent reported the data race before and passes now. Conclusion: frames are immutable once emitted.

--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -214,7 +214,8 @@
 	}
 	prompt := prefix.Tokens(s.req.Prompt + s.req.Continue)
 	usage := Usage{PromptTokens: prompt, CachedTokens: cached}
-	e.emit(s, Frame{Usage: &usage, WeightVersion: s.version})
+	first := usage // frames are read while the sequence runs, so each has its own
+	e.emit(s, Frame{Usage: &first, WeightVersion: s.version})
 	from := strings.Count(s.req.Continue, " ")
 	length := uint64(0)
 	for i := from; i < s.req.MaxTokens; i++ {
