--- /dev/null
+++ b/core/placement/baseline/baseline.go
@@ -0,0 +1,65 @@
+// Package baseline registers placement.none and placement.always, to which other
+// policies are compared.
+package baseline
+
+import (
+	"time"
+
+	"github.com/galenaweir/galenaweir/core/kernel"
+	"github.com/galenaweir/galenaweir/core/placement"
+)
+
+// The plug-ins' names.
+const (
+	NoneID   kernel.ID = "placement.none"
+	AlwaysID kernel.ID = "placement.always"
+)
+
+func init() {
+	kernel.Register(kernel.Info{ID: NoneID, New: func() any { return None{} }})
+	kernel.Register(kernel.Info{ID: AlwaysID, New: func() any { return Always{} }})
+}
+
+// None exports nothing.
+type None struct{}
+
+// Export implements placement.Policy.
+func (None) Export(*placement.Candidate) placement.Decision { return placement.Decision{} }
+
+// Drop implements placement.Policy.
+func (None) Drop([]placement.Stored, placement.Tier, int64, time.Duration) []int { return nil }
+
+// Prefetch implements placement.Policy.
+func (None) Prefetch(*placement.Candidate) bool { return false }
+
+// Always exports everything to the tier with more room and drops the oldest.
+type Always struct{}
+
+// Export implements placement.Policy.
+func (Always) Export(c *placement.Candidate) placement.Decision {
+	if c.Space.DiskUse < c.Space.MemoryUse {
+		return placement.Decision{Export: true, Tier: placement.Disk}
+	}
+	return placement.Decision{Export: true, Tier: placement.Memory}
+}
+
+// Drop implements placement.Policy: the oldest first.
+func (Always) Drop(held []placement.Stored, t placement.Tier, bytes int64, _ time.Duration) []int {
+	var drop []int
+	for i, h := range held {
+		if bytes <= 0 {
+			break
+		}
+		if h.Tier == t {
+			drop = append(drop, i)
+			bytes -= h.Bytes
+		}
+	}
+	if bytes > 0 {
+		return nil
+	}
+	return drop
+}
+
+// Prefetch implements placement.Policy.
+func (Always) Prefetch(*placement.Candidate) bool { return false }
