Import and export cache blocks at the agent

Cause: a returning conversation was recomputed as a whole once its pieces had been evicted from the engine. Change: agent.Cache imports missing pieces before an attempt when that is estimated to be faster, within the time of recomputing and the deadline, coalesced by store key; it exports after an attempt by the placement policy, only while no foreground transfer is on the link, and at most half of the time. It follows the engine's cache events and starts anew after a gap.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -28,6 +28,7 @@
 	Config       node.Config
 	Members      node.Members
 	Engine       protocol.Engine
+	Cache        *Cache // nil for no stores
 }
 
 // Times of the attempts that the agent keeps.
@@ -190,11 +191,16 @@
 	key := prefix.DeriveCustomerKey(a.o.CacheSecret, req.Customer)
 	salt := prefix.Derive(key, "salt", req.Model, req.Adapter)
 	r := runner{engine: a.o.Engine, silence: a.o.SilenceLimit, dropped: func() { a.dropped.Add(1) }}
-	err := r.run(ctx, at, &protocol.Request{
+	preq := &protocol.Request{
 		AttemptID: req.AttemptId, Model: req.Model, Prompt: req.Prompt, Continue: req.PrefixOutput,
 		MaxTokens: int(req.MaxTokens), Priority: doc.Priorities[req.Priority].Rank,
 		CacheSalt: fmt.Sprintf("%x", salt), WeightVersion: req.WeightVersion,
-	}, req.Resume)
+	}
+	a.o.Cache.Import(ctx, doc, req, preq.CacheSalt)
+	err := r.run(ctx, at, preq, req.Resume)
+	if err == nil {
+		a.o.Cache.Export(doc, req, preq.CacheSalt, at.version())
+	}
 	if err != nil {
 		a.abandon(at)
 		frames, _, _, _ := at.since(0)
--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -48,6 +48,16 @@
 	return frames, a.done, a.changed, a.err
 }
 
+// version returns the weight version that the attempt ran on, "" if it is not known.
+func (a *attempt) version() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.frames) == 0 {
+		return ""
+	}
+	return a.frames[0].GetStart().GetWeightVersion()
+}
+
 func (a *attempt) add(f *rpc.Frame) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- /dev/null
+++ b/agent/export.go
@@ -0,0 +1,201 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/galenaweir/galenaweir/core/config"
+	"github.com/galenaweir/galenaweir/core/placement"
+	"github.com/galenaweir/galenaweir/core/prefix"
+	"github.com/galenaweir/galenaweir/protocol"
+	"github.com/galenaweir/galenaweir/rpc"
+	"github.com/galenaweir/galenaweir/storeclient"
+)
+
+const (
+	exportTimeout   = 30 * time.Second // of one context
+	backgroundShare = 0.5              // of the time that exports may keep a link busy
+	maxStoredKnown  = 1 << 14          // blocks remembered as droppable
+)
+
+// storedBlock is a block that this agent exported.
+type storedBlock struct {
+	placement.Stored
+	store   string
+	address string
+	slot    storeclient.Slot
+	at      time.Time
+}
+
+// Export queues the prompt's pieces for export after an attempt that ended well.
+func (c *Cache) Export(doc *config.Document, req *rpc.GenerateRequest, salt, version string) {
+	if c == nil || len(doc.Stores) == 0 || version == "" {
+		return
+	}
+	p := c.describe(doc, req, salt, version)
+	c.mu.Lock()
+	c.returns.Ended(p.customer, p.context, c.o.Now())
+	c.mu.Unlock()
+	if len(p.chain) == 0 {
+		return
+	}
+	select {
+	case c.exports <- p:
+	default:
+		c.Stats.ExportsDropped.Add(1)
+	}
+}
+
+// Run exports until ctx ends.
+func (c *Cache) Run(ctx context.Context) {
+	for {
+		select {
+		case p := <-c.exports:
+			c.exportOne(ctx, p)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Cache) exportOne(ctx context.Context, p *promptCache) {
+	ctx, cancel := context.WithTimeout(ctx, exportTimeout)
+	defer cancel()
+	pieces, err := c.absent(ctx, p)
+	if err != nil || len(pieces) == 0 {
+		log.Debug().Str("request", p.request).Str("store", p.store).Err(err).Msg("nothing to export")
+		return
+	}
+	cand, err := c.candidate(ctx, p, len(pieces))
+	if err != nil {
+		log.Info().Str("request", p.request).Str("store", p.store).Err(err).Msg("store gives no usage; nothing is exported")
+		return
+	}
+	policy := c.policy(p.doc)
+	d := policy.Export(cand)
+	log.Info().Str("decision", "export").Str("request", p.request).Str("customer", p.customer).Str("store", p.store).
+		Int("pieces", len(pieces)).Any("inputs", cand).Any("outcome", d).Msg("placement")
+	if !d.Export {
+		return
+	}
+	for _, i := range pieces {
+		if err := c.exportPiece(ctx, policy, p, p.piece(i), d, cand); err != nil {
+			log.Info().Str("request", p.request).Str("store", p.store).Err(err).Msg("export ended early")
+			return
+		}
+	}
+}
+
+// absent returns the pieces that the store does not hold.
+func (c *Cache) absent(ctx context.Context, p *promptCache) ([]int, error) {
+	var out []int
+	for i := range p.chain {
+		_, err := c.o.Store.Lookup(ctx, p.storeAt, prefix.StoreKey(p.key, p.piece(i)))
+		switch {
+		case errors.Is(err, storeclient.ErrMiss):
+			out = append(out, i)
+		case err != nil:
+			return nil, err
+		}
+	}
+	return out, nil
+}
+
+func (c *Cache) candidate(ctx context.Context, p *promptCache, pieces int) (*placement.Candidate, error) {
+	u, err := c.o.Store.Usage(ctx, p.storeAt)
+	if err != nil {
+		return nil, err
+	}
+	share := func(used, all int64) float64 {
+		if all <= 0 {
+			return 1
+		}
+		return float64(used) / float64(all)
+	}
+	c.mu.Lock()
+	ret := c.returns.Estimate(p.customer)
+	c.mu.Unlock()
+	return &placement.Candidate{
+		Bytes: int64(pieces) * p.pieceKV, Recompute: p.recompute(pieces), Return: ret, Link: c.link(p).state(),
+		Space: placement.Space{MemoryUse: share(u.MemoryUsed, u.MemoryBytes), DiskUse: share(u.DiskUsed, u.DiskBytes)},
+	}, nil
+}
+
+// exportPiece copies one piece from the engine to the store when no foreground
+// transfer uses the link, then leaves the link alone for a while.
+func (c *Cache) exportPiece(ctx context.Context, policy placement.Policy, p *promptCache, id prefix.Identity, d placement.Decision, cand *placement.Candidate) error {
+	l := c.link(p)
+	if err := l.waitIdle(ctx); err != nil {
+		return err
+	}
+	data, version, err := c.o.Engine.Export(ctx, p.address, id.Chain)
+	if err != nil {
+		return err
+	}
+	if version != id.WeightVersion {
+		return fmt.Errorf("piece of version %s, engine has %s: %w", id.WeightVersion, version, protocol.ErrVersion)
+	}
+	block, err := prefix.Seal(p.key, id, data)
+	if err != nil {
+		return err
+	}
+	value := time.Duration(float64(d.Value) * float64(p.pieceKV) / float64(max(1, cand.Bytes)))
+	begin := c.o.Now()
+	slot, err := c.o.Store.Put(ctx, p.storeAt, prefix.StoreKey(p.key, id), string(d.Tier), block)
+	if errors.Is(err, storeclient.ErrFull) && c.makeWay(ctx, policy, p.store, d.Tier, int64(len(block)), value) {
+		slot, err = c.o.Store.Put(ctx, p.storeAt, prefix.StoreKey(p.key, id), string(d.Tier), block)
+	}
+	if err != nil {
+		return err
+	}
+	took := c.o.Now().Sub(begin)
+	l.background(int64(len(block)), took)
+	c.remember(storedBlock{placement.Stored{Bytes: int64(len(block)), Tier: d.Tier, Value: value, After: cand.Return.After}, p.store, p.storeAt, slot, begin})
+	c.Stats.Exported.Add(1)
+	sleep(ctx, time.Duration(float64(took)*(1/backgroundShare-1)))
+	return nil
+}
+
+func (c *Cache) remember(b storedBlock) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stored = append(c.stored, b)
+	if len(c.stored) > maxStoredKnown {
+		c.stored = slices.Delete(c.stored, 0, len(c.stored)-maxStoredKnown)
+	}
+}
+
+// makeWay frees blocks of this agent in the store that the policy gives up for a
+// block of the value. It reports whether there is a point in trying again.
+func (c *Cache) makeWay(ctx context.Context, policy placement.Policy, store string, t placement.Tier, bytes int64, value time.Duration) bool {
+	now := c.o.Now()
+	c.mu.Lock()
+	var at []int
+	var held []placement.Stored
+	for i, b := range c.stored {
+		if b.store == store {
+			b.Age = now.Sub(b.at)
+			at, held = append(at, i), append(held, b.Stored)
+		}
+	}
+	var victims []storedBlock
+	for _, i := range policy.Drop(held, t, bytes, value) {
+		victims = append(victims, c.stored[at[i]])
+	}
+	c.stored = slices.DeleteFunc(c.stored, func(b storedBlock) bool {
+		return slices.ContainsFunc(victims, func(v storedBlock) bool { return v.store == b.store && v.slot.Generation == b.slot.Generation })
+	})
+	c.mu.Unlock()
+	for _, v := range victims {
+		if err := c.o.Store.Free(ctx, v.address, v.slot); err != nil && !errors.Is(err, storeclient.ErrChanged) {
+			return false
+		}
+		c.Stats.Freed.Add(1)
+	}
+	return len(victims) > 0
+}
--- a/cmd/galenaweir-agent/main.go
+++ b/cmd/galenaweir-agent/main.go
@@ -22,6 +22,7 @@
 	_ "github.com/galenaweir/galenaweir/protocol/streaming"
 	"github.com/galenaweir/galenaweir/rpc"
 	"github.com/galenaweir/galenaweir/settings"
+	"github.com/galenaweir/galenaweir/storeclient"
 )
 
 func main() {
@@ -43,9 +44,11 @@
 	if err != nil {
 		return err
 	}
+	cache := agent.NewCache(agent.CacheOptions{Secret: process.Secret(s), Engine: engine, Store: storeclient.New(storeclient.DefaultOptions())})
+	go cache.Run(stop)
 	a := agent.New(agent.Options{
 		ID: s.ID, CacheSecret: process.Secret(s), SilenceLimit: time.Duration(s.SilenceLimitMs) * time.Millisecond,
-		Config: cfg, Members: members, Engine: engine,
+		Config: cfg, Members: members, Engine: engine, Cache: cache,
 	})
 	l, err := net.Listen("tcp", s.RPCAddress)
 	if err != nil {
