--- a/core/prefix/block.go
+++ b/core/prefix/block.go
@@ -118,3 +118,6 @@
 	}
 	return e, rest[n:], nil
 }
+
+// ContextKey returns the key of a conversation's context in the directory.
+func ContextKey(k CustomerKey, conversation string) Hash { return Derive(k, "context", conversation) }
