--- a/agent/agent.go
+++ b/agent/agent.go
@@ -28,7 +28,8 @@
 	Config       node.Config
 	Members      node.Members
 	Engine       protocol.Engine
-	Cache        *Cache // nil for no stores
+	Cache        *Cache     // nil for no stores
+	Directory    *Directory // nil for no part in the context directory
 }
 
 // Times of the attempts that the agent keeps.
--- a/agent/cache.go
+++ b/agent/cache.go
@@ -32,6 +32,8 @@
 	Engine protocol.Engine
 	Store  *storeclient.Client
 	Now    func() time.Time // of estimates
+	// Announce is told where a context is; nil if nobody wants to know.
+	Announce func(key prefix.Hash, l *rpc.ContextLocation)
 	// RefreshTimeout bounds the wait for an engine's state and cache events
 	// before an attempt; without them the engine recomputes. 200 ms if zero.
 	RefreshTimeout time.Duration
@@ -109,7 +111,7 @@
 		id:      prefix.Identity{Model: req.Model, WeightVersion: version, Adapter: req.Adapter, Tokens: prefix.PieceTokens},
 		pieceKV: m.KVBytesPerToken * prefix.PieceTokens, prefill: m.PrefillTokensPerSecond, doc: doc,
 	}
-	p.context = prefix.Derive(p.key, "context", req.Conversation)
+	p.context = prefix.ContextKey(p.key, req.Conversation)
 	p.chain = prefix.Chain(prefix.EngineKey(salt, version), req.Prompt)
 	p.store = placement.Store(p.context, slices.Sorted(maps.Keys(doc.Stores)))
 	p.storeAt = doc.Stores[p.store].Address
--- a/agent/cache_test.go
+++ b/agent/cache_test.go
@@ -144,7 +144,7 @@
 
 // Outcome 1: a returning prompt whose pieces were evicted is not recomputed.
 func TestReturningPromptIsImported(t *testing.T) {
-	r := newRig(t, store.Options{MemoryBytes: 1 << 20}, nil)
+	r := newRig(t, storeOptions(), nil)
 	r.fill("a")
 	require.Len(t, r.st.List(""), pieces)
 	require.Equal(t, whole, r.run("a"))
@@ -163,7 +163,7 @@
 		"freed and reused in a read": {ReuseInReads: pieces},
 	} {
 		t.Run(name, func(t *testing.T) {
-			r := newRig(t, store.Options{MemoryBytes: 1 << 20}, nil)
+			r := newRig(t, storeOptions(), nil)
 			r.fill("a")
 			r.st.SetFaults(f)
 			require.Zero(t, r.run("a"))
@@ -181,7 +181,7 @@
 func TestFailedExportLeavesNothing(t *testing.T) {
 	for name, f := range map[string]store.Faults{"killed in mid-write": {CrashWrites: 1}, "full": {Full: true}} {
 		t.Run(name, func(t *testing.T) {
-			r := newRig(t, store.Options{MemoryBytes: 1 << 20}, nil)
+			r := newRig(t, storeOptions(), nil)
 			r.st.SetFaults(f)
 			r.fill("a")
 			require.Empty(t, r.st.List(""))
@@ -193,7 +193,7 @@
 // A block that is intact in the store but sealed for another identity or under
 // another key must not reach the engine (P2).
 func TestForeignBlockUnderOwnKeyIsRefused(t *testing.T) {
-	r := newRig(t, store.Options{MemoryBytes: 1 << 20}, nil)
+	r := newRig(t, storeOptions(), nil)
 	r.fill("a")
 	req := r.request("a")
 	p := r.cache.describe(r.doc, req, fmt.Sprintf("%x", prefix.Derive(prefix.DeriveCustomerKey([]byte("secret"), "a"), "salt", "m", "")), "v1")
@@ -211,7 +211,7 @@
 // A slow store costs at most the time of a recompute, and is then avoided; no
 // fetch is begun that leaves no time to recompute before the deadline.
 func TestSlowStoreIsAvoided(t *testing.T) {
-	r := newRig(t, store.Options{MemoryBytes: 1 << 20}, nil)
+	r := newRig(t, storeOptions(), nil)
 	r.fill("a")
 	m := r.doc.Models["m"]
 	req := r.request("a")
@@ -234,7 +234,7 @@
 
 // P3: blocks of the version before a swap are not used after it.
 func TestEngineSwapped(t *testing.T) {
-	r := newRig(t, store.Options{MemoryBytes: 1 << 20}, nil)
+	r := newRig(t, storeOptions(), nil)
 	r.fill("a")
 	require.NoError(t, r.cache.o.Engine.Order(t.Context(), r.doc.Endpoints["e"].Address, protocol.Order{Fencing: 1, WeightVersion: "v2"}))
 	for r.eng.State().WeightVersion != "v2" {
@@ -280,7 +280,7 @@
 // P3: the agent itself compares versions right before an import and after an
 // export, also for engines that don't.
 func TestVersionIsComparedByTheAgent(t *testing.T) {
-	r := newRig(t, store.Options{MemoryBytes: 1 << 20}, nil)
+	r := newRig(t, storeOptions(), nil)
 	r.fill("a")
 	e := &careless{Engine: r.cache.o.Engine, version: "v2"}
 	r.cache.o.Engine = e
@@ -294,7 +294,7 @@
 
 // P2: equal prompts of two customers share nothing, in the engine or the store.
 func TestCustomersShareNothing(t *testing.T) {
-	r := newRig(t, store.Options{MemoryBytes: 1 << 20}, nil)
+	r := newRig(t, storeOptions(), nil)
 	r.run("a")
 	require.Zero(t, r.run("b"), "the engine's cache is separated by salts")
 	r.export()
@@ -321,7 +321,7 @@
 // One fetch serves all waiting requests of one customer.
 func TestFetchesAreCoalesced(t *testing.T) {
 	const requests = 8
-	r := newRig(t, store.Options{MemoryBytes: 1 << 20}, nil)
+	r := newRig(t, storeOptions(), nil)
 	r.fill("a")
 	p := r.cache.describe(r.doc, r.request("a"), fmt.Sprintf("%x", prefix.Derive(prefix.DeriveCustomerKey([]byte("secret"), "a"), "salt", "m", "")), "v1")
 	var all, done sync.WaitGroup
@@ -366,7 +366,7 @@
 		synctest.Wait()
 		require.True(t, ended)
 	})
-	r := newRig(t, store.Options{MemoryBytes: 1 << 20}, nil)
+	r := newRig(t, storeOptions(), nil)
 	e := &careless{version: "v1"}
 	r.cache.o.Engine = e
 	p := r.cache.describe(r.doc, r.request("a"), "", "v1")
@@ -420,3 +420,5 @@
 		require.Equal(t, c.resyncs, v.resyncs, c.name)
 	}
 }
+
+func storeOptions() store.Options { return store.Options{MemoryBytes: 1 << 20} }
--- a/agent/export.go
+++ b/agent/export.go
@@ -34,14 +34,15 @@
 
 // Export queues the prompt's pieces for export after an attempt that ended well.
 func (c *Cache) Export(doc *config.Document, req *rpc.GenerateRequest, salt, version string) {
-	if c == nil || len(doc.Stores) == 0 || version == "" {
+	if c == nil || version == "" {
 		return
 	}
 	p := c.describe(doc, req, salt, version)
+	c.announce(p, &rpc.ContextLocation{Endpoint: p.endpoint, EngineTokens: uint32(len(p.chain) * prefix.PieceTokens)})
 	c.mu.Lock()
 	c.returns.Ended(p.customer, p.context, c.o.Now())
 	c.mu.Unlock()
-	if len(p.chain) == 0 {
+	if len(p.chain) == 0 || len(doc.Stores) == 0 {
 		return
 	}
 	select {
@@ -89,6 +90,17 @@
 			return
 		}
 	}
+	c.announce(p, &rpc.ContextLocation{Store: p.store, StoreTokens: uint32(len(p.chain) * prefix.PieceTokens)})
+}
+
+// announce tells the directory where the prompt's pieces are.
+func (c *Cache) announce(p *promptCache, l *rpc.ContextLocation) {
+	if c.o.Announce == nil || len(p.chain) == 0 {
+		return
+	}
+	tip := p.chain[len(p.chain)-1]
+	l.WeightVersion, l.UpdatedMs, l.ChainTip = p.id.WeightVersion, c.o.Now().UnixMilli(), tip[:]
+	c.o.Announce(p.context, l)
 }
 
 // absent returns the pieces that the store does not hold.
--- a/cmd/galenaweir-agent/main.go
+++ b/cmd/galenaweir-agent/main.go
@@ -10,8 +10,10 @@
 
 	"github.com/phuslu/log"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/galenaweir/galenaweir/agent"
+	"github.com/galenaweir/galenaweir/core/directory"
 	"github.com/galenaweir/galenaweir/core/kernel"
 	"github.com/galenaweir/galenaweir/hostlist"
 	"github.com/galenaweir/galenaweir/logsvc"
@@ -21,6 +23,7 @@
 	"github.com/galenaweir/galenaweir/protocol"
 	_ "github.com/galenaweir/galenaweir/protocol/streaming"
 	"github.com/galenaweir/galenaweir/rpc"
+	"github.com/galenaweir/galenaweir/rpc/dial"
 	"github.com/galenaweir/galenaweir/settings"
 	"github.com/galenaweir/galenaweir/storeclient"
 )
@@ -44,11 +47,17 @@
 	if err != nil {
 		return err
 	}
-	cache := agent.NewCache(agent.CacheOptions{Secret: process.Secret(s), Engine: engine, Store: storeclient.New(storeclient.DefaultOptions())})
+	pool := dial.New(insecure.NewCredentials())
+	defer pool.Close()
+	contexts := agent.NewDirectory(agent.DirectoryOptions{ID: s.ID, Region: s.Region, Members: members, Pool: pool, Shard: directory.DefaultOptions()})
+	go contexts.Run(stop)
+	cache := agent.NewCache(agent.CacheOptions{
+		Secret: process.Secret(s), Engine: engine, Store: storeclient.New(storeclient.DefaultOptions()), Announce: contexts.Announce,
+	})
 	go cache.Run(stop)
 	a := agent.New(agent.Options{
 		ID: s.ID, CacheSecret: process.Secret(s), SilenceLimit: time.Duration(s.SilenceLimitMs) * time.Millisecond,
-		Config: cfg, Members: members, Engine: engine, Cache: cache,
+		Config: cfg, Members: members, Engine: engine, Cache: cache, Directory: contexts,
 	})
 	l, err := net.Listen("tcp", s.RPCAddress)
 	if err != nil {
--- a/cmd/galenaweir-entry/main.go
+++ b/cmd/galenaweir-entry/main.go
@@ -46,7 +46,8 @@
 	e := entry.New(entry.Options{
 		ID: s.ID, FailureDomain: s.FailureDomain, CacheSecret: process.Secret(s),
 		SilenceLimit: time.Duration(s.SilenceLimitMs) * time.Millisecond, MaxBodyBytes: s.MaxBodyBytes,
-		Config: cfg, Members: members, Pool: pool, Routing: policy, Seed: uint64(time.Now().UnixNano()),
+		Config: cfg, Members: members, Pool: pool, Routing: policy,
+		Contexts: &entry.DirectoryLookup{Region: s.Region, Members: members, Pool: pool}, Seed: uint64(time.Now().UnixNano()),
 	})
 	h, err := e.Handler()
 	if err != nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -28,7 +28,8 @@
 	Members       node.Members
 	Pool          *dial.Pool
 	Routing       routing.Policy
-	Seed          uint64 // of the random source that breaks ties
+	Contexts      ContextLookup // nil for no hints
+	Seed          uint64        // of the random source that breaks ties
 }
 
 // Entry serves callers.
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -29,6 +29,8 @@
 	priority     string
 	deadline     time.Time
 	state        *node.ConfigState
+	asked        bool // the directory was asked for hints
+	hints        []*rpc.ContextLocation
 }
 
 // sink receives the answer of a prompt.
@@ -76,6 +78,7 @@
 
 // attempt routes the prompt once and follows the attempt to its end.
 func (e *Entry) attempt(ctx context.Context, p *prompt, out sink, skip map[string]bool) (*rpc.End, string, error) {
+	e.lookup(ctx, p)
 	endpoint, address, err := e.route(p, skip)
 	if err != nil {
 		return nil, "", err
@@ -104,6 +107,7 @@
 		PromptTokens: max(1, len(p.text)/4), MaxTokens: p.maxTokens, PrefillRate: m.PrefillTokensPerSecond,
 		DecodeMs: m.DecodeMsPerToken, KVBytesPerToken: m.KVBytesPerToken,
 	}
+	applyHints(cs, p.hints, m.WeightVersion, req.PromptTokens)
 	e.rngMu.Lock()
 	choice := e.o.Routing.Choose(req, cs, e.rng)
 	e.rngMu.Unlock()
