--- a/agent/agent.go
+++ b/agent/agent.go
@@ -37,6 +37,8 @@
 	Claims       *claimsvc.Service // nil for an agent without claims
 	ClaimClient  *claimsvc.Client
 	Pool         *dial.Pool // connections to other agents
+	Cache        *Cache     // nil for no stores
+	Directory    *Directory // nil for no part in the context directory
 }
 
 // Times of the attempts that the agent keeps.
@@ -225,12 +227,15 @@
 		engine: a.o.Engine, silence: a.o.SilenceLimit, dropped: func() { a.dropped.Add(1) },
 		mayRestart: req.ResumeSeq == 0 && !(req.Resume && a.Leaving()),
 	}
-	err := r.run(ctx, at, &protocol.Request{
+	preq := &protocol.Request{
 		AttemptID: at.engineID, Model: req.Model, Prompt: req.Prompt, Continue: req.PrefixOutput,
 		MaxTokens: int(req.MaxTokens), Priority: doc.Priorities[req.Priority].Rank,
 		CacheSalt: fmt.Sprintf("%x", salt), WeightVersion: req.WeightVersion,
-	}, req.Resume)
+	}
+	a.o.Cache.Import(ctx, doc, req, preq.CacheSalt)
+	err := r.run(ctx, at, preq, req.Resume)
 	if err == nil {
+		a.o.Cache.Export(doc, req, preq.CacheSalt, at.weightVersion())
 		at.finish(nil)
 		return
 	}
--- a/cmd/galenaweir-agent/main.go
+++ b/cmd/galenaweir-agent/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/galenaweir/galenaweir/agent"
 	"github.com/galenaweir/galenaweir/claimsvc"
+	"github.com/galenaweir/galenaweir/core/directory"
 	"github.com/galenaweir/galenaweir/core/kernel"
 	"github.com/galenaweir/galenaweir/hostlist"
 	"github.com/galenaweir/galenaweir/logsvc"
@@ -24,6 +25,7 @@
 	"github.com/galenaweir/galenaweir/rpc"
 	"github.com/galenaweir/galenaweir/rpc/dial"
 	"github.com/galenaweir/galenaweir/settings"
+	"github.com/galenaweir/galenaweir/storeclient"
 	"github.com/galenaweir/galenaweir/tlsconf"
 )
 
@@ -56,9 +58,15 @@
 	keeper := claimsvc.NewService(claimsvc.Options{ID: s.ID, Log: logsvc.New(s.LogAddress, timeout), Config: p, Members: p})
 	defer keeper.Close()
 	go keeper.Run(stop)
+	contexts := agent.NewDirectory(agent.DirectoryOptions{ID: s.ID, Region: s.Region, Members: p, Pool: pool, Shard: directory.DefaultOptions()})
+	go contexts.Run(stop)
+	cache := agent.NewCache(agent.CacheOptions{
+		Secret: process.Secret(s), Engine: engine, Store: storeclient.New(storeclient.DefaultOptions()), Announce: contexts.Announce,
+	})
+	go cache.Run(stop)
 	a := agent.New(agent.Options{
 		ID: s.ID, CacheSecret: process.Secret(s), SilenceLimit: time.Duration(s.SilenceLimitMs) * time.Millisecond,
-		Config: p, Members: p, Engine: engine,
+		Config: p, Members: p, Engine: engine, Cache: cache, Directory: contexts,
 		Claims: keeper, ClaimClient: claimsvc.NewClient(p, pool), Pool: pool,
 	})
 	opts := append(agent.ServerOptions(), grpc.Creds(creds))
--- a/cmd/galenaweir-entry/main.go
+++ b/cmd/galenaweir-entry/main.go
@@ -66,7 +66,8 @@
 		ID: s.ID, FailureDomain: s.FailureDomain, CacheSecret: process.Secret(s),
 		SilenceLimit: time.Duration(s.SilenceLimitMs) * time.Millisecond, MaxBodyBytes: s.MaxBodyBytes,
 		CallerTimeout: time.Duration(s.CallerTimeoutMs) * time.Millisecond,
-		Config:        p, Members: p, Pool: pool, Claims: claimsvc.NewClient(p, pool), Routing: policy, Seed: rand.Uint64(),
+		Config:        p, Members: p, Pool: pool, Claims: claimsvc.NewClient(p, pool), Routing: policy,
+		Contexts: &entry.DirectoryLookup{Region: s.Region, Members: p, Pool: pool}, Seed: rand.Uint64(),
 	})
 	h, err := e.Handler()
 	if err != nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -37,7 +37,8 @@
 	Pool          *dial.Pool
 	Claims        *claimsvc.Client
 	Routing       routing.Policy
-	Seed          uint64 // of the random source that breaks ties
+	Contexts      ContextLookup // nil for no hints
+	Seed          uint64        // of the random source that breaks ties
 
 	CallerTimeout time.Duration     // for a caller to send its body, and to take each piece of its answer
 	Budget        Budget            // of repeated attempts; nil for the default
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -29,6 +29,8 @@
 	begun        time.Time
 	deadline     time.Time
 	state        *node.ConfigState
+	asked        bool // the directory was asked for hints
+	hints        []*rpc.ContextLocation
 }
 
 // sink receives the answer of a prompt.
@@ -147,6 +149,7 @@
 		version = r.first.GetWeightVersion()
 		r.e.m.continued.Add(1)
 	}
+	r.e.lookup(ctx, r.p)
 	endpoint, address, err := r.e.route(r.p, r.skip, version)
 	if err != nil {
 		return nil, "", err
@@ -200,6 +203,7 @@
 		PromptTokens: max(1, len(p.text)/4), MaxTokens: p.maxTokens, PrefillRate: m.PrefillTokensPerSecond,
 		DecodeMs: m.DecodeMsPerToken, KVBytesPerToken: m.KVBytesPerToken,
 	}
+	applyHints(cs, p.hints, m.WeightVersion, req.PromptTokens)
 	e.rngMu.Lock()
 	choice := e.o.Routing.Choose(req, cs, e.rng)
 	e.rngMu.Unlock()
