Test the claim state machines under faults

Cause: at-most-once execution rests on core/claims. The log's stamp now bounds how far a key may be ahead, and the trimmed-log guard excludes an equal stamp.

--- a/Makefile
+++ b/Makefile
@@ -45,3 +45,12 @@
 
 apt-tools:
 	@command -v protoc >/dev/null && command -v spin >/dev/null || { apt-get update -qq && apt-get install -y -qq protobuf-compiler spin; }
+
+# Seeded runs of the claim protocol under faults. SEED reproduces a run exactly.
+FAULT_RUNS ?= 10000
+faults:
+	go test ./core/claims -run TestFaults -count=1 -v -rapid.checks=$(FAULT_RUNS) -rapid.seed=$(or $(SEED),1)
+
+# Exhaustive search of the models in spec/ and of their mutants.
+modelcheck: apt-tools
+	spec/run.sh
--- a/core/claims/state.go
+++ b/core/claims/state.go
@@ -83,10 +83,10 @@
 func (s *State) Floor(resource Hash) uint64 { return s.floors[resource].version }
 
 // Covers reports whether a claim of a key with this time can't have been trimmed
-// from the log before this reader started. A claim may be stamped FutureLimit
-// before its key's time.
+// from the log before this reader started. A valid claim is stamped at most
+// FutureLimit before its key's time.
 func (s *State) Covers(keyTimeMs int64) bool {
-	return s.start == 0 || s.startMs != 0 && keyTimeMs >= s.startMs+FutureLimit.Milliseconds()
+	return s.start == 0 || s.startMs != 0 && keyTimeMs > s.startMs+FutureLimit.Milliseconds()
 }
 
 // Read applies a page that was read from Next on. It returns false when entries
@@ -142,8 +142,11 @@
 // claim judges a claim. An attempt is judged once: a later copy of its record
 // changes nothing.
 func (s *State) claim(c Claim, stampMs int64) {
-	if s.attempts[c.Attempt].standing != Unseen || stampMs > c.ExpiresMs || c.KeyTimeMs <= s.forgottenMs {
+	switch {
+	case s.attempts[c.Attempt].standing != Unseen:
 		return
+	case stampMs > c.ExpiresMs, c.KeyTimeMs <= s.forgottenMs, c.KeyTimeMs > stampMs+FutureLimit.Milliseconds():
+		return // outside the window by the log's own clock
 	}
 	standing := Valid
 	if _, held := s.holdings[c.Key]; held {
