Put customers above their share behind others on links

Cause: with one customer at ten times its share the light ones' first-token p95 rose to 1.6 and 1.8 times: its imports filled the links and its prefills the engines. Change: routing.Shares finds customers above three times an even share of what an entry sees; routing.LinkView lets their imports wait for the others'; engines get their prefills at a lower priority within the class.

--- a/bench/replay/agent.go
+++ b/bench/replay/agent.go
@@ -21,7 +21,9 @@
 	prompt   int
 	output   int
 	deadline time.Duration
-	fetch    bool // the entry expects an import
+	fetch    bool  // the entry expects an import
+	level    level // of the import on the link
+	over     bool  // the customer is above its share of the prefill
 
 	tokens   int // to prefill, by the agent's estimate
 	tag      float64
@@ -83,7 +85,7 @@
 	w.tokens = w.prompt - held
 	fetched := 0
 	if st := a.s.storeOf(w.key.conversation); w.fetch {
-		if n := wholePieces(min(st.tokens(w.key), w.prompt)); n > held && importPays(st, w.key, n-held, a.engine.rate) {
+		if n := wholePieces(min(st.tokens(w.key), w.prompt)); n > held && importPays(st, w, n-held, a.engine.rate) {
 			fetched = n - held
 			w.tokens = w.prompt - n
 		}
@@ -101,18 +103,18 @@
 
 // importPays is the seam to core/placement: whether an import is faster than
 // recomputing, by the store's own state.
-func importPays(st *store, k contextKey, tokens int, rate float64) bool {
+func importPays(st *store, w *work, tokens int, rate float64) bool {
 	if st.link.down {
 		return false
 	}
-	took := st.wait(k) + seconds(float64(tokens)*st.perToken/st.link.speed())
+	took := st.wait(w.key, w.level) + seconds(float64(tokens)*st.perToken/st.link.speed())
 	return took < seconds(float64(tokens)/rate)
 }
 
 func (a *agent) fetch(w *work, held, tokens int) {
 	w.fetching = true
 	epoch := a.engine.epoch
-	a.s.storeOf(w.key.conversation).fetch(w.key, tokens, func(ok bool) {
+	a.s.storeOf(w.key.conversation).fetch(w.key, tokens, w.level, func(ok bool) {
 		if epoch != a.engine.epoch {
 			return
 		}
--- a/bench/replay/engine.go
+++ b/bench/replay/engine.go
@@ -19,8 +19,8 @@
 	decode  time.Duration
 	cache   *lru
 	running int
-	queues  [classes][]*work
-	backlog [classes]int // prefill tokens
+	queues  [2 * classes][]*work // by class, customers above their share last
+	backlog [classes]int         // prefill tokens
 	busy    bool
 	epoch   int // rises when the engine dies
 }
@@ -28,7 +28,11 @@
 // prefill computes the work's missing tokens and then calls done.
 func (e *engine) prefill(w *work, done func()) {
 	w.left, w.computed = max(1, w.prompt-w.cached), done
-	e.queues[w.class] = append(e.queues[w.class], w)
+	q := 2 * w.class
+	if w.over {
+		q++
+	}
+	e.queues[q] = append(e.queues[q], w)
 	e.backlog[w.class] += w.left
 	e.pump()
 }
@@ -37,11 +41,11 @@
 	if e.busy {
 		return
 	}
-	for class := range e.queues {
-		if len(e.queues[class]) == 0 {
+	for q := range e.queues {
+		if len(e.queues[q]) == 0 {
 			continue
 		}
-		w := e.queues[class][0]
+		w := e.queues[q][0]
 		n := min(w.left, chunkTokens)
 		e.busy = true
 		epoch := e.epoch
@@ -51,9 +55,9 @@
 			}
 			e.busy = false
 			w.left -= n
-			e.backlog[class] -= n
+			e.backlog[w.class] -= n
 			if w.left == 0 {
-				e.queues[class] = e.queues[class][1:]
+				e.queues[q] = e.queues[q][1:]
 				w.computed()
 			}
 			e.pump()
@@ -79,6 +83,6 @@
 func (e *engine) die() {
 	e.epoch++
 	e.busy, e.running = false, 0
-	e.queues, e.backlog = [classes][]*work{}, [classes]int{}
+	e.queues, e.backlog = [2 * classes][]*work{}, [classes]int{}
 	e.cache.clear()
 }
--- a/bench/replay/entry.go
+++ b/bench/replay/entry.go
@@ -58,18 +58,13 @@
 	avoid    []time.Duration
 	breakers []retry.Breaker
 	budget   *retry.Budget
-	links    []linkView
+	links    []*routing.LinkView
+	shares   *routing.Shares
 	running  map[*request]bool
 	scratch  []routing.Candidate
 	indexes  []int
 }
 
-// linkView is what the entry knows of a store's link.
-type linkView struct {
-	queued routing.Backlog // bytes
-	rate   float64         // zero when the link is down
-}
-
 func (e *entry) hop(a *agent) time.Duration {
 	d := e.s.hop
 	if e.domain == a.domain {
@@ -115,10 +110,11 @@
 	c := &cs[choice.Index]
 	a := e.s.agents[e.indexes[choice.Index]]
 	e.breakers[a.index].Allow(now)
-	cached := c.EngineTokens
+	cached, fetchLevel := c.EngineTokens, foreground
 	if choice.Fetch && c.StoreTokens > cached {
-		l := &e.links[e.s.storeIndex(r.conversation)]
-		l.queued.Add(float64(c.StoreTokens-cached)*e.s.perToken, l.rate, now)
+		if e.links[e.s.storeIndex(r.conversation)].Chose(r.customer, float64(c.StoreTokens-cached)*e.s.perToken, now) {
+			fetchLevel = overShare
+		}
 		cached = c.StoreTokens
 	}
 	tokens := max(1, r.prompt-cached)
@@ -126,7 +122,7 @@
 	e.s.attempts++
 	w := &work{
 		r: r, attempt: e.s.attempts, entry: e, customer: r.customer, class: r.class, prompt: r.prompt, output: r.output,
-		deadline: r.deadline, fetch: choice.Fetch, key: contextKey{conversation: r.conversation},
+		deadline: r.deadline, fetch: choice.Fetch, level: fetchLevel, over: e.shares.Use(r.customer, float64(tokens), now), key: contextKey{conversation: r.conversation},
 	}
 	r.work, r.tries = w, r.tries+1
 	r.tried = append(r.tried, a.index)
@@ -145,8 +141,7 @@
 	now := e.s.c.now
 	e.scratch, e.indexes = e.scratch[:0], e.indexes[:0]
 	hints := e.s.dir.get(contextKey{r.conversation, e.s.version})
-	st := e.s.storeIndex(r.conversation)
-	link := &e.links[st]
+	linkWait, linkRate := e.links[e.s.storeIndex(r.conversation)].State(r.customer, now)
 	for i, a := range e.s.agents {
 		m := e.s.members[i]
 		if m == gone || now < e.avoid[i] || e.breakers[i].Open(now) || tried(r, i) {
@@ -155,10 +150,7 @@
 		c := routing.Candidate{
 			Endpoint: a.id, Agent: a.id, FailureDomain: a.domain, Slots: a.engine.slots, Hop: e.hop(a), Suspect: m == suspect,
 			EngineTokens: wholePieces(min(hints.engine[i], r.prompt)), StoreTokens: wholePieces(min(hints.store, r.prompt)),
-			FetchRate: link.rate,
-		}
-		if link.rate > 0 {
-			c.FetchWait = seconds(link.queued.At(link.rate, now) / link.rate)
+			FetchWait: linkWait, FetchRate: linkRate,
 		}
 		e.views[i].Fill(&c, r.class, a.engine.rate, now)
 		if e.s.o.Oracle {
@@ -249,11 +241,11 @@
 // observe takes the links' state as their stores report it.
 func (e *entry) observe() {
 	for i, st := range e.s.stores {
-		e.links[i].rate = 0
+		rate := 0.0
 		if !st.link.down {
-			e.links[i].rate = st.link.speed()
+			rate = st.link.speed()
 		}
-		e.links[i].queued.Set(st.link.queued, e.s.c.now)
+		e.links[i].Report(st.link.queued[foreground], st.link.queued[overShare], rate, e.s.c.now)
 	}
 }
 
--- a/bench/replay/link.go
+++ b/bench/replay/link.go
@@ -13,27 +13,36 @@
 // backgroundShare caps what background transfers use of a link (design 9.7).
 const backgroundShare = 0.5
 
+// level is a transfer's precedence.
+type level int
+
+const (
+	foreground level = iota
+	overShare        // a fetch of a customer above its share of the link
+	background       // an export
+	levels
+)
+
 // transfer moves cache blocks over a link.
 type transfer struct {
-	bytes      float64
-	background bool
-	done       func(ok bool)
+	bytes float64
+	level level
+	done  func(ok bool)
 }
 
 // link is limited in bytes per second. Foreground transfers go first, in order
 // of arrival; background ones use what is left, under a cap.
 type link struct {
-	c          *clock
-	rate       float64 // bytes per second, the limit
-	factor     float64 // of the rate that is left
-	down       bool
-	epoch      int // rises when the link goes down
-	busy       bool
-	foreground []*transfer
-	background []*transfer
-	queued     float64       // foreground bytes
-	nextBack   time.Duration // when the cap allows the next background chunk
-	waking     bool          // an event for it is scheduled
+	c        *clock
+	rate     float64 // bytes per second, the limit
+	factor   float64 // of the rate that is left
+	down     bool
+	epoch    int // rises when the link goes down
+	busy     bool
+	queues   [levels][]*transfer
+	queued   [levels]float64 // bytes
+	nextBack time.Duration   // when the cap allows the next background chunk
+	waking   bool            // an event for it is scheduled
 
 	moved    float64           // bytes so far
 	perSlice map[int64]float64 // bytes by whole second, to check the limit
@@ -45,20 +54,22 @@
 
 func (l *link) speed() float64 { return l.rate * l.factor }
 
-// wait is the time until a new foreground transfer would begin.
-func (l *link) wait() time.Duration { return seconds(l.queued / l.speed()) }
+// wait is the time until a new transfer of the level would begin.
+func (l *link) wait(v level) time.Duration {
+	bytes := 0.0
+	for _, q := range l.queued[:v+1] {
+		bytes += q
+	}
+	return seconds(bytes / l.speed())
+}
 
 func (l *link) send(t *transfer) {
 	if l.down {
 		l.c.after(0, func() { t.done(false) })
 		return
 	}
-	if t.background {
-		l.background = append(l.background, t)
-	} else {
-		l.foreground = append(l.foreground, t)
-		l.queued += t.bytes
-	}
+	l.queues[t.level] = append(l.queues[t.level], t)
+	l.queued[t.level] += t.bytes
 	l.pump()
 }
 
@@ -66,20 +77,21 @@
 	if l.busy || l.down {
 		return
 	}
-	queue := &l.foreground
-	if len(*queue) == 0 {
-		if len(l.background) == 0 {
-			return
-		}
-		if l.c.now < l.nextBack {
-			if !l.waking {
-				l.waking = true
-				l.c.at(l.nextBack, func() { l.waking = false; l.pump() })
-			}
-			return
+	v := foreground
+	for v < levels && len(l.queues[v]) == 0 {
+		v++
+	}
+	if v == levels {
+		return
+	}
+	if v == background && l.c.now < l.nextBack {
+		if !l.waking {
+			l.waking = true
+			l.c.at(l.nextBack, func() { l.waking = false; l.pump() })
 		}
-		queue = &l.background
+		return
 	}
+	queue := &l.queues[v]
 	t := (*queue)[0]
 	n := min(t.bytes, chunkBytes)
 	l.busy = true
@@ -93,10 +105,9 @@
 		l.busy = false
 		l.account(n, start)
 		t.bytes -= n
-		if t.background {
+		l.queued[v] -= n
+		if v == background {
 			l.nextBack = start + time.Duration(float64(took)/backgroundShare)
-		} else {
-			l.queued -= n
 		}
 		if t.bytes <= 0 {
 			*queue = (*queue)[1:]
@@ -119,12 +130,12 @@
 
 // fail ends all transfers without success.
 func (l *link) fail() {
-	l.down, l.busy, l.queued = true, false, 0
+	l.down, l.busy = true, false
 	l.epoch++
-	for _, t := range append(l.foreground, l.background...) {
+	for _, t := range slices.Concat(l.queues[:]...) {
 		l.c.after(0, func() { t.done(false) })
 	}
-	l.foreground, l.background = nil, nil
+	l.queues, l.queued = [levels][]*transfer{}, [levels]float64{}
 }
 
 // use returns the mean share of the limit that was used until the end, and the
--- a/bench/replay/replay_test.go
+++ b/bench/replay/replay_test.go
@@ -89,7 +89,7 @@
 				for _, st := range s.stores {
 					_, peak := st.link.use(time.Minute)
 					require.LessOrEqual(t, peak, 1+1e-6)
-					require.Zero(t, st.link.queued)
+					require.Zero(t, st.link.wait(background))
 				}
 				require.GreaterOrEqual(t, s.count.recomputed, s.count.unavailable)
 				require.LessOrEqual(t, s.count.recomputed, s.count.had)
@@ -120,11 +120,11 @@
 	c := &clock{}
 	l := newLink(c, chunkBytes) // one chunk a second
 	ends := map[string]time.Duration{}
-	send := func(name string, chunks float64, background bool) {
-		l.send(&transfer{bytes: chunks * chunkBytes, background: background, done: func(bool) { ends[name] = c.now }})
+	send := func(name string, chunks float64, v level) {
+		l.send(&transfer{bytes: chunks * chunkBytes, level: v, done: func(bool) { ends[name] = c.now }})
 	}
-	send("background", 3, true)
-	c.at(500*time.Millisecond, func() { send("foreground", 2, false) })
+	send("background", 3, background)
+	c.at(500*time.Millisecond, func() { send("foreground", 2, foreground) })
 	c.run()
 	require.Equal(t, 3*time.Second, ends["foreground"], "it waits for the chunk that is under way")
 	require.Equal(t, 6*time.Second, ends["background"], "a second of rest after each of its own")
--- a/bench/replay/sim.go
+++ b/bench/replay/sim.go
@@ -120,12 +120,16 @@
 		s.stores = append(s.stores, newStore(s.c, id, int(float64(d.StoreMemoryBytes)/s.perToken), int(float64(d.StoreDiskBytes)/s.perToken), d.LinkBytesPerSec, d.DiskBytesPerSec, s.perToken))
 	}
 	for i := range d.Entries {
-		s.entries = append(s.entries, &entry{
+		e := &entry{
 			s: s, id: i, domain: d.FailureDomains[i%len(d.FailureDomains)], rng: rand.New(rand.NewPCG(o.Seed, uint64(i+2))),
 			views: make([]routing.EndpointView, d.Endpoints), avoid: make([]time.Duration, d.Endpoints),
 			breakers: make([]retry.Breaker, d.Endpoints), budget: retry.NewBudget(retry.RetryShare, retry.BudgetWindow),
-			links: make([]linkView, len(d.Stores)), running: map[*request]bool{},
-		})
+			running: map[*request]bool{}, shares: routing.NewShares(),
+		}
+		for range d.Stores {
+			e.links = append(e.links, routing.NewLinkView())
+		}
+		s.entries = append(s.entries, e)
 	}
 	for _, c := range t.Contexts {
 		k := contextKey{conversation: s.id(c.Conversation)}
@@ -194,7 +198,7 @@
 	c.StoreTokens = wholePieces(min(st.tokens(k), r.prompt))
 	c.FetchRate, c.FetchWait = 0, 0
 	if !st.link.down {
-		c.FetchRate, c.FetchWait = st.link.speed(), st.wait(k)
+		c.FetchRate, c.FetchWait = st.link.speed(), st.wait(k, foreground)
 	}
 	report := a.report()
 	c.ReportAge, c.OwnInFlight, c.OwnTokens = 0, 0, a.enRoute
--- a/bench/replay/store.go
+++ b/bench/replay/store.go
@@ -24,9 +24,9 @@
 func (s *store) tokens(k contextKey) int { return max(s.memory.tokens(k), s.disk.tokens(k)) }
 
 // fetch reads tokens of the context; on disk they are read before they are sent.
-func (s *store) fetch(k contextKey, tokens int, done func(ok bool)) {
+func (s *store) fetch(k contextKey, tokens int, v level, done func(ok bool)) {
 	bytes := float64(tokens) * s.perToken
-	t := &transfer{bytes: bytes, done: done}
+	t := &transfer{bytes: bytes, level: v, done: done}
 	if s.memory.tokens(k) >= s.disk.tokens(k) {
 		s.memory.touch(k)
 		s.link.send(t)
@@ -38,8 +38,8 @@
 }
 
 // wait is the time until a fetch of the context would begin to arrive.
-func (s *store) wait(k contextKey) time.Duration {
-	w := s.link.wait()
+func (s *store) wait(k contextKey, v level) time.Duration {
+	w := s.link.wait(v)
 	if s.memory.tokens(k) < s.disk.tokens(k) {
 		w = max(w, s.diskFree-s.c.now)
 	}
@@ -52,7 +52,7 @@
 	if missing <= 0 {
 		return
 	}
-	s.link.send(&transfer{bytes: float64(missing) * s.perToken, background: true, done: func(ok bool) {
+	s.link.send(&transfer{bytes: float64(missing) * s.perToken, level: background, done: func(ok bool) {
 		if ok {
 			s.memory.put(k, tokens)
 		}
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -26,3 +26,37 @@
 	v.Fill(&c, 1, rate, 4*time.Second)
 	require.Equal(t, Candidate{Running: 3, AheadTokens: 8, ReportAge: time.Second}, c)
 }
+
+// Guards against a customer whose fetches hold up those of the others, against
+// shares that are enforced on customers near them or for ever, against a memory
+// of all customers that ever came, and against a link that is believed to give
+// something while it is down.
+func TestLinkIsShared(t *testing.T) {
+	l := NewLinkView()
+	_, rate := l.State("light", 0)
+	require.Zero(t, rate, "no report")
+	l.Report(0, 0, 1000, 0)
+	for i := range 5 {
+		for _, c := range []string{"a", "b", "c", "d"} {
+			require.False(t, l.Chose(c, 10, 0), "fetch %d", i)
+		}
+	}
+	require.False(t, l.Chose("heavy", 1000, 0), "nothing is known of it yet")
+	require.True(t, l.Chose("heavy", 1000, 0))
+	light, _ := l.State("a", 0)
+	heavy, _ := l.State("heavy", 0)
+	require.Equal(t, 1200*time.Millisecond, light)
+	require.Equal(t, 2200*time.Millisecond, heavy)
+	later := 10 * shareMemory
+	for _, c := range []string{"a", "b", "c", "d"} {
+		l.Chose(c, 100, later)
+	}
+	require.False(t, l.Chose("heavy", 100, later), "what it used has faded")
+	for i := range 1000 {
+		l.Chose("once "+string(rune(i)), 1, later+time.Duration(i)*time.Second)
+	}
+	require.Less(t, len(l.shares.used), 50)
+	l.Report(500, 100, 0, later)
+	_, rate = l.State("new", later)
+	require.Zero(t, rate, "the link is down")
+}
