Route by the configured policy with the shared load view

Change: entry/view.go uses core/routing's endpoint and link views and core/retry's budget, backoff and breaker; the configuration names the policy, routing.prefix_cost by default; hops come from the configured links; an index by model replaces the walk through the document. Package plugins links the plug-ins. Agents don't report links and classes yet.

--- a/cmd/galenaweir-entry/main.go
+++ b/cmd/galenaweir-entry/main.go
@@ -12,14 +12,12 @@
 	"google.golang.org/grpc"
 
 	"github.com/galenaweir/galenaweir/claimsvc"
-	"github.com/galenaweir/galenaweir/core/kernel"
-	"github.com/galenaweir/galenaweir/core/routing"
-	_ "github.com/galenaweir/galenaweir/core/routing/leastload"
 	"github.com/galenaweir/galenaweir/entry"
 	"github.com/galenaweir/galenaweir/hostlist"
 	"github.com/galenaweir/galenaweir/logsvc"
 	"github.com/galenaweir/galenaweir/node"
 	"github.com/galenaweir/galenaweir/peer"
+	_ "github.com/galenaweir/galenaweir/plugins"
 	"github.com/galenaweir/galenaweir/process"
 	"github.com/galenaweir/galenaweir/rpc/dial"
 	"github.com/galenaweir/galenaweir/settings"
@@ -37,10 +35,6 @@
 func run(s settings.Settings) error {
 	drain, stop := process.Signals()
 	timeout := time.Duration(s.LogTimeoutMs) * time.Millisecond
-	policy, err := kernel.New[routing.Policy]("routing.least_load")
-	if err != nil {
-		return err
-	}
 	creds, err := tlsconf.Peers(s.TLS)
 	if err != nil {
 		return err
@@ -66,7 +60,7 @@
 		ID: s.ID, FailureDomain: s.FailureDomain, CacheSecret: process.Secret(s),
 		SilenceLimit: time.Duration(s.SilenceLimitMs) * time.Millisecond, MaxBodyBytes: s.MaxBodyBytes,
 		CallerTimeout: time.Duration(s.CallerTimeoutMs) * time.Millisecond,
-		Config:        p, Members: p, Pool: pool, Claims: claimsvc.NewClient(p, pool), Routing: policy,
+		Config:        p, Members: p, Pool: pool, Claims: claimsvc.NewClient(p, pool),
 		Contexts: &entry.DirectoryLookup{Region: s.Region, Members: p, Pool: pool}, Seed: rand.Uint64(),
 	})
 	h, err := e.Handler()
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -8,27 +8,27 @@
 
 // Candidate is what is known of one endpoint when a prompt is routed.
 type Candidate struct {
-	Endpoint      string
-	Agent         string
-	FailureDomain string
-	WeightVersion string
+	Endpoint      string `json:"e"`
+	Agent         string `json:"-"`
+	FailureDomain string `json:"-"`
+	WeightVersion string `json:"v,omitempty"`
 
-	Slots        int
-	Running      int           // sequences in the engine, by the last report
-	Waiting      int           // requests queued at the agent, by the last report
-	QueuedTokens int           // prefill tokens queued at the agent, by the last report
-	ReportAge    time.Duration // negative when there never was a report
-	AheadTokens  int           // of QueuedTokens, those that go before the request's class
-	SlotTime     time.Duration // mean time that a sequence holds a slot, zero when unknown
-	OwnInFlight  int           // this entry's choices since that report
-	OwnTokens    int           // and their prefill tokens, less what has been computed since
+	Slots        int           `json:"slots"`
+	Running      int           `json:"run,omitempty"`        // sequences in the engine, by the last report
+	Waiting      int           `json:"wait,omitempty"`       // requests queued at the agent, by the last report
+	QueuedTokens int           `json:"queued,omitempty"`     // prefill tokens queued at the agent, by the last report
+	ReportAge    time.Duration `json:"age"`                  // negative when there never was a report
+	AheadTokens  int           `json:"ahead,omitempty"`      // of QueuedTokens, those that go before the request's class
+	SlotTime     time.Duration `json:"slot_time,omitempty"`  // mean time that a sequence holds a slot, zero when unknown
+	OwnInFlight  int           `json:"own,omitempty"`        // this entry's choices since that report
+	OwnTokens    int           `json:"own_tokens,omitempty"` // and their prefill tokens, less what has been computed since
 
-	Hop          time.Duration // one way from the entry
-	EngineTokens int           // prefix tokens believed to be in the engine's cache
-	StoreTokens  int           // prefix tokens believed to be in a store
-	FetchWait    time.Duration // wait until the store's link is free
-	FetchRate    float64       // bytes per second that the link gives now, zero when it gives nothing
-	Suspect      bool
+	Hop          time.Duration `json:"hop"`                  // one way from the entry
+	EngineTokens int           `json:"engine,omitempty"`     // prefix tokens believed to be in the engine's cache
+	StoreTokens  int           `json:"store,omitempty"`      // prefix tokens believed to be in a store
+	FetchWait    time.Duration `json:"fetch_wait,omitempty"` // wait until the store's link is free
+	FetchRate    float64       `json:"fetch_rate,omitempty"` // bytes per second that the link gives now, zero when it gives nothing
+	Suspect      bool          `json:"suspect,omitempty"`
 }
 
 // Request is the prompt to route.
--- a/entry/budget.go
+++ b/entry/budget.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/galenaweir/galenaweir/core/retry"
 )
 
 // Budget bounds the attempts that repeat refused or failed ones, so that a loss
@@ -14,72 +16,57 @@
 	// Allow counts one repeated attempt, or returns false when it is beyond the
 	// budget.
 	Allow() bool
-	// Backoff returns the wait before the repeated attempt number n, from 0.
-	Backoff(n int) time.Duration
+	// Backoff returns the wait before the repeated attempt number n, from 0; it
+	// returns false when the wait doesn't end within the remaining time.
+	Backoff(n int, remaining time.Duration) (time.Duration, bool)
 }
 
-// Values of the budget, docs/design.md, section 9.6.
-const (
-	budgetShare  = 0.1
-	budgetWindow = 10 * time.Second
-	// budgetFloor lets an entry with little traffic repeat something at all.
-	budgetFloor    = 10
-	budgetSlots    = 10
-	backoffBase    = 5 * time.Millisecond // average of the first wait
-	backoffMaximum = 200 * time.Millisecond
-)
+// budgetFloor is the number of repeats in a window that are allowed whatever the
+// traffic, so that an entry with little traffic can repeat something at all.
+const budgetFloor = 10
 
-// windowBudget counts requests and repeats in slots of a second.
-type windowBudget struct {
-	mu       sync.Mutex
-	now      func() time.Time
-	rng      *rand.Rand
-	slot     int64
-	requests [budgetSlots]int
-	repeats  [budgetSlots]int
+// sharedBudget is the product's budget, for concurrent use.
+type sharedBudget struct {
+	mu     sync.Mutex
+	start  time.Time
+	now    func() time.Time
+	budget *retry.Budget
+	rng    *rand.Rand
+	floor  [budgetFloor]time.Duration // last repeats beyond the share; zero for none
+	next   int                        // place of the oldest in floor
 }
 
-func newWindowBudget(now func() time.Time, seed uint64) *windowBudget {
-	return &windowBudget{now: now, rng: rand.New(rand.NewPCG(seed, 1))}
-}
-
-// advance clears the slots that have left the window and returns the current one.
-func (b *windowBudget) advance() int {
-	slot := b.now().UnixNano() / int64(budgetWindow/budgetSlots)
-	for s := max(b.slot+1, slot-budgetSlots+1); s <= slot; s++ {
-		b.requests[s%budgetSlots], b.repeats[s%budgetSlots] = 0, 0
-	}
-	b.slot = max(b.slot, slot)
-	return int(b.slot % budgetSlots)
+func newBudget(now func() time.Time, seed uint64) *sharedBudget {
+	return &sharedBudget{start: now(), now: now, budget: retry.NewBudget(retry.RetryShare, retry.BudgetWindow), rng: rand.New(rand.NewPCG(seed, 1))}
 }
 
 // Request implements Budget.
-func (b *windowBudget) Request() {
+func (b *sharedBudget) Request() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.requests[b.advance()]++
+	b.budget.Request(b.now().Sub(b.start))
 }
 
 // Allow implements Budget.
-func (b *windowBudget) Allow() bool {
+func (b *sharedBudget) Allow() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.advance()
-	requests, repeats := 0, 0
-	for i := range budgetSlots {
-		requests += b.requests[i]
-		repeats += b.repeats[i]
+	now := b.now().Sub(b.start)
+	if b.budget.Spend(now) {
+		return true
 	}
-	if float64(repeats) >= max(budgetFloor, budgetShare*float64(requests)) {
+	oldest := b.floor[b.next]
+	if oldest != 0 && now-oldest < retry.BudgetWindow {
 		return false
 	}
-	b.repeats[s]++
+	b.floor[b.next] = max(now, 1)
+	b.next = (b.next + 1) % budgetFloor
 	return true
 }
 
-// Backoff implements Budget: a random wait of up to twice the doubling base.
-func (b *windowBudget) Backoff(n int) time.Duration {
+// Backoff implements Budget.
+func (b *sharedBudget) Backoff(n int, remaining time.Duration) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return time.Duration(b.rng.Int64N(int64(2 * min(backoffBase<<min(n, budgetSlots), backoffMaximum))))
+	return retry.Backoff{}.Pause(n, remaining, b.rng)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -36,9 +36,9 @@
 	Members       node.Members
 	Pool          *dial.Pool
 	Claims        *claimsvc.Client
-	Routing       routing.Policy
-	Contexts      ContextLookup // nil for no hints
-	Seed          uint64        // of the random source that breaks ties
+	Routing       routing.Policy // nil for the configuration's
+	Contexts      ContextLookup  // nil for no hints
+	Seed          uint64         // of the random source that breaks ties
 
 	CallerTimeout time.Duration     // for a caller to send its body, and to take each piece of its answer
 	Budget        Budget            // of repeated attempts; nil for the default
@@ -50,8 +50,10 @@
 
 // Entry serves callers.
 type Entry struct {
-	o    Options
-	view *view
+	o        Options
+	view     *view
+	indexes  indexCache
+	policies policies
 
 	rngMu sync.Mutex
 	rng   *rand.Rand
@@ -67,7 +69,7 @@
 // New returns an entry.
 func New(o Options) *Entry {
 	if o.Budget == nil {
-		o.Budget = newWindowBudget(time.Now, o.Seed)
+		o.Budget = newBudget(time.Now, o.Seed)
 	}
 	if o.Metrics == nil {
 		o.Metrics = metrics.Default
@@ -75,7 +77,7 @@
 	if o.CallerTimeout <= 0 {
 		o.CallerTimeout = defaultCallerTimeout
 	}
-	e := &Entry{o: o, view: newView(), rng: rand.New(rand.NewPCG(o.Seed, 0)), m: newFigures(o.Metrics), requests: map[string]bool{}}
+	e := &Entry{o: o, view: newView(o.Seed), rng: rand.New(rand.NewPCG(o.Seed, 0)), m: newFigures(o.Metrics), requests: map[string]bool{}}
 	o.Metrics.Gauge("running", func() any { return e.work.Count() })
 	o.Metrics.Gauge("config_version", func() any {
 		if st := o.Config.Current(); st != nil {
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -167,7 +167,7 @@
 	if fr.GetKeepAlive() != nil {
 		return nil
 	}
-	f.e.view.report(fr.Load, time.Now())
+	f.e.view.report(fr.Load)
 	var v stream.Verdict
 	switch b := fr.Body.(type) {
 	case *rpc.Frame_Error:
@@ -219,3 +219,17 @@
 		}
 	}()
 }
+
+// judge tells the endpoint's breaker how the attempt ended. A caller that went
+// away or a deadline says nothing of the endpoint unless a frame had come.
+func (f *follower) judge(err error) {
+	kind := apierr.From(err)
+	switch {
+	case err == nil || f.check.Next() > 0 && kind.Kind != apierr.EndpointFailed:
+		f.e.view.done(f.req.Endpoint, true)
+	case kind.Kind == apierr.EndpointFailed:
+		f.e.view.done(f.req.Endpoint, false)
+	case kind.Kind != apierr.Cancelled && kind.Kind != apierr.DeadlineExceeded:
+		f.e.view.done(f.req.Endpoint, true) // a refusal is an answer
+	}
+}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"strings"
 	"time"
 
@@ -11,7 +10,6 @@
 	"github.com/phuslu/log"
 
 	"github.com/galenaweir/galenaweir/core/apierr"
-	"github.com/galenaweir/galenaweir/core/routing"
 	"github.com/galenaweir/galenaweir/core/stream"
 	"github.com/galenaweir/galenaweir/node"
 	"github.com/galenaweir/galenaweir/rpc"
@@ -82,7 +80,7 @@
 			break
 		}
 		r.skip[endpoint] = true
-		e.view.avoidFor(endpoint, time.Now().Add(avoidTime))
+		e.view.avoidFor(endpoint, avoidTime)
 	}
 	return nil, r.failure(ctx, last)
 }
@@ -115,7 +113,8 @@
 		return false
 	}
 	r.e.m.retries.Add(1)
-	return sleep(ctx, r.e.o.Budget.Backoff(n))
+	pause, ok := r.e.o.Budget.Backoff(n, time.Until(r.p.deadline))
+	return ok && sleep(ctx, pause)
 }
 
 // failure describes the end of a prompt that no attempt completed.
@@ -150,23 +149,25 @@
 		r.e.m.continued.Add(1)
 	}
 	r.e.lookup(ctx, r.p)
-	endpoint, address, err := r.e.route(r.p, r.skip, version)
+	to, err := r.e.route(r.p, r.skip, version)
 	if err != nil {
 		return nil, "", err
 	}
 	r.previous = r.tokens
-	f := &follower{e: r.e, r: r, address: address}
+	f := &follower{e: r.e, r: r, address: to.address}
 	f.req = &rpc.GenerateRequest{
-		RequestId: r.p.id, AttemptId: uuid.NewString(), Customer: r.p.customer, Endpoint: endpoint, Model: r.p.model,
+		RequestId: r.p.id, AttemptId: uuid.NewString(), Customer: r.p.customer, Endpoint: to.endpoint, Model: r.p.model,
 		Conversation: r.p.conversation, Prompt: r.p.text, MaxTokens: uint32(r.p.maxTokens), Priority: r.p.priority,
 		ConfigVersion: r.p.state.Version, PrefixOutput: r.answer.String(), WeightVersion: version,
+		Hint: to.hint, OverShare: to.overShare,
 	}
 	f.check = stream.NewChecker(f.req.AttemptId, r.p.customer)
 	end, err := f.run(ctx)
 	if err != nil && f.sent {
 		f.cancelRemote()
 	}
-	return end, endpoint, err
+	f.judge(err)
+	return end, to.endpoint, err
 }
 
 // start passes the start of the first attempt on.
@@ -191,30 +192,3 @@
 	r.tokens += t.Tokens
 	return r.out.text(t.Text)
 }
-
-// route chooses an endpoint and logs the decision with its inputs. A version, if
-// given, leaves out the endpoints known to have another loaded.
-func (e *Entry) route(p *prompt, skip map[string]bool, version string) (endpoint, address string, err error) {
-	doc := p.state.Doc
-	m := doc.Models[p.model]
-	cs := e.view.candidates(doc, e.o.Members, candidateQuery{p.model, version, skip}, time.Now())
-	req := &routing.Request{
-		Customer: p.customer, Conversation: p.conversation, Priority: p.priority,
-		PromptTokens: max(1, len(p.text)/4), MaxTokens: p.maxTokens, PrefillRate: m.PrefillTokensPerSecond,
-		DecodeMs: m.DecodeMsPerToken, KVBytesPerToken: m.KVBytesPerToken,
-	}
-	applyHints(cs, p.hints, m.WeightVersion, req.PromptTokens)
-	e.rngMu.Lock()
-	choice := e.o.Routing.Choose(req, cs, e.rng)
-	e.rngMu.Unlock()
-	if choice.Index < 0 {
-		return "", "", apierr.Retry(apierr.NoEndpoint, apierr.NotRun, time.Second, fmt.Sprintf("no endpoint of model %q is free to take the request", p.model), "retry; operators: look at the members and the rollout")
-	}
-	c := cs[choice.Index]
-	mem, _ := e.o.Members.Get(c.Agent)
-	e.view.chose(c.Endpoint, req.PromptTokens)
-	log.Info().Str("decision", "route").Str("request", p.id).Str("customer", p.customer).Str("model", p.model).
-		Int64("config_version", p.state.Version).Int("prompt_tokens", req.PromptTokens).
-		Str("endpoint", c.Endpoint).Dur("estimate", choice.Estimate).Any("candidates", cs).Msg("routed")
-	return c.Endpoint, mem.Address, nil
-}
--- a/entry/services.go
+++ b/entry/services.go
@@ -293,7 +293,7 @@
 		return nil, true, fmt.Errorf("agent %s answered another attempt", x.agent)
 	}
 	if err == nil {
-		e.view.report(reply.Load, time.Now())
+		e.view.report(reply.Load)
 	}
 	return reply, p.Addr != nil, err
 }
--- a/entry/view.go
+++ b/entry/view.go
@@ -1,68 +1,127 @@
 package entry
 
 import (
-	"sort"
+	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/galenaweir/galenaweir/core/config"
+	"github.com/galenaweir/galenaweir/core/retry"
 	"github.com/galenaweir/galenaweir/core/routing"
 	"github.com/galenaweir/galenaweir/node"
 	"github.com/galenaweir/galenaweir/rpc"
 )
 
-// view is what the entry knows of the endpoints' load: the reports that came
-// with answers, and its own choices since.
+// view is what the entry knows of the endpoints and of the stores' links: the
+// reports that came with answers, corrected by its own choices since.
 type view struct {
-	mu    sync.Mutex
-	loads map[string]*endpointLoad
+	mu        sync.Mutex
+	rng       *rand.Rand
+	start     time.Time
+	endpoints map[string]*endpointView
+	links     map[string]*routing.LinkView
+	shares    *routing.Shares // of the engines' prefill tokens
 }
 
-type endpointLoad struct {
-	report    *rpc.LoadReport
-	at        time.Time
-	ownFlight int
-	ownTokens int
-	avoid     time.Time // don't choose before, because it refused or failed
+type endpointView struct {
+	load    routing.EndpointView
+	version string
+	at      time.Duration // of the last report
+	leaving bool
+	avoid   time.Duration // don't choose before, because it refused or failed
+	breaker retry.Breaker
 }
 
-func newView() *view { return &view{loads: map[string]*endpointLoad{}} }
+func newView(seed uint64) *view {
+	return &view{
+		rng: rand.New(rand.NewPCG(seed, 2)), start: time.Now(), endpoints: map[string]*endpointView{},
+		links: map[string]*routing.LinkView{}, shares: routing.NewShares(),
+	}
+}
+
+// now returns the time as the decisions count it, from the entry's start.
+func (v *view) now() time.Duration { return time.Since(v.start) }
+
+func (v *view) endpoint(id string) *endpointView {
+	e := v.endpoints[id]
+	if e == nil {
+		e = &endpointView{}
+		v.endpoints[id] = e
+	}
+	return e
+}
 
-func (v *view) get(endpoint string) *endpointLoad {
-	l := v.loads[endpoint]
+func (v *view) link(store string) *routing.LinkView {
+	l := v.links[store]
 	if l == nil {
-		l = &endpointLoad{}
-		v.loads[endpoint] = l
+		l = routing.NewLinkView()
+		v.links[store] = l
 	}
 	return l
 }
 
-// report takes a load report unless a later one is known.
-func (v *view) report(r *rpc.LoadReport, now time.Time) {
+// report takes a load report.
+func (v *view) report(r *rpc.LoadReport) {
 	if r == nil {
 		return
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	l := v.get(r.Endpoint)
-	l.report, l.at = r, now
-	l.ownFlight, l.ownTokens = 0, 0
+	now := v.now()
+	e := v.endpoint(r.Endpoint)
+	report := routing.Report{
+		Running: int(r.Running), Waiting: int(r.Waiting), QueuedTokens: int(r.QueuedTokens),
+		SlotTime: time.Duration(r.SlotTimeUs) * time.Microsecond,
+	}
+	for i := range min(len(r.AheadTokens), routing.Classes) {
+		report.AheadTokens[i] = int(r.AheadTokens[i])
+	}
+	e.load.Report(report, now)
+	e.at, e.leaving = now, r.Leaving
+	if r.WeightVersion != "" {
+		e.version = r.WeightVersion
+	}
+	for _, l := range r.Links {
+		v.link(l.Store).Report(float64(l.QueuedBytes), float64(l.BehindBytes), float64(l.BytesPerSecond), now)
+	}
+}
+
+// avoidFor keeps the endpoint from being chosen for a while.
+func (v *view) avoidFor(endpoint string, d time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.endpoint(endpoint).avoid = v.now() + d
 }
 
-// chose counts one of the entry's own choices.
-func (v *view) chose(endpoint string, tokens int) {
+// done takes the result of an attempt for the endpoint's breaker.
+func (v *view) done(endpoint string, answered bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	l := v.get(endpoint)
-	l.ownFlight++
-	l.ownTokens += tokens
+	v.endpoint(endpoint).breaker.Done(answered, v.now(), v.rng)
 }
 
-// avoidFor keeps the endpoint from being chosen for a while.
-func (v *view) avoidFor(endpoint string, until time.Time) {
+// chosen is one of the entry's own choices.
+type chosen struct {
+	endpoint, customer string
+	prefill            int // tokens
+	prefillRate        float64
+	store              string // to fetch from, empty for none
+	fetchBytes         float64
+	weight             float64 // of the customer
+}
+
+// chose counts a choice and tells whether its customer is above its share.
+func (v *view) chose(c chosen) (overShare bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.get(endpoint).avoid = until
+	now := v.now()
+	e := v.endpoint(c.endpoint)
+	e.breaker.Allow(now)
+	e.load.Chose(c.prefill, c.prefillRate, now)
+	overShare = v.shares.Use(c.customer, float64(c.prefill)/c.weight, now)
+	if c.store != "" && v.link(c.store).Chose(c.customer, c.fetchBytes, now) {
+		overShare = true
+	}
+	return overShare
 }
 
 // leavingHold is how long the word of an agent that it leaves is believed. It is
@@ -72,45 +131,52 @@
 
 // candidateQuery says which endpoints are wanted.
 type candidateQuery struct {
-	model   string
-	version string          // weight version, empty for any
-	skip    map[string]bool // endpoints already tried
+	model       string
+	version     string          // weight version, empty for any
+	skip        map[string]bool // endpoints already tried
+	class       int             // rank of the priority class
+	customer    string
+	store       string // that may hold the prefix, empty for none
+	prefillRate float64
 }
 
 // candidates returns the endpoints that may be chosen, in the order of their IDs.
 // Endpoints to avoid are left out unless there are no others.
-func (v *view) candidates(doc *config.Document, ms node.Members, q candidateQuery, now time.Time) []routing.Candidate {
+func (v *view) candidates(ix *index, ms node.Members, q candidateQuery) []routing.Candidate {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	var cs, avoided []routing.Candidate
-	for id, e := range doc.Endpoints {
-		if e.Model != q.model || q.skip[id] {
+	now := v.now()
+	places := ix.models[q.model]
+	cs := make([]routing.Candidate, 0, len(places))
+	var avoided []routing.Candidate
+	var wait time.Duration
+	var rate float64
+	if q.store != "" {
+		wait, rate = v.link(q.store).State(q.customer, now)
+	}
+	for i := range places {
+		p := &places[i]
+		m, ok := ms.Get(p.agent)
+		if q.skip[p.id] || !ok || m.State == node.Gone || m.State == node.Leaving {
 			continue
 		}
-		m, ok := ms.Get(e.Agent)
-		if !ok || m.State == node.Gone || m.State == node.Leaving {
+		e := v.endpoint(p.id)
+		if e.leaving && now-e.at < leavingHold || q.version != "" && e.version != "" && e.version != q.version {
 			continue
 		}
-		l := v.get(id)
-		c := routing.Candidate{Endpoint: id, Agent: e.Agent, FailureDomain: e.FailureDomain, Slots: e.Slots,
-			OwnInFlight: l.ownFlight, OwnTokens: l.ownTokens, ReportAge: -1, Suspect: m.State == node.Suspect}
-		if r := l.report; r != nil {
-			c.Running, c.Waiting, c.QueuedTokens = int(r.Running), int(r.Waiting), int(r.QueuedTokens)
-			c.ReportAge = now.Sub(l.at)
-			c.WeightVersion = r.WeightVersion
+		c := routing.Candidate{
+			Endpoint: p.id, Agent: p.agent, FailureDomain: p.failureDomain, Slots: p.slots, Hop: p.hop,
+			WeightVersion: e.version, Suspect: m.State == node.Suspect, FetchWait: wait, FetchRate: rate,
 		}
-		switch {
-		case l.report != nil && l.report.Leaving && now.Sub(l.at) < leavingHold:
-		case q.version != "" && c.WeightVersion != "" && c.WeightVersion != q.version:
-		case now.Before(l.avoid):
+		e.load.Fill(&c, min(max(q.class, 0), routing.Classes-1), q.prefillRate, now)
+		if now < e.avoid || e.breaker.Open(now) {
 			avoided = append(avoided, c)
-		default:
+		} else {
 			cs = append(cs, c)
 		}
 	}
-	if cs == nil {
-		cs = avoided
+	if len(cs) == 0 {
+		return avoided
 	}
-	sort.Slice(cs, func(i, j int) bool { return cs[i].Endpoint < cs[j].Endpoint })
 	return cs
 }
--- /dev/null
+++ b/plugins/plugins.go
@@ -0,0 +1,14 @@
+// Package plugins links all plug-ins into the programs. A new plug-in needs its
+// folder and one line here.
+package plugins
+
+import (
+	_ "github.com/galenaweir/galenaweir/core/placement/baseline"
+	_ "github.com/galenaweir/galenaweir/core/placement/value"
+	_ "github.com/galenaweir/galenaweir/core/routing/leastload"
+	_ "github.com/galenaweir/galenaweir/core/routing/nostore"
+	_ "github.com/galenaweir/galenaweir/core/routing/prefixcost"
+	_ "github.com/galenaweir/galenaweir/core/routing/prefixcostv1"
+	_ "github.com/galenaweir/galenaweir/core/routing/sticky"
+	_ "github.com/galenaweir/galenaweir/protocol/streaming"
+)
