--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	./bin/demo $(if $(KEEP),--keep)
 
 # All that CI checks.
-test: lint unit
+test: lint unit modelcheck
 	$(MAKE) demo
 	@if [ -n "$(RED)" ]; then echo "passed over, see KNOWN-RED.txt: $(RED)"; fi
 
