Test payments and lookups over real sockets

Cause: the edges of the claim protocol had one test. Change: in-process entries, agents and stand-ins on loopback; tests for dead, lost and paused processes, log faults and outages, service faults, keys, repeats, stale replicas and hidden retries. The request header of a keyed call no longer appears twice.

--- /dev/null
+++ b/claimsvc/payment_test.go
@@ -0,0 +1,320 @@
+package claimsvc_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaweir/galenaweir/claimsvc"
+	"github.com/galenaweir/galenaweir/core/claims"
+	"github.com/galenaweir/galenaweir/node"
+	"github.com/galenaweir/galenaweir/rpc"
+	standinlog "github.com/galenaweir/galenaweir/standin/logsvc"
+	"github.com/galenaweir/galenaweir/standin/service"
+)
+
+// payUntil repeats a request that was refused as not run, with the same key.
+func (d *deployment) payUntil(r request) (a answer) {
+	for d.t.Context().Err() == nil {
+		if a = d.send(r); a.err.Ran != "not_run" || !a.err.Retryable {
+			break
+		}
+	}
+	return a
+}
+
+// TestRepeats guards against a repeat that runs again or gets another answer,
+// and against keys that reach over to another body, customer or window.
+func TestRepeats(t *testing.T) {
+	d := newDeployment(t, 3)
+	key := newKey(t)
+	first := d.send(request{key: key, body: payment("p1")})
+	require.Equal(t, 200, first.status, first.body)
+	repeat := d.send(request{entry: 1, key: key, body: payment("p1")})
+	require.Equal(t, first.body, repeat.body)
+	require.Equal(t, "true", repeat.header.Get("Galenaweir-Replayed"))
+	for _, path := range []string{"/v1/outcomes/" + key, "/v1/requests/" + first.header.Get("Galenaweir-Request")} {
+		found := d.send(request{entry: 1, method: "GET", path: path})
+		require.Contains(t, found.body, `"state":"settled"`)
+		require.Equal(t, "not_found", d.send(request{customer: "kutch", method: "GET", path: path}).err.Type)
+	}
+	other := d.send(request{key: key, body: payment("p2")})
+	require.Equal(t, []string{"key_reused", "ran"}, []string{other.err.Type, other.err.Ran})
+	require.Equal(t, 200, d.send(request{customer: "kutch", key: key, body: payment("p3")}).status, "keys belong to a customer")
+	for name, bad := range map[string]struct{ key, kind string }{
+		"none": {"", "invalid_key"}, "version 4": {uuid.NewString(), "invalid_key"},
+		"too old": {keyAt(-25 * time.Hour), "key_expired"}, "too far ahead": {keyAt(time.Hour), "key_expired"},
+	} {
+		a := d.send(request{key: bad.key, body: payment("bad")})
+		require.Equal(t, []string{bad.kind, "not_run"}, []string{a.err.Type, a.err.Ran}, name)
+	}
+	for ref, n := range map[string]int{"p1": 1, "p2": 0, "p3": 1, "bad": 0} {
+		require.Equal(t, n, d.ledger.Effects(ref), ref)
+	}
+	large, path := newKey(t), "/v1/services/"+testService+"/echo"
+	require.Equal(t, 200, d.send(request{key: large, path: path, body: strings.Repeat("x", 2000)}).status)
+	require.Equal(t, "answer_not_kept", d.send(request{key: large, path: path, body: strings.Repeat("x", 2000)}).err.Type)
+	a := d.send(request{method: "GET", path: "/v1/services/" + testService + "/balances/%2e%2e/payments"})
+	require.Equal(t, 400, a.status, "the service could read another path than the rule was chosen by: "+a.body)
+}
+
+func keyAt(d time.Duration) string {
+	u := uuid.Must(uuid.NewV7())
+	ms := time.Now().Add(d).UnixMilli()
+	for i := range 6 {
+		u[i] = byte(ms >> (8 * (5 - i)))
+	}
+	return u.String()
+}
+
+// TestSameKeyAtOnce guards against two effects when entries get a key together.
+func TestSameKeyAtOnce(t *testing.T) {
+	d := newDeployment(t, 3)
+	key := newKey(t)
+	answers := make([]answer, 12)
+	var wg sync.WaitGroup
+	for i := range answers {
+		wg.Go(func() { answers[i] = d.send(request{entry: i % 2, key: key, body: payment("p")}) })
+	}
+	wg.Wait()
+	for _, a := range answers {
+		require.Equal(t, 200, a.status, a.body)
+		require.Equal(t, answers[0].body, a.body)
+	}
+	require.Equal(t, 1, d.ledger.Effects("p"))
+}
+
+// TestLogFaults guards against a second effect, or a false not_run, when the
+// log's answer is lost, hangs, or the append comes late.
+func TestLogFaults(t *testing.T) {
+	for name, f := range map[string]standinlog.Faults{
+		"answers lost":     {LoseAnswers: 2},
+		"answer hangs":     {HangAnswers: 1},
+		"append late":      {LateAppends: 1, LateByMs: 1},
+		"append very late": {LateAppends: 1, LateByMs: 100},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, 3)
+			d.log.SetFaults(f)
+			key := newKey(t)
+			a := d.payUntil(request{key: key, body: payment("p")})
+			require.Equal(t, 200, a.status, a.body)
+			require.Equal(t, a.body, d.payUntil(request{entry: 1, key: key, body: payment("p")}).body)
+			require.Equal(t, 1, d.ledger.Effects("p"))
+		})
+	}
+}
+
+// TestLogUnavailable guards against payments without a claim, and against
+// lookups that stop while the log is unavailable.
+func TestLogUnavailable(t *testing.T) {
+	d := newDeployment(t, 3)
+	require.Equal(t, 200, d.send(request{key: newKey(t), body: payment("before")}).status)
+	d.log.SetFaults(standinlog.Faults{Outage: true})
+	key := newKey(t)
+	for range 5 {
+		a := d.send(request{key: key, body: payment("p")})
+		require.Equal(t, []string{"log_unavailable", "not_run"}, []string{a.err.Type, a.err.Ran}, a.body)
+		require.NotEmpty(t, a.header.Get("Retry-After"))
+	}
+	a := d.send(request{method: "GET", path: "/v1/services/" + testService + "/balances/truck"})
+	require.Equal(t, 200, a.status, a.body)
+	require.Equal(t, "memory", a.header.Get("Galenaweir-Consistency"))
+	require.Equal(t, 0, d.ledger.Effects("p"))
+	d.log.SetFaults(standinlog.Faults{})
+	require.Equal(t, 200, d.payUntil(request{key: key, body: payment("p")}).status)
+	require.Equal(t, 1, d.ledger.Effects("p"))
+}
+
+// TestServiceFaults guards against a second dispatch when the service takes
+// effect without an answer, and against a lost key when it was never reached.
+func TestServiceFaults(t *testing.T) {
+	for name, f := range map[string]service.Faults{"hangs": {HangAfter: true}, "cuts": {CutAfter: true}} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, 2)
+			for _, r := range d.replicas {
+				r.SetFaults(f)
+			}
+			key := newKey(t)
+			for i := range 2 {
+				a := d.send(request{entry: i, key: key, body: payment("p")})
+				require.Equal(t, []string{"outcome_unknown", "unknown"}, []string{a.err.Type, a.err.Ran}, a.body)
+			}
+			require.Equal(t, 1, d.ledger.Effects("p"))
+		})
+	}
+	t.Run("not reached", func(t *testing.T) {
+		d := newDeployment(t, 2)
+		for _, s := range d.services {
+			s.Close()
+		}
+		key := newKey(t)
+		a := d.send(request{key: key, body: payment("p")})
+		require.Equal(t, []string{"endpoint_failed", "not_run"}, []string{a.err.Type, a.err.Ran}, a.body)
+		s := httptest.NewServer(d.replicas[0].Handler())
+		defer s.Close()
+		for i := range d.services {
+			d.fixed.endpoint(i, s.Listener.Addr().String())
+		}
+		require.Equal(t, 200, d.payUntil(request{key: key, body: payment("p")}).status, "the key was released")
+		require.Equal(t, 1, d.ledger.Effects("p"))
+	})
+}
+
+// TestExecutorDied guards against a second run of a claim that an executor left
+// behind: before its dispatch, and after the effect.
+func TestExecutorDied(t *testing.T) {
+	for name, effects := range map[string]int{"before dispatch": 0, "after the effect": 1} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, 3)
+			key, body, path := newKey(t), payment("p"), "/payments"
+			at, err := claims.KeyTime(key)
+			require.NoError(t, err)
+			h := claims.KeyHash("vadodara", key)
+			b := claims.BodyHash(testService, "POST", path, "application/json", []byte(body))
+			r, err := claimsvc.NewClient(d.fixed, d.pool).Claim(context.Background(), &rpc.ClaimRequest{
+				KeyHash: h[:], BodyHash: b[:], AttemptId: "left", Executor: agentID(0), ExecutorIncarnation: "dead", KeyTimeMs: at.UnixMilli(),
+				Partition: claimsvc.PartitionOf(h, d.fixed.Current().Doc), ExpiresMs: at.Add(time.Hour).UnixMilli(),
+			})
+			require.NoError(t, err)
+			require.Equal(t, rpc.ClaimReply_RESULT_GRANTED, r.Result)
+			for range effects {
+				resp, err := http.Post(d.services[0].URL+path, "application/json", strings.NewReader(body))
+				require.NoError(t, err)
+				resp.Body.Close()
+			}
+			a := d.send(request{key: key, body: body})
+			require.Equal(t, []string{"outcome_unknown", "unknown"}, []string{a.err.Type, a.err.Ran}, a.body)
+			require.Equal(t, effects, d.ledger.Effects("p"))
+		})
+	}
+}
+
+// slow puts a handler before a replica that waits for the test.
+func (d *deployment) slow(i int) (arrived chan struct{}, let chan struct{}) {
+	arrived, let = make(chan struct{}, 8), make(chan struct{})
+	inner := d.replicas[i].Handler()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		arrived <- struct{}{}
+		<-let
+		inner.ServeHTTP(w, r)
+	}))
+	d.t.Cleanup(s.Close)
+	d.fixed.endpoint(i, s.Listener.Addr().String())
+	return arrived, let
+}
+
+// TestExecutorLost guards against a second run, and a false not_run, when the
+// entry loses the executor after the dispatch and asks a second one.
+func TestExecutorLost(t *testing.T) {
+	d := newDeployment(t, 2)
+	var arrived, let [2]chan struct{}
+	for i := range arrived {
+		arrived[i], let[i] = d.slow(i)
+	}
+	key := newKey(t)
+	done := make(chan answer)
+	go func() { done <- d.send(request{key: key, body: payment("p"), deadline: time.Second}) }()
+	lost := 0
+	select {
+	case <-arrived[0]:
+	case <-arrived[1]:
+		lost = 1
+	}
+	old := d.agents[lost]
+	go old.server.Stop()
+	a := <-done
+	require.Equal(t, "unknown", a.err.Ran, a.body)
+	require.Empty(t, arrived[1-lost], "the second executor dispatched")
+	d.startAgent(lost) // a new incarnation
+	a = d.send(request{entry: 1, key: key, body: payment("p")})
+	require.Equal(t, []string{"outcome_unknown", "unknown"}, []string{a.err.Type, a.err.Ran}, a.body)
+	close(let[lost]) // the lost executor was cut off, not dead
+	for !strings.Contains(a.body, "settled") && t.Context().Err() == nil {
+		a = d.send(request{method: "GET", path: "/v1/outcomes/" + key})
+	}
+	require.Equal(t, 1, d.ledger.Effects("p"))
+}
+
+// TestPausedKeeper guards against a grant by a keeper that was paused until its
+// successor had granted another attempt of the key.
+func TestPausedKeeper(t *testing.T) {
+	d := newDeployment(t, 3)
+	key := newKey(t)
+	h := claims.KeyHash("vadodara", key)
+	partition := claimsvc.PartitionOf(h, d.fixed.Current().Doc)
+	keeper := claimsvc.Keepers(d.fixed, partition)[0].ID
+	paused, resume := make(chan struct{}, 8), make(chan struct{})
+	for i, a := range d.agents {
+		if agentID(i) != keeper {
+			continue
+		}
+		a.log.mu.Lock()
+		a.log.append = func(string, []byte) { paused <- struct{}{}; <-resume }
+		a.log.mu.Unlock()
+	}
+	first := make(chan answer)
+	go func() { first <- d.send(request{key: key, body: payment("p"), deadline: 20 * time.Second}) }()
+	<-paused
+	d.fixed.set(keeper, node.Suspect) // the successor takes over
+	second := d.send(request{entry: 1, key: key, body: payment("p")})
+	require.Equal(t, 200, second.status, second.body)
+	close(resume)
+	a := <-first
+	if a.status != 200 { // the first attempt may have given its keeper up before
+		require.Equal(t, "not_run", a.err.Ran, a.body)
+		a = d.payUntil(request{key: key, body: payment("p")})
+	}
+	require.Equal(t, second.body, a.body)
+	require.Equal(t, 1, d.ledger.Effects("p"))
+}
+
+// TestStaleReplicas guards against a balance that goes back, on any replica and
+// through any entry.
+func TestStaleReplicas(t *testing.T) {
+	d := newDeployment(t, 3)
+	for i := range 3 {
+		require.Equal(t, 200, d.send(request{key: newKey(t), body: payment(fmt.Sprint("p", i))}).status)
+	}
+	look := request{method: "GET", path: "/v1/services/" + testService + "/balances/truck"}
+	require.Equal(t, "3", d.send(look).header.Get("Resource-Version"))
+	for _, r := range d.replicas[:2] {
+		r.SetFaults(service.Faults{Behind: 1})
+	}
+	for i := range 12 {
+		look.entry = i % 2
+		a := d.send(look)
+		require.Equal(t, "3", a.header.Get("Resource-Version"), a.body)
+	}
+	d.replicas[2].SetFaults(service.Faults{Behind: 2})
+	a := d.send(look)
+	require.Equal(t, []string{"stale_replica", "ran"}, []string{a.err.Type, a.err.Ran}, a.body)
+	require.Equal(t, 200, d.send(request{customer: "kutch", method: "GET", path: look.path}).status, "floors belong to a customer")
+}
+
+// TestNoHiddenRetry guards against the transport's own retry: net/http repeats a
+// GET when a connection that it used before is cut.
+func TestNoHiddenRetry(t *testing.T) {
+	d := newDeployment(t, 1)
+	var calls atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		if calls.Add(1) > 1 {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer s.Close()
+	d.fixed.endpoint(0, s.Listener.Addr().String())
+	path := "/v1/services/" + testService + "/pay-by-get"
+	require.Equal(t, 200, d.send(request{method: "GET", path: path, key: newKey(t)}).status)
+	require.Equal(t, "unknown", d.send(request{method: "GET", path: path, key: newKey(t)}).err.Ran)
+	require.EqualValues(t, 2, calls.Load())
+}
--- a/entry/services.go
+++ b/entry/services.go
@@ -78,7 +78,7 @@
 	}
 	if call.req.IdempotencyKey != "" {
 		c.Values().Set(valueRequest, call.req.IdempotencyKey)
-		c.Header(headerRequest, call.req.IdempotencyKey)
+		c.ResponseWriter().Header().Set(headerRequest, call.req.IdempotencyKey) // c.Header would add a second one
 	}
 	ctx, cancel := context.WithDeadline(c.Request().Context(), call.deadline)
 	defer cancel()
--- /dev/null
+++ b/entry/services_test.go
@@ -0,0 +1,34 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaweir/galenaweir/core/apierr"
+)
+
+// TestSettleRan guards against not_run while an executor that was lost may still
+// run the call.
+func TestSettleRan(t *testing.T) {
+	passed, cancel := context.WithDeadline(context.Background(), time.Unix(0, 0))
+	defer cancel()
+	refused := apierr.Retry(apierr.LogUnavailable, apierr.NotRun, time.Second, "refused", "")
+	for name, c := range map[string]struct {
+		ctx       context.Context
+		uncertain bool
+		kind      apierr.Kind
+		ran       apierr.Ran
+	}{
+		"all closed":                  {context.Background(), false, apierr.LogUnavailable, apierr.NotRun},
+		"one lost":                    {context.Background(), true, apierr.OutcomeUnknown, apierr.Unknown},
+		"all closed, deadline passed": {passed, false, apierr.DeadlineExceeded, apierr.NotRun},
+		"one lost, deadline passed":   {passed, true, apierr.OutcomeUnknown, apierr.Unknown},
+	} {
+		ae := apierr.From(settleRan(c.ctx, refused, c.uncertain))
+		require.Equal(t, c.kind, ae.Kind, name)
+		require.Equal(t, c.ran, ae.Ran, name)
+	}
+}
