--- /dev/null
+++ b/bench/cmd/claims/main.go
@@ -0,0 +1,192 @@
+// Command claims measures what a claim costs: its latency, the appends and the
+// payments that one partition carries, and the memory of a kept claim. Keeper,
+// log stand-in and executor run in this process and talk over loopback.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"os"
+	"runtime"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/phuslu/log"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/galenaweir/galenaweir/agent"
+	"github.com/galenaweir/galenaweir/claimsvc"
+	"github.com/galenaweir/galenaweir/core/claims"
+	"github.com/galenaweir/galenaweir/core/config"
+	"github.com/galenaweir/galenaweir/logsvc"
+	"github.com/galenaweir/galenaweir/node"
+	"github.com/galenaweir/galenaweir/rpc"
+	"github.com/galenaweir/galenaweir/rpc/dial"
+	standinlog "github.com/galenaweir/galenaweir/standin/logsvc"
+)
+
+type options struct {
+	Rates      []int         `long:"rate" default:"1" default:"10" default:"100" default:"640" default:"1600" default:"3000" description:"payments a second"`
+	Duration   time.Duration `long:"duration" default:"5s" description:"time for each rate"`
+	Interval   int64         `long:"interval-ms" default:"40" description:"between two appends of the partition"`
+	LogDelayMs int64         `long:"log-delay-ms" default:"5" description:"before each answer of the log"`
+	Kept       int           `long:"kept" default:"200000" description:"claims for the measurement of memory"`
+}
+
+const (
+	agentID     = "agent-0"
+	logTimeout  = 2 * time.Second
+	answerBytes = 200 // of a payment's recorded answer
+)
+
+// single is a configuration with one partition and a list with one agent.
+type single struct {
+	doc     config.Document
+	address string
+}
+
+func (s *single) Current() *node.ConfigState { return &node.ConfigState{Version: 1, Doc: &s.doc} }
+func (s *single) Changed() <-chan struct{}   { return nil }
+func (s *single) All() []node.Member {
+	m, _ := s.Get(agentID)
+	return []node.Member{m}
+}
+func (s *single) Get(id string) (node.Member, bool) {
+	return node.Member{ID: agentID, Role: node.RoleAgent, Address: s.address, State: node.Live}, id == agentID
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	log.DefaultLogger.SetLevel(log.ErrorLevel)
+	fmt.Printf("one partition, append interval %d ms, log answers after %d ms\n", o.Interval, o.LogDelayMs)
+	fmt.Printf("%12s %10s %10s %10s %10s %12s\n", "payments/s", "granted", "failed", "p50 ms", "p99 ms", "appends/s")
+	for _, rate := range o.Rates {
+		if err := measure(o, rate); err != nil {
+			fmt.Fprintln(os.Stderr, "measure:", err)
+			os.Exit(1)
+		}
+	}
+	fmt.Printf("memory for each kept claim with an answer of %d bytes: %d bytes\n", answerBytes, memory(o.Kept))
+}
+
+// result is what the payments of one rate came to.
+type result struct {
+	mu     sync.Mutex
+	took   []time.Duration
+	failed int
+}
+
+func (r *result) add(d time.Duration, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err != nil {
+		r.failed++
+		return
+	}
+	r.took = append(r.took, d)
+}
+
+// measure sends payments at the rate, without waiting for their answers.
+func measure(o options, rate int) error {
+	l := standinlog.New(0, time.Now)
+	l.SetFaults(standinlog.Faults{DelayMs: o.LogDelayMs})
+	logServer := httptest.NewServer(l.Handler())
+	defer logServer.Close()
+	s := &single{doc: config.Document{Claims: config.Claims{Partitions: 1, GroupIntervalMs: o.Interval}}}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	s.address = listener.Addr().String()
+	keeper := claimsvc.NewService(claimsvc.Options{ID: agentID, Log: logsvc.New(logServer.Listener.Addr().String(), logTimeout), Config: s, Members: s})
+	defer keeper.Close()
+	server := grpc.NewServer()
+	rpc.RegisterAgentServer(server, agent.New(agent.Options{ID: agentID, Config: s, Members: s, Claims: keeper}))
+	go func() { _ = server.Serve(listener) }()
+	defer server.Stop()
+	pool := dial.New(insecure.NewCredentials())
+	defer pool.Close()
+	client := claimsvc.NewClient(s, pool)
+	if err := pay(client, fmt.Sprintf("warm-%d", rate), new(result)); err != nil {
+		return err
+	}
+	before := l.Appends()
+	var r result
+	send(client, rate, o.Duration, &r)
+	appends := float64(l.Appends()-before) / o.Duration.Seconds()
+	slices.Sort(r.took)
+	fmt.Printf("%12d %10d %10d %10.1f %10.1f %12.1f\n", rate, len(r.took), r.failed, percentile(r.took, 50), percentile(r.took, 99), appends)
+	return nil
+}
+
+func send(client *claimsvc.Client, rate int, d time.Duration, r *result) {
+	var wg sync.WaitGroup
+	start := time.Now()
+	for i := range int(float64(rate) * d.Seconds()) {
+		time.Sleep(time.Until(start.Add(time.Duration(i) * time.Second / time.Duration(rate))))
+		wg.Go(func() { _ = pay(client, fmt.Sprintf("%d-%d", rate, i), r) })
+	}
+	wg.Wait()
+}
+
+var errNotGranted = errors.New("the claim was not granted")
+
+// pay claims a key and records an outcome; the latency is that of the claim,
+// since the outcome follows the caller's answer.
+func pay(client *claimsvc.Client, id string, r *result) error {
+	ctx, h, now := context.Background(), claims.KeyHash("customer", id), time.Now()
+	reply, err := client.Claim(ctx, &rpc.ClaimRequest{
+		KeyHash: h[:], BodyHash: h[:], AttemptId: id, Executor: agentID, KeyTimeMs: now.UnixMilli(), ExpiresMs: now.Add(time.Hour).UnixMilli(),
+	})
+	if err == nil && reply.Result != rpc.ClaimReply_RESULT_GRANTED {
+		err = fmt.Errorf("%w: %v", errNotGranted, reply.Result)
+	}
+	r.add(time.Since(now), err)
+	if err != nil {
+		return err
+	}
+	return client.Settle(ctx, 0, id, claims.Outcome{Status: 200, Body: make([]byte, answerBytes), BodyKept: true})
+}
+
+// percentile returns one of sorted durations, in milliseconds.
+func percentile(sorted []time.Duration, p int) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	d := sorted[(len(sorted)-1)*p/100]
+	return float64(d) / float64(time.Millisecond)
+}
+
+// memory returns the heap bytes of one kept claim.
+func memory(kept int) uint64 {
+	const group = claims.MaxGroup / 2
+	s, before := claims.NewState(), heap()
+	for o := range kept / group {
+		e := claims.Entry{Offset: int64(o), TimeMs: 1}
+		for i := range group {
+			id := fmt.Sprintf("%036d", o*group+i) // the length of a UUID
+			c := claims.Claim{Key: claims.KeyHash("customer", id), Attempt: id, Executor: agentID, Incarnation: id[1:], KeyTimeMs: 1, ExpiresMs: 2}
+			e.Records = append(e.Records, claims.Record{Kind: claims.KindClaim, Attempt: id, Claim: c},
+				claims.Record{Kind: claims.KindOutcome, Attempt: id, Outcome: claims.Outcome{Status: 200, Body: make([]byte, answerBytes), BodyKept: true}})
+		}
+		s.Read(claims.Page{Next: int64(o) + 1, Entries: []claims.Entry{e}})
+	}
+	used := heap() - before
+	return used / uint64(s.Size())
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
