--- a/core/membership/compose.go
+++ b/core/membership/compose.go
@@ -7,11 +7,12 @@
 )
 
 // sendFactor times log2 of the members is how often one process passes an update
-// on; with a factor of 3 an update reaches all members with near certainty.
-const sendFactor = 3
+// on. The rare member that misses it gets it by the slow repetition, so a low
+// factor serves, which empties the messages sooner after many changes.
+const sendFactor = 2
 
 func (m *Machine) announce(r *record) {
-	if r.sends == 0 {
+	if !slices.Contains(m.queue, r) {
 		m.queue = append(m.queue, r)
 	}
 	r.sends = sendFactor * bits.Len(uint(len(m.ring)))
@@ -24,7 +25,7 @@
 	memberBytes   = 34
 	endpointBytes = 10
 	usageBytes    = 16
-	maxUsageBytes = 250 // of a message
+	maxUsageBytes = 160 // of a message
 )
 
 func (u *Member) size() int {
@@ -61,17 +62,17 @@
 	case r.State != Live:
 		put(short(r))
 	}
+	m.queue = slices.DeleteFunc(m.queue, func(r *record) bool { return r.sends == 0 })
 	slices.SortStableFunc(m.queue, func(a, b *record) int { return b.sends - a.sends })
 	isolated := m.isolated(now)
 	for _, r := range m.queue {
 		if isolated && (r.State == Suspect || r.State == Gone) {
 			continue
 		}
-		if r.ID != to && put(m.update(r)) {
+		if r.sends > 0 && r.ID != to && put(m.update(r)) {
 			r.sends--
 		}
 	}
-	m.queue = slices.DeleteFunc(m.queue, func(r *record) bool { return r.sends == 0 })
 	if sweep {
 		m.sweep = (m.sweep + 1) % len(m.ring)
 		if r := m.ring[m.sweep]; r.sends == 0 && r.ID != to && r.Incarnation > 0 {
--- a/core/membership/detect.go
+++ b/core/membership/detect.go
@@ -202,10 +202,16 @@
 	return []Command{m.exchange(now, m.gone[m.rand.IntN(len(m.gone))])}
 }
 
+// firstSendPart divides the sends of the first announcement of a member from the
+// host list, which the others know from there. It shortens the time of full
+// messages after a start of all processes.
+const firstSendPart = 2
+
 // apply takes an update. It returns true when this process must announce itself
 // again because the sender holds something else of it.
 func (m *Machine) apply(now time.Duration, u Member, spread bool) bool {
 	r := m.members[u.ID]
+	first := r != nil && r.Incarnation == 0
 	switch {
 	case r == m.self:
 		return m.applySelf(u)
@@ -227,6 +233,9 @@
 	}
 	if spread {
 		m.announce(r)
+		if first {
+			r.sends /= firstSendPart
+		}
 	}
 	return false
 }
--- a/core/membership/machine.go
+++ b/core/membership/machine.go
@@ -310,7 +310,6 @@
 		}
 		m.apply(now, u, false)
 	}
-	m.queue = slices.DeleteFunc(m.queue, func(r *record) bool { return r.sends == 0 })
 	m.announce(m.self)
 }
 
--- a/core/membership/member.go
+++ b/core/membership/member.go
@@ -98,7 +98,7 @@
 	Reprobe      time.Duration // between probes of gone members, 10 intervals
 	Forget       time.Duration // gone members that the host list lacks are forgotten, 720 × Reprobe
 	JoinJitter   time.Duration // wait before the first fetch of members, up to 2 intervals
-	ListMaxAge   time.Duration // older host lists are no witness, 600 intervals
+	ListMaxAge   time.Duration // older host lists are no witness, 1200 intervals
 	UsageMaxAge  time.Duration // older usage isn't passed on, 10 intervals
 	MaxGrants    int           // member snapshots handed out at a time, 4
 	MessageBytes int           // bound of an encoded message, 400
@@ -113,7 +113,7 @@
 	reprobeIntervals    = 10
 	forgetReprobes      = 720
 	joinIntervals       = 2
-	listIntervals       = 600
+	listIntervals       = 1200
 	usageIntervals      = 10
 	defaultMaxGrants    = 4
 	defaultMessageBytes = 400
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -45,7 +45,7 @@
 const (
 	defaultInterval  = time.Second
 	defaultRetention = 7 * 24 * time.Hour
-	listIntervals    = 300 // between reads of the host list, about 40 KB at 330 hosts
+	listIntervals    = 600 // between reads of the host list, about 40 KB at 330 hosts
 	retryIntervals   = 2   // after a failed read of the host list
 	minCallTimeout   = time.Second
 )
