Test late ticks, cuts, silent connections and the operators' commands

Change: tests for these guards; SnapshotDue counts from its first call when no record was read; the stand-in cuts waiting reads.

--- a/core/config/handon.go
+++ b/core/config/handon.go
@@ -85,6 +85,9 @@
 	}
 	last := s.snapshotMs
 	if last == 0 {
+		if s.firstMs == 0 { // nothing was read yet, since a peer handed over the state
+			s.firstMs = now.UnixMilli()
+		}
 		last = s.firstMs
 	}
 	return now.UnixMilli()-last >= (retention / 2).Milliseconds()
--- a/core/config/stream_test.go
+++ b/core/config/stream_test.go
@@ -124,6 +124,7 @@
 		{"undecodable", nil, config.ErrMalformed},
 		{"invalid", record(t, "x", st, d(""), false), config.ErrInvalid},
 		{"claim partitions", record(t, "x", st, document(t, "two", 9), false), config.ErrPartitions},
+		{"snapshot of the future", &config.Record{Snapshot: true, AsOf: 1, NewVersion: 9}, config.ErrMalformed},
 		{"no change", record(t, "x", st, d("one"), true), config.ErrUnchanged},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -150,6 +151,12 @@
 	old := config.NewStream()
 	(&memLog{entries: l.entries[:2]}).readAll(old)
 	late := old.SnapshotRecord("late", "late")
+	handed := config.NewStream()
+	require.NoError(t, handed.Adopt(s.State()))
+	l.readAll(handed)
+	now := time.UnixMilli(1 << 40)
+	assert.False(t, handed.SnapshotDue(now, time.Hour), "a process writes a snapshot only because it has read none")
+	assert.True(t, handed.SnapshotDue(now.Add(time.Hour/2), time.Hour))
 	l.trim(3)
 	l.append(late) // as of offset 1, but offset 2 is trimmed
 	fresh := config.NewStream()
@@ -159,6 +166,7 @@
 	l.readAll(old)
 	assert.EqualValues(t, 2, old.Version(), "records after a gap were taken")
 	assert.True(t, old.Stuck())
+	assert.False(t, old.SnapshotDue(now, time.Hour), "a stuck process can't vouch for its version")
 
 	require.NoError(t, old.Adopt(s.State()))
 	l.readAll(old)
@@ -212,6 +220,13 @@
 	assert.True(t, ok, "adopted patches aren't passed on")
 	require.ErrorIs(t, p.Adopt(first), config.ErrOld)
 	require.ErrorIs(t, p.AdoptPatches(rs, s.Through()), config.ErrOld)
+	l.append(record(t, "w", s.State(), document(t, "v5", 8), true))
+	l.readAll(s)
+	_, ok = s.PatchesSince(3, nil)
+	assert.False(t, ok, "patches beyond a whole document")
+	_, ok = s.PatchesSince(1, first.Hash.Short())
+	assert.False(t, ok, "patches that don't lead to the version in force")
+	require.NoError(t, p.Adopt(s.State()))
 	other := *s.State()
 	other.Hash = config.Hash{}
 	require.ErrorIs(t, p.Adopt(&other), config.ErrConflict)
--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -1,6 +1,8 @@
 package membership_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -89,12 +91,56 @@
 // the indirect probes prevent, and of one that is slow but within the timeout.
 func TestOneWayCutAndSlowHostAreNotSuspected(t *testing.T) {
 	n := newNet(t, 60)
-	a, slow := n.Nodes[3], n.Nodes[30]
-	n.Cut = func(from, to *simnet.Node) bool { return from == a && to != n.Nodes[4] && to.ID[len(to.ID)-1] == '5' }
+	cut := map[*simnet.Node]*simnet.Node{n.Nodes[0]: nil, n.Nodes[1]: nil, n.Nodes[2]: nil, n.Nodes[3]: nil}
+	n.Cut = func(from, to *simnet.Node) bool {
+		// The first that each of these writes to becomes unreachable for it.
+		if y, ok := cut[from]; ok && y == nil {
+			cut[from] = to
+		}
+		return cut[from] == to
+	}
+	slow := n.Nodes[30]
 	slow.Slow = 300 * time.Millisecond
-	for _, y := range []*simnet.Node{n.Nodes[5], n.Nodes[15], slow} {
-		assert.Zero(t, worst(n, settle, y, membership.Suspect, membership.Gone), y.ID)
+	for end := n.Now + 2*settle; n.Now < end; {
+		n.Run(time.Second)
+		for _, y := range n.Nodes {
+			require.Zero(t, seen(n, y, membership.Suspect)+seen(n, y, membership.Gone), y.ID)
+		}
+	}
+}
+
+// Guards against a starved process, which hears others but runs late, that
+// suspects them or cuts their time to refute short.
+func TestLateTicksSuspendJudgement(t *testing.T) {
+	at := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+	m := membership.New(membership.Options{Self: membership.Member{ID: "x", Incarnation: 1}, Rand: rand.New(rand.NewPCG(7, 7))})
+	hear := func(s float64, updates ...membership.Member) {
+		m.Receive(at(s), membership.Message{From: "m0", Incarnation: 1, Updates: updates})
+	}
+	for i := range 8 {
+		hear(0, membership.Member{ID: fmt.Sprint("m", i), Address: fmt.Sprint("a", i), State: membership.Live, Incarnation: 1})
+	}
+	for s := range 20 {
+		m.Tick(at(float64(s)))
+	}
+	hear(19, membership.Member{ID: "m1", State: membership.Suspect, Incarnation: 1})
+	hear(60, membership.Member{})
+	assert.Empty(t, m.Failed(at(60), "m2"), "a failure that was noticed before the late tick")
+	const rotation = 4 // out-neighbours among 9
+	for s := range rotation + 1 {
+		m.Tick(at(float64(60 + s)))
+		hear(float64(60 + s))
+		assert.Equal(t, s == rotation, len(m.Failed(at(60.5+float64(s)), "m2")) > 0, "%d ticks after the late one", s)
+	}
+	m.Tick(at(65))
+	u, _ := m.Get(at(65), "m1")
+	assert.Equal(t, membership.Suspect, u.State, "the time of the suspect went on during the pause")
+	for s := range 4 {
+		hear(float64(66 + s))
+		m.Tick(at(float64(66 + s)))
 	}
+	u, _ = m.Get(at(70), "m1")
+	assert.Equal(t, membership.Gone, u.State)
 }
 
 // Guards against a resumed process that suspects others for its own lateness.
--- /dev/null
+++ b/core/membership/rendezvous_test.go
@@ -0,0 +1,41 @@
+package membership_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/galenaweir/galenaweir/core/membership"
+)
+
+// Guards against duties that move when an uninvolved member comes or goes, that
+// depend on the order of the IDs, or that pile up on a few members.
+func TestRendezvous(t *testing.T) {
+	const members, keys = 330, 3300
+	ids := make([]string, members)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("host-%03d", i)
+	}
+	reversed := slices.Clone(ids)
+	slices.Reverse(reversed)
+	held := map[string]int{}
+	for k := range uint64(keys) {
+		got := membership.Rendezvous(k, ids, 3)
+		assert.Len(t, got, 3)
+		assert.Equal(t, got, membership.Rendezvous(k, reversed, 3))
+		assert.Equal(t, got[0], membership.Owner(k, ids))
+		without := slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return id == got[0] })
+		assert.Equal(t, got[1:], membership.Rendezvous(k, without, 2))
+		held[got[0]]++
+	}
+	for _, id := range ids {
+		assert.Less(t, held[id], 3*keys/members, id)
+	}
+	assert.Empty(t, membership.Rendezvous(1, nil, 3))
+	assert.Len(t, membership.Rendezvous(1, ids[:2], 3), 2)
+	assert.Empty(t, membership.Owner(1, nil))
+	buf := make([]string, 0, 3)
+	assert.Zero(t, testing.AllocsPerRun(10, func() { buf = membership.AppendRendezvous(buf[:0], 7, ids, 3) }))
+}
--- /dev/null
+++ b/operator/operator_test.go
@@ -0,0 +1,90 @@
+package operator
+
+import (
+	"bytes"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaweir/galenaweir/rpc"
+	standinlog "github.com/galenaweir/galenaweir/standin/logsvc"
+)
+
+const valid = `{
+	// comments are allowed
+	"deployment": "d", "failure_domains": {"a": {"region": "r"}}, "priorities": {"standard": {"default_deadline_ms": 1000}},
+	"claims": {"partitions": 8, "key_window_seconds": 3600, "group_interval_ms": 40, "max_answer_bytes": 1024},
+}`
+
+func write(t *testing.T, text string) string {
+	f := filepath.Join(t.TempDir(), "document.json")
+	require.NoError(t, os.WriteFile(f, []byte(text), 0o600))
+	return f
+}
+
+// Guards against documents that are published with mistyped fields, invalid
+// values, or as something else than a document.
+func TestValidate(t *testing.T) {
+	for _, c := range []struct{ name, text, want string }{
+		{"valid", valid, ""},
+		{"unknown field", `{"deploymnt": "d"}`, "deploymnt"},
+		{"invalid", `{"deployment": "d"}`, "priorities: is empty"},
+		{"not JSON", `{`, "not valid JSON"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			err := (&validateCommand{file{write(t, c.text)}}).Execute(nil)
+			if c.want == "" {
+				require.NoError(t, err)
+				return
+			}
+			require.ErrorContains(t, err, c.want)
+		})
+	}
+	require.Error(t, (&validateCommand{file{"missing"}}).Execute(nil))
+}
+
+// Guards against a difference that shows anything but the change.
+func TestDiff(t *testing.T) {
+	s := httptest.NewServer(standinlog.New(0, time.Now).Handler())
+	defer s.Close()
+	src := source{Log: s.Listener.Addr().String()}
+	f := write(t, valid)
+	diff := func(path string) string {
+		var out bytes.Buffer
+		require.NoError(t, (&diffCommand{file: file{path}, source: src, out: &out}).Execute(nil))
+		return out.String()
+	}
+	assert.Contains(t, diff(f), "no version is in force")
+	require.NoError(t, (&publishCommand{file: file{f}, source: src}).Execute(nil))
+	assert.Contains(t, diff(f), "is version 1, which is in force")
+	changed := write(t, string(bytes.Replace([]byte(valid), []byte(`"d"`), []byte(`"e"`), 1)))
+	assert.Equal(t, "changes to version 1 (JSON merge patch; null removes):\n{\n  \"deployment\": \"e\"\n}\n", diff(changed))
+}
+
+// Guards against a status that hides a process that lags or isn't ready.
+func TestStatusReportsDisagreement(t *testing.T) {
+	at := func(version int64, ready bool) statusOf {
+		return statusOf{Address: "a", Reply: &rpc.StatusReply{Id: "x", Ready: ready, ConfigVersion: version, ConfigHash: []byte{byte(version)}}}
+	}
+	for _, c := range []struct {
+		name string
+		ss   []statusOf
+		want bool
+	}{
+		{"agreed", []statusOf{at(2, true), at(2, true)}, true},
+		{"lagging", []statusOf{at(2, true), at(1, true)}, false},
+		{"not ready", []statusOf{at(2, true), at(2, false)}, false},
+		{"no answer", []statusOf{at(2, true), {Address: "b", Err: assert.AnError}}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var out bytes.Buffer
+			assert.Equal(t, c.want, printStatuses(&out, c.ss) == nil)
+			assert.Contains(t, out.String(), "version")
+		})
+	}
+}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -47,6 +47,39 @@
 	mu    sync.Mutex
 	hosts []hostlist.Host
 	peers []*peer.Peer
+	conns []*silentConn
+}
+
+// silentConn is a connection that can lose everything that is sent on it.
+type silentConn struct {
+	net.Conn
+	silent atomic.Bool
+}
+
+func (c *silentConn) Write(b []byte) (int, error) {
+	if c.silent.Load() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *cluster) dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+	s := &silentConn{Conn: conn}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.conns = append(c.conns, s)
+	return s, err
+}
+
+// silence makes all connections silent and returns their number.
+func (c *cluster) silence() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, x := range c.conns {
+		x.silent.Store(true)
+	}
+	return len(c.conns)
 }
 
 // Hosts implements peer.HostList.
@@ -73,7 +106,7 @@
 }
 
 func (c *cluster) newPool() *dial.Pool {
-	p := dial.New(insecure.NewCredentials())
+	p := dial.New(insecure.NewCredentials(), grpc.WithContextDialer(c.dial))
 	c.t.Cleanup(p.Close)
 	return p
 }
@@ -233,6 +266,34 @@
 	c.eventually("leaving is known", func() bool { m, _ := p.Get("host-00"); return m.State == node.Leaving })
 }
 
+// Guards against connections that a middlebox has silenced and that are used for
+// ever.
+func TestSilentConnectionsAreReplaced(t *testing.T) {
+	c := newCluster(t, 3)
+	live := c.all(func(p *peer.Peer) bool {
+		n := 0
+		for _, m := range p.All() {
+			if m.State == node.Live {
+				n++
+			}
+		}
+		return n == 3
+	})
+	_, err := c.publish("first", "eve", nil)
+	require.NoError(t, err)
+	c.eventually("ready", func() bool { return live() && c.all((*peer.Peer).Ready)() })
+	before := c.silence()
+	c.eventually("new connections", func() bool {
+		c.mu.Lock()
+		n := len(c.conns)
+		c.mu.Unlock()
+		return n >= 2*before && live()
+	})
+	_, err = c.publish("second", "eve", nil)
+	require.NoError(t, err)
+	c.eventually("version 2 everywhere", c.inForce(2))
+}
+
 // fakeLog counts reads and fails while down.
 type fakeLog struct {
 	logsvc.Log
@@ -326,13 +387,13 @@
 	require.NoError(t, err)
 	c.eventually("ready", c.all(func(p *peer.Peer) bool { return p.Ready() && p.Current() != nil }))
 	c.log.SetFaults(standinlog.Faults{Outage: true})
-	c.log.Append(node.ConfigStream, []byte("dropped unread"))
-	c.log.Trim(node.ConfigStream, 2)
+	unread := c.log.Append(node.ConfigStream, []byte("dropped unread")).Offset
+	c.log.Trim(node.ConfigStream, unread+1)
 	c.log.SetFaults(standinlog.Faults{})
 	c.eventually("a snapshot", func() bool {
-		page, _ := c.log.Read(node.ConfigStream, 2, 10)
+		page, _ := c.log.Read(node.ConfigStream, 0, 10)
 		var r rpc.ConfigRecord
-		return len(page.Records) > 0 && proto.Unmarshal(page.Records[0].Data, &r) == nil && r.Snapshot && r.AsOfOffset == 1
+		return len(page.Records) > 0 && proto.Unmarshal(page.Records[0].Data, &r) == nil && r.Snapshot && r.AsOfOffset == unread
 	})
 	p, err := c.publish("second", "eve", nil)
 	require.NoError(t, err)
--- a/standin/logsvc/logsvc.go
+++ b/standin/logsvc/logsvc.go
@@ -240,6 +240,12 @@
 	}
 }
 
+func (l *Log) outage() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.faults.Outage
+}
+
 func (l *Log) handleRead(w http.ResponseWriter, r *http.Request) {
 	l.mu.Lock()
 	f := l.faults
@@ -265,6 +271,10 @@
 		}
 		select {
 		case <-changed:
+			if l.outage() {
+				httpjson.Error(w, http.StatusServiceUnavailable, "the log is unavailable")
+				return
+			}
 		case <-deadline:
 			waitMs = 0
 		case <-r.Context().Done():
