--- a/core/membership/detect.go
+++ b/core/membership/detect.go
@@ -28,13 +28,13 @@
 // take applies a message. It returns true when this process must announce itself
 // to the sender.
 func (m *Machine) take(now time.Duration, msg Message) bool {
+	m.contact(now, msg.From)
+	m.heardAt = now
 	again := false
 	for _, u := range msg.Updates {
 		again = m.apply(now, u, true) || again
 	}
 	m.takeUsage(now, msg.Usage)
-	m.contact(now, msg.From)
-	m.heardAt = now
 	if r := m.members[msg.From]; r != nil && r != m.self {
 		r.ConfigVersion = max(r.ConfigVersion, msg.ConfigVersion)
 		r.asked = msg.Incarnation > r.Incarnation
@@ -57,6 +57,10 @@
 	return len(m.ring) >= minJudges && now-m.heardAt > isolatedIntervals*m.o.Interval
 }
 
+// healingReprobes times the interval of probes is how long gone members are
+// probed at every tick after one of them answered.
+const healingReprobes = 3
+
 // contact notices that this process or the sender was cut off: this one heard
 // from nobody, or it took the sender for gone. The members are fetched again.
 func (m *Machine) contact(now time.Duration, from string) {
@@ -77,7 +81,7 @@
 	m.joinAt = now + m.jitter(m.o.JoinJitter)
 	if back {
 		m.rejoin = r.Member
-		m.healing = now + m.o.Reprobe
+		m.healing = now + healingReprobes*m.o.Reprobe
 	}
 }
 
@@ -202,10 +206,16 @@
 	return []Command{m.exchange(now, m.gone[m.rand.IntN(len(m.gone))])}
 }
 
+// firstSendPart divides the sends of the first announcement of a member from the
+// host list, which the others know from there. It shortens the time of full
+// messages after a start of all processes.
+const firstSendPart = 2
+
 // apply takes an update. It returns true when this process must announce itself
 // again because the sender holds something else of it.
 func (m *Machine) apply(now time.Duration, u Member, spread bool) bool {
 	r := m.members[u.ID]
+	first := r != nil && r.Incarnation == 0
 	switch {
 	case r == m.self:
 		return m.applySelf(u)
@@ -227,6 +237,9 @@
 	}
 	if spread {
 		m.announce(r)
+		if first {
+			r.sends /= firstSendPart
+		}
 	}
 	return false
 }
