Test bad input, and log and metrics for prompts

Cause: no test sent the callers' interface anything but good requests. Result: the half request hung: the server reads the rest of a body before it answers, and the time limit had been taken off. It stays on now.

--- a/entry/http.go
+++ b/entry/http.go
@@ -174,12 +174,17 @@
 func (e *Entry) readBody(c iris.Context) ([]byte, error) {
 	rc := http.NewResponseController(c.ResponseWriter().Naive())
 	_ = rc.SetReadDeadline(time.Now().Add(e.o.CallerTimeout)) // a recorder in a test has none
-	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
 	b, err := io.ReadAll(http.MaxBytesReader(c.ResponseWriter(), c.Request().Body, e.o.MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
+		_ = rc.SetReadDeadline(time.Time{})
 		return b, nil
+	}
+	// The deadline stays, since the server reads the rest of the body before it
+	// sends the answer.
+	c.Header("Connection", "close")
+	switch {
 	case errors.As(err, &tooLarge):
 		return nil, apierr.New(apierr.TooLarge, apierr.NotRun, "the body is larger than "+strconv.FormatInt(e.o.MaxBodyBytes, 10)+" bytes", "shorten the conversation")
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -47,6 +47,8 @@
 	routingSeed  = 7
 	// longAnswer lasts over a second, so that a test can act while it runs.
 	longAnswer = 600
+	// writeBufferBytes is small, so that a caller that doesn't read is soon felt.
+	writeBufferBytes = 4 << 10
 	// waitLimit bounds a wait for something that happens by itself.
 	waitLimit = 30 * time.Second
 )
@@ -176,7 +178,13 @@
 		Config: p.config, Members: members, Pool: pool, Routing: leastload.Policy{}, Seed: routingSeed, Metrics: p.figures, CallerTimeout: silenceLimit})
 	h, err := p.entry.Handler()
 	require.NoError(t, err)
-	s := httptest.NewServer(h)
+	s := httptest.NewUnstartedServer(h)
+	s.Config.ConnState = func(c net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			_ = c.(*net.TCPConn).SetWriteBuffer(writeBufferBytes)
+		}
+	}
+	s.Start()
 	t.Cleanup(s.Close)
 	p.url = s.URL
 	return p
@@ -220,12 +228,12 @@
 
 func request(text string, tokens int) openai.ChatCompletionRequest {
 	return openai.ChatCompletionRequest{Model: model, MaxCompletionTokens: tokens, StreamOptions: &openai.StreamOptions{IncludeUsage: true},
-		Messages: []openai.ChatCompletionMessage{{Role: "user", Content: text}}}
+		Messages: []openai.ChatCompletionMessage{{Role: "user", Content: marker + text}}}
 }
 
 // expected returns the answer that the engines give.
 func expected(text string, tokens int) string {
-	return engine.Answer(prefix.Render([]prefix.Message{{Role: "user", Content: text}}), tokens)
+	return engine.Answer(prefix.Render([]prefix.Message{{Role: "user", Content: marker + text}}), tokens)
 }
 
 // answer is what a caller received.
@@ -276,7 +284,7 @@
 	require.Equal(p.t, expected(text, tokens), a.text)
 	require.NotNil(p.t, a.usage)
 	require.Equal(p.t, tokens, a.usage.CompletionTokens)
-	require.Equal(p.t, prefix.Tokens(prefix.Render([]prefix.Message{{Role: "user", Content: text}})), a.usage.PromptTokens)
+	require.Equal(p.t, prefix.Tokens(prefix.Render([]prefix.Message{{Role: "user", Content: marker + text}})), a.usage.PromptTokens)
 }
 
 // eventually waits for something that other goroutines bring about.
