Test settings and TLS

Cause: neither had tests. Conclusion: a renewed pair that is half written leaves the old one in use.

--- /dev/null
+++ b/tlsconf/tlsconf_test.go
@@ -0,0 +1,187 @@
+package tlsconf
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc/credentials"
+
+	"github.com/galenaweir/galenaweir/settings"
+)
+
+// authority is a CA made in the test.
+type authority struct {
+	t    *testing.T
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T) *authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test CA"}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	require.NoError(t, err)
+	cert, err := x509.ParseCertificate(der)
+	require.NoError(t, err)
+	return &authority{t, cert, key}
+}
+
+// issue writes a certificate for the IP number, its key and the CA to the files.
+func (a *authority) issue(f settings.TLS, ip string, serial int64) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(a.t, err)
+	template := &x509.Certificate{SerialNumber: big.NewInt(serial), IPAddresses: []net.IP{net.ParseIP(ip)},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	require.NoError(a.t, err)
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	require.NoError(a.t, err)
+	write := func(file, kind string, der []byte) {
+		require.NoError(a.t, os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
+		// The time may be as coarse as a tick, so each version gets its own.
+		at := time.Now().Add(time.Duration(serial) * time.Minute)
+		require.NoError(a.t, os.Chtimes(file, at, at))
+	}
+	write(f.CertFile, "CERTIFICATE", der)
+	write(f.KeyFile, "EC PRIVATE KEY", keyDER)
+	write(f.CAFile, "CERTIFICATE", a.cert.Raw)
+}
+
+func files(t *testing.T) settings.TLS {
+	d := t.TempDir()
+	f := settings.TLS{CertFile: filepath.Join(d, "cert"), KeyFile: filepath.Join(d, "key"), CAFile: filepath.Join(d, "ca")}
+	f.CallerCert, f.CallerKey = f.CertFile, f.KeyFile
+	return f
+}
+
+// handshake returns the serial numbers that each side saw of the other.
+func handshake(t *testing.T, client, server credentials.TransportCredentials) (seenByClient, seenByServer int64, err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	type result struct {
+		serial int64
+		err    error
+	}
+	served := make(chan result, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			served <- result{0, err}
+			return
+		}
+		defer c.Close()
+		_, info, err := server.ServerHandshake(c)
+		served <- result{serial(info), err}
+	}()
+	c, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	_, info, err := client.ClientHandshake(t.Context(), l.Addr().String(), c)
+	if err != nil {
+		_ = c.Close()
+	}
+	s := <-served
+	if err == nil {
+		err = s.err
+	}
+	return serial(info), s.serial, err
+}
+
+func serial(info credentials.AuthInfo) int64 {
+	t, ok := info.(credentials.TLSInfo)
+	if !ok {
+		return 0
+	}
+	return t.State.PeerCertificates[0].SerialNumber.Int64()
+}
+
+// Guards against a peer without a certificate of the CA, or at another address
+// than its certificate names, and against renewed files that are not used.
+func TestPeers(t *testing.T) {
+	ca := newAuthority(t)
+	entry, agent := files(t), files(t)
+	ca.issue(entry, "127.0.0.1", 2)
+	ca.issue(agent, "127.0.0.1", 3)
+	client, err := Peers(entry)
+	require.NoError(t, err)
+	l, err := newLoader(time.Now, agent.CertFile, agent.KeyFile, agent.CAFile)
+	require.NoError(t, err)
+	now := time.Now()
+	l.now = func() time.Time { return now }
+	server := peers{l}
+	a, b, err := handshake(t, client, server)
+	require.NoError(t, err)
+	require.Equal(t, []int64{3, 2}, []int64{a, b})
+
+	stranger := files(t)
+	newAuthority(t).issue(stranger, "127.0.0.1", 4)
+	require.NoError(t, copyFile(agent.CAFile, stranger.CAFile)) // it trusts us, but we don't trust it
+	other, err := Peers(stranger)
+	require.NoError(t, err)
+	_, _, err = handshake(t, other, server)
+	require.Error(t, err, "a client of another CA")
+	_, _, err = handshake(t, client, other)
+	require.Error(t, err, "a server of another CA")
+	_, _, err = handshake(t, credentials.NewTLS(&tls.Config{RootCAs: l.m.roots}), server)
+	require.Error(t, err, "a client without a certificate")
+
+	ca.issue(agent, "127.0.0.9", 5)
+	a, _, err = handshake(t, client, server)
+	require.NoError(t, err)
+	require.EqualValues(t, 3, a, "the files are looked at once in a second")
+	now = now.Add(checkInterval)
+	_, _, err = handshake(t, client, server)
+	require.ErrorContains(t, err, "127.0.0.9", "the certificate names another IP number")
+
+	require.NoError(t, os.WriteFile(agent.KeyFile, []byte("half a"), 0o600))
+	now = now.Add(checkInterval)
+	require.EqualValues(t, 5, l.current().cert.Leaf.SerialNumber.Int64(), "a broken pair leaves the earlier one in use")
+	ca.issue(agent, "127.0.0.1", 6)
+	now = now.Add(checkInterval)
+	a, _, err = handshake(t, client, server)
+	require.NoError(t, err)
+	require.EqualValues(t, 6, a)
+}
+
+func copyFile(from, to string) error {
+	b, err := os.ReadFile(from)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(to, b, 0o600)
+}
+
+// Guards against TLS that is off without having been switched off, and against
+// missing files that are noticed only at the first handshake.
+func TestSettings(t *testing.T) {
+	c, err := Peers(settings.TLS{Off: true})
+	require.NoError(t, err)
+	require.Equal(t, "insecure", c.Info().SecurityProtocol)
+	f := files(t)
+	_, err = Peers(f)
+	require.ErrorContains(t, err, "check the files of tls")
+	_, err = Callers(f)
+	require.Error(t, err)
+	newAuthority(t).issue(f, "127.0.0.1", 2)
+	conf, err := Callers(f)
+	require.NoError(t, err)
+	cert, err := conf.GetCertificate(nil)
+	require.NoError(t, err)
+	require.EqualValues(t, 2, cert.Leaf.SerialNumber.Int64())
+}
