Add fuzz targets for what comes from outside

Cause: settings, documents, engine frames and bodies are parsed from others' bytes, and only good ones had been tried. Change: five targets whose seeds run as tests; make fuzz looks for new inputs.

--- a/Makefile
+++ b/Makefile
@@ -45,3 +45,13 @@
 
 apt-tools:
 	@command -v protoc >/dev/null && command -v spin >/dev/null || { apt-get update -qq && apt-get install -y -qq protobuf-compiler spin; }
+
+# A number of runs: with a time, go test may report its own deadline as a failure.
+FUZZ_TIME ?= 20000x
+# The seeds of these run with the tests; this looks for new inputs.
+fuzz:
+	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZ_TIME) ./settings
+	go test -run '^$$' -fuzz FuzzDocument -fuzztime $(FUZZ_TIME) ./core/config
+	go test -run '^$$' -fuzz FuzzParseFrame -fuzztime $(FUZZ_TIME) ./protocol/streaming
+	go test -run '^$$' -fuzz FuzzParseCompletion -fuzztime $(FUZZ_TIME) ./entry
+	go test -run '^$$' -fuzz FuzzChecker -fuzztime $(FUZZ_TIME) ./core/stream
--- a/entry/input_test.go
+++ b/entry/input_test.go
@@ -34,10 +34,6 @@
 			code = 1
 		}
 	}
-	if !strings.Contains(logs.String(), `"decision":"route"`) && code == 0 {
-		fmt.Fprintln(os.Stderr, "FAIL: the log has no routing decision, so it was not captured")
-		code = 1
-	}
 	os.Exit(code)
 }
 
@@ -117,6 +113,7 @@
 		})
 	}
 	p.requireWhole(p.ask(t.Context(), "after all that", 5, nil), "after all that", 5)
+	require.Contains(t, logs.String(), `"decision":"route"`, "the log is captured")
 	require.NotContains(t, p.figures.String(), marker)
 	require.NotContains(t, p.figures.String(), secret)
 	require.Contains(t, p.figures.String(), `"first_token":{"standard":{"count":1,`)
--- a/protocol/streaming/streaming.go
+++ b/protocol/streaming/streaming.go
@@ -12,6 +12,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
@@ -268,6 +269,11 @@
 	e := protocol.Event{Kind: protocol.Text, AttemptID: f.ID, Seq: f.Seq, WeightVersion: f.WeightVersion, LengthBytes: f.LengthBytes}
 	if f.Usage != nil {
 		e.PromptTokens, e.CachedTokens, e.OutputTokens = f.Usage.PromptTokens, f.Usage.CachedTokens, f.Usage.CompletionTokens
+		for _, n := range []int{e.PromptTokens, e.CachedTokens, e.OutputTokens} {
+			if n < 0 || n > math.MaxUint32 { // counts are uint32 between agent and entry
+				return protocol.Event{}, fmt.Errorf("%w: malformed frame: a token count of %d", protocol.ErrCut, n)
+			}
+		}
 	}
 	if len(f.Choices) == 0 {
 		e.Kind = protocol.Started
