--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,9 @@
 demo: build
 	./bin/demo $(if $(KEEP),--keep)
 
+load: build
+	./bin/load
+
 # All that CI checks.
 test: lint unit
 	$(MAKE) demo
--- a/bench/local/document.go
+++ b/bench/local/document.go
@@ -9,6 +9,8 @@
 	"github.com/galenaweir/galenaweir/core/config"
 )
 
+const defaultSlots = 16
+
 // document returns the configuration of the deployment.
 func (d *Deployment) document() *config.Document {
 	doc := &config.Document{
@@ -38,10 +40,17 @@
 	for _, fd := range failureDomains {
 		doc.FailureDomains[fd] = config.FailureDomain{Region: "gujarat"}
 	}
+	slots := d.o.Slots
+	if slots == 0 {
+		slots = defaultSlots
+	}
 	for i, a := range d.Engines {
+		if d.ToEngine != nil {
+			a = d.ToEngine[i].Address()
+		}
 		doc.Endpoints[fmt.Sprintf("naviq-%d", i)] = config.Endpoint{
 			Host: fmt.Sprintf("host-%d", i), FailureDomain: failureDomains[i%len(failureDomains)], Agent: agentName(i),
-			Address: a, Model: Model, Slots: 16, Accelerators: 4, KVTokens: 65_536,
+			Address: a, Model: Model, Slots: slots, Accelerators: 4, KVTokens: 65_536,
 		}
 	}
 	for i, a := range d.ServiceAddrs {
--- a/bench/local/local.go
+++ b/bench/local/local.go
@@ -19,6 +19,7 @@
 	"github.com/galenaweir/galenaweir/core/config"
 	"github.com/galenaweir/galenaweir/hostlist"
 	"github.com/galenaweir/galenaweir/settings"
+	"github.com/galenaweir/galenaweir/standin/forwarder"
 )
 
 // Options sets the size of the deployment.
@@ -29,6 +30,8 @@
 	Services   int // replicas of levy-core, at the first agents
 	EngineArgs []string
 	Customers  []string
+	Slots      int  // of each engine in the document; 0 for 16
+	Forward    bool // put a forwarder between each agent and its engine
 }
 
 // Names of the deployment, those of Sarathi's.
@@ -50,6 +53,7 @@
 	Operators     map[string]string
 	RPC           map[string]string
 	Engines       []string
+	ToEngine      []*forwarder.Forwarder // when forwarding
 	ServiceAddrs  []string
 	LogAddress    string
 	HostAddress   string
@@ -89,6 +93,9 @@
 	for _, p := range d.Processes {
 		p.Kill()
 	}
+	for _, f := range d.ToEngine {
+		f.Close()
+	}
 	_ = os.RemoveAll(d.dir)
 }
 
@@ -105,6 +112,9 @@
 	if err := d.standins(); err != nil {
 		return err
 	}
+	if err := d.forward(); err != nil {
+		return err
+	}
 	d.Document = d.document()
 	if err := d.Publish(ctx, d.Document, 0); err != nil {
 		return err
@@ -122,6 +132,21 @@
 	return d.ready(ctx)
 }
 
+// forward puts a forwarder before each engine.
+func (d *Deployment) forward() error {
+	if !d.o.Forward {
+		return nil
+	}
+	for _, a := range d.Engines {
+		f, err := forwarder.New(a)
+		if err != nil {
+			return err
+		}
+		d.ToEngine = append(d.ToEngine, f)
+	}
+	return nil
+}
+
 func agentName(i int) string { return fmt.Sprintf("agent-%d", i) }
 func entryName(i int) string { return fmt.Sprintf("entry-%d", i) }
 
@@ -215,6 +240,7 @@
 	s.RPCAddress, s.OperatorAddress, s.CallerAddress = d.RPC[name], d.Operators[name], callers
 	s.LogAddress, s.HostListAddress = d.LogAddress, d.HostAddress
 	s.CacheSecret = hex.EncodeToString(make([]byte, sha256.Size))
+	s.DrainDelayMs = drainDelayMs
 	s.TLS.Off = true
 	b, err := json.Marshal(s)
 	if err != nil {
@@ -252,6 +278,7 @@
 }
 
 const (
+	drainDelayMs = 500 // there is no balancer that needs longer
 	pollInterval = 50 * time.Millisecond
 	readyLimit   = 20 * time.Second
 )
--- a/bench/local/process.go
+++ b/bench/local/process.go
@@ -67,6 +67,19 @@
 	}
 }
 
+// ExitCode returns the code of an ended process, -1 while it runs or when a signal
+// ended it.
+func (p *Process) ExitCode() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.done:
+		return p.cmd.ProcessState.ExitCode()
+	default:
+		return -1
+	}
+}
+
 // Kill ends the process at once.
 func (p *Process) Kill() {
 	p.Signal(syscall.SIGKILL)
