Show returns, a silent connection and a leaving agent in the demo

Cause: the demo sent one prompt. Change: the demo is a list of steps: a first prompt, a conversation that returns warm and after its eviction, silent connections to the engines, an agent that gets SIGTERM under load. KEEP=1 prints curl lines and waits. Conclusion: payments and a configuration change are further steps.

--- a/bench/cmd/demo/main.go
+++ b/bench/cmd/demo/main.go
@@ -1,24 +1,22 @@
-// Command demo brings up a deployment on loopback and runs the main job.
+// Command demo brings up a deployment on loopback and runs the main scenario.
 package main
 
 import (
 	"context"
 	"fmt"
 	"os"
-	"strings"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/jessevdk/go-flags"
-	openai "github.com/sashabaranov/go-openai"
 
 	"github.com/galenaweir/galenaweir/bench/local"
-	"github.com/galenaweir/galenaweir/core/prefix"
-	"github.com/galenaweir/galenaweir/standin/engine"
 )
 
 type options struct {
 	Bin  string `long:"bin" default:"bin" description:"folder of the programs"`
-	Keep bool   `long:"keep" description:"leave the deployment up until a key is pressed"`
+	Keep bool   `long:"keep" description:"leave the deployment up until interrupted"`
 }
 
 func main() {
@@ -34,54 +32,58 @@
 
 const demoLimit = time.Minute
 
+// Customers of the demo.
+const (
+	roadways = "vadodara-roadways"
+	haulage  = "kutch-haulage"
+)
+
+// step is one part of the demo; it prints one or a few lines.
+type step struct {
+	name string
+	run  func(ctx context.Context, d *local.Deployment) error
+}
+
+// steps returns the parts in their order. Steps that change the deployment come
+// last.
+func steps() []step {
+	return []step{
+		{"first prompt", firstPrompt},
+		{"returning conversation", returningConversation},
+		{"silent connection", silentConnection},
+		{"leaving agent", leavingAgent},
+	}
+}
+
 func run(o options) error {
 	ctx, cancel := context.WithTimeout(context.Background(), demoLimit)
 	defer cancel()
-	d, err := local.Start(ctx, local.Options{Bin: o.Bin, Agents: 4, Entries: 2, Services: 2, Customers: []string{"vadodara-roadways", "kutch-haulage"}})
+	d, err := local.Start(ctx, local.Options{Bin: o.Bin, Agents: 4, Entries: 2, Services: 2, Customers: []string{roadways, haulage}, Forward: true})
 	if err != nil {
 		return err
 	}
 	defer d.Stop()
-	if err := firstPrompt(ctx, d); err != nil {
-		return fmt.Errorf("%w\n%s", err, d.Log("entry-0"))
+	for _, s := range steps() {
+		if err := s.run(ctx, d); err != nil {
+			return fmt.Errorf("%s: %w\n%s", s.name, err, d.Log("entry-0"))
+		}
+	}
+	if o.Keep {
+		keep(d)
 	}
 	return nil
 }
 
-func client(d *local.Deployment, entry int, customer string) *openai.Client {
-	c := openai.DefaultConfig(local.Secret(customer))
-	c.BaseURL = "http://" + d.CallerAddress[entry] + "/v1"
-	return openai.NewClientWithConfig(c)
-}
-
-func firstPrompt(ctx context.Context, d *local.Deployment) error {
-	const tokens = 40
-	text := "Permit history of GJ-06-AX-4411: " + strings.Repeat("crossed checkpoint, levy paid. ", 200)
-	msgs := []openai.ChatCompletionMessage{{Role: "user", Content: text}}
-	start := time.Now()
-	s, err := client(d, 0, "vadodara-roadways").CreateChatCompletionStream(ctx, openai.ChatCompletionRequest{Model: local.Model, Messages: msgs, MaxCompletionTokens: tokens, Stream: true})
-	if err != nil {
-		return err
+// keep prints how to use the deployment and waits for an interrupt.
+func keep(d *local.Deployment) {
+	fmt.Printf("\nthe deployment is up; interrupt to stop it\n\n")
+	fmt.Printf("curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{\"model\":\"%s\",\"stream\":true,\"max_tokens\":20,\"messages\":[{\"role\":\"user\",\"content\":\"permit history\"}]}'\n",
+		d.CallerAddress[0], local.Secret(roadways), local.Model)
+	for _, name := range []string{"entry-0", "entry-1", "agent-0"} {
+		fmt.Printf("curl http://%s/debug/vars   # %s\n", d.Operators[name], name)
 	}
-	defer s.Close()
-	var b strings.Builder
-	var first time.Duration
-	for {
-		r, err := s.Recv()
-		if err != nil {
-			break
-		}
-		for _, c := range r.Choices {
-			if c.Delta.Content != "" && first == 0 {
-				first = time.Since(start)
-			}
-			b.WriteString(c.Delta.Content)
-		}
-	}
-	want := engine.Answer(prefix.Render([]prefix.Message{{Role: "user", Content: text}}), tokens)
-	if b.String() != want {
-		return fmt.Errorf("the answer is not whole: %d of %d bytes", b.Len(), len(want))
-	}
-	fmt.Printf("first prompt: %d tokens, first token after %d ms, answer whole\n", tokens, first.Milliseconds())
-	return nil
+	fmt.Printf("curl -X POST http://%s/v1/evict   # engine 0\n", d.Engines[0])
+	ch := make(chan os.Signal, 1)
+	signal.Notify(ch, os.Interrupt, syscall.SIGTERM)
+	<-ch
 }
