--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,9 @@
 demo: build
 	./bin/demo $(if $(KEEP),--keep)
 
+load: build
+	./bin/load
+
 # All that CI checks.
 test: lint unit modelcheck
 	$(MAKE) demo
@@ -58,3 +61,13 @@
 # Exhaustive search of the models in spec/ and of their mutants.
 modelcheck: apt-tools
 	spec/run.sh
+
+# A number of runs: with a time, go test may report its own deadline as a failure.
+FUZZ_TIME ?= 20000x
+# The seeds of these run with the tests; this looks for new inputs.
+fuzz:
+	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZ_TIME) ./settings
+	go test -run '^$$' -fuzz FuzzDocument -fuzztime $(FUZZ_TIME) ./core/config
+	go test -run '^$$' -fuzz FuzzParseFrame -fuzztime $(FUZZ_TIME) ./protocol/streaming
+	go test -run '^$$' -fuzz FuzzParseCompletion -fuzztime $(FUZZ_TIME) ./entry
+	go test -run '^$$' -fuzz FuzzChecker -fuzztime $(FUZZ_TIME) ./core/stream
