--- /dev/null
+++ b/core/admission/fifo/fifo.go
@@ -0,0 +1,75 @@
+// Package fifo registers the baseline admission.fifo: first come, first served,
+// refused only when too many wait.
+package fifo
+
+import (
+	"slices"
+	"time"
+
+	"github.com/galenaweir/galenaweir/core/admission"
+	"github.com/galenaweir/galenaweir/core/kernel"
+)
+
+// ID is the plug-in's name.
+const ID kernel.ID = "admission.fifo"
+
+func init() { kernel.Register(kernel.Info{ID: ID, New: func() any { return &Policy{} }}) }
+
+const retryAfter = time.Second
+
+// Policy implements admission.Policy.
+type Policy struct {
+	o       admission.Options
+	waiting []*admission.Request
+	running int
+}
+
+// Configure implements admission.Policy.
+func (p *Policy) Configure(o admission.Options) { p.o = o }
+
+// Offer implements admission.Policy.
+func (p *Policy) Offer(r *admission.Request, _ time.Time) admission.Offer {
+	if len(p.waiting) >= p.o.MaxWaiting {
+		return admission.Offer{Verdict: admission.Queued, RetryAfter: retryAfter}
+	}
+	p.waiting = append(p.waiting, r)
+	return admission.Offer{}
+}
+
+// Next implements admission.Policy.
+func (p *Policy) Next(now time.Time) *admission.Request {
+	if len(p.waiting) == 0 || p.running >= p.o.Slots {
+		return nil
+	}
+	r := p.waiting[0]
+	p.waiting = p.waiting[1:]
+	p.Force(r, now)
+	return r
+}
+
+// Force implements admission.Policy.
+func (p *Policy) Force(r *admission.Request, now time.Time) {
+	r.SetStart(now)
+	p.running++
+}
+
+// Done implements admission.Policy.
+func (p *Policy) Done(*admission.Request, int, time.Time) { p.running-- }
+
+// Cancel implements admission.Policy.
+func (p *Policy) Cancel(r *admission.Request) bool {
+	i := slices.Index(p.waiting, r)
+	if i >= 0 {
+		p.waiting = slices.Delete(p.waiting, i, i+1)
+	}
+	return i >= 0
+}
+
+// Load implements admission.Policy.
+func (p *Policy) Load() admission.Load {
+	l := admission.Load{Running: p.running, Waiting: len(p.waiting)}
+	for _, r := range p.waiting {
+		l.QueuedTokens += r.Tokens
+	}
+	return l
+}
