Admit prompts at the agent through the admission policy

Cause: the agent started every prompt at once, and reported no queue. Change: agent.Gate in front of import and engine; load reports carry its running and waiting requests and queued tokens; typed errors pass the attempt unchanged. Conclusion: the rate of a slot begins at an upper bound, so that nothing is refused on a wrong estimate before it is measured.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -29,6 +29,7 @@
 	Members      node.Members
 	Engine       protocol.Engine
 	Cache        *Cache     // nil for no stores
+	Gate         *Gate      // nil to admit everything at once
 	Directory    *Directory // nil for no part in the context directory
 }
 
@@ -50,11 +51,9 @@
 	draining bool
 	running  sync.WaitGroup
 
-	waiting      atomic.Int64
-	active       atomic.Int64
-	queuedTokens atomic.Int64
-	epoch        atomic.Uint64
-	dropped      atomic.Int64
+	active  atomic.Int64
+	epoch   atomic.Uint64
+	dropped atomic.Int64
 }
 
 // New returns an agent.
@@ -123,9 +122,13 @@
 }
 
 func (a *Agent) load(endpoint, version string) *rpc.LoadReport {
+	l, ok := a.o.Gate.Load(endpoint)
+	if !ok {
+		l.Running = int(a.active.Load())
+	}
 	return &rpc.LoadReport{
-		Endpoint: endpoint, Running: uint32(a.active.Load()), Waiting: uint32(a.waiting.Load()),
-		QueuedTokens: uint32(a.queuedTokens.Load()), WeightVersion: version, Leaving: a.Leaving(), Epoch: a.epoch.Add(1),
+		Endpoint: endpoint, Running: uint32(l.Running), Waiting: uint32(l.Waiting),
+		QueuedTokens: uint32(l.QueuedTokens), WeightVersion: version, Leaving: a.Leaving(), Epoch: a.epoch.Add(1),
 	}
 }
 
@@ -197,8 +200,12 @@
 		MaxTokens: int(req.MaxTokens), Priority: doc.Priorities[req.Priority].Rank,
 		CacheSalt: fmt.Sprintf("%x", salt), WeightVersion: req.WeightVersion,
 	}
-	a.o.Cache.Import(ctx, doc, req, preq.CacheSalt)
-	err := r.run(ctx, at, preq, req.Resume)
+	release, err := a.o.Gate.Acquire(ctx, doc, req)
+	if err == nil {
+		a.o.Cache.Import(ctx, doc, req, preq.CacheSalt)
+		err = r.run(ctx, at, preq, req.Resume)
+		release(at.tokens())
+	}
 	if err == nil {
 		a.o.Cache.Export(doc, req, preq.CacheSalt, at.version())
 	}
--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -58,6 +58,20 @@
 	return a.frames[0].GetStart().GetWeightVersion()
 }
 
+// tokens returns how many tokens the attempt took so far, prompt and output.
+func (a *attempt) tokens() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.frames) == 0 {
+		return 0
+	}
+	n := int(a.frames[0].GetStart().GetPromptTokens()) + len(a.frames) - 1
+	if a.frames[len(a.frames)-1].GetEnd() != nil {
+		n--
+	}
+	return n
+}
+
 func (a *attempt) add(f *rpc.Frame) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -208,6 +222,10 @@
 		outcome = apierr.DidRun
 	}
 	const retryAfter = 200 * time.Millisecond
+	var typed *apierr.Error
+	if errors.As(err, &typed) {
+		return err
+	}
 	switch {
 	case errors.Is(err, errCancelled), errors.Is(err, errOrphaned):
 		return apierr.New(apierr.Cancelled, outcome, "the attempt was cancelled", "send the request again if its answer is still wanted")
--- /dev/null
+++ b/agent/gate.go
@@ -0,0 +1,178 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/galenaweir/galenaweir/core/admission"
+	"github.com/galenaweir/galenaweir/core/admission/fair"
+	_ "github.com/galenaweir/galenaweir/core/admission/fifo" // plug-in
+	"github.com/galenaweir/galenaweir/core/apierr"
+	"github.com/galenaweir/galenaweir/core/config"
+	"github.com/galenaweir/galenaweir/core/kernel"
+	"github.com/galenaweir/galenaweir/core/prefix"
+	"github.com/galenaweir/galenaweir/rpc"
+)
+
+const maxWaiting = 1000 // requests before one endpoint
+
+// Gate admits prompts to the engines in the order of the admission policy. A nil
+// Gate admits everything at once.
+type Gate struct {
+	now func() time.Time
+
+	mu    sync.Mutex
+	lines map[string]*line
+}
+
+// line is the queue before one endpoint.
+type line struct {
+	id      string // of the policy
+	policy  admission.Policy
+	grants  map[*admission.Request]chan struct{}
+	config  *config.Document // as configured last
+	running map[*admission.Request]struct{}
+}
+
+// NewGate returns a gate; now is the clock of its policies.
+func NewGate(now func() time.Time) *Gate {
+	return &Gate{now: now, lines: map[string]*line{}}
+}
+
+// line returns the queue before the endpoint as the document configures it. The
+// policy of a queue that is in use is changed only when it is empty.
+func (g *Gate) line(doc *config.Document, endpoint string) *line {
+	l := g.lines[endpoint]
+	if l == nil || l.id != doc.Policies.Admission && len(l.grants)+len(l.running) == 0 {
+		p, err := kernel.New[admission.Policy](kernel.ID(doc.Policies.Admission))
+		if err != nil {
+			p = fair.New()
+		}
+		l = &line{id: doc.Policies.Admission, policy: p, grants: map[*admission.Request]chan struct{}{}, running: map[*admission.Request]struct{}{}}
+		g.lines[endpoint] = l
+	}
+	if l.config != doc {
+		l.config = doc
+		e := doc.Endpoints[endpoint]
+		m := doc.Models[e.Model]
+		o := admission.Options{Slots: max(1, e.Slots), MaxWaiting: maxWaiting, Classes: map[string]admission.Class{}}
+		// The higher of both rates is too high for any mix of prompt and output, so
+		// that nothing is refused on a wrong estimate before the rate is measured.
+		o.TokensPerSecond = m.PrefillTokensPerSecond / float64(o.Slots)
+		if m.DecodeMsPerToken > 0 {
+			o.TokensPerSecond = max(o.TokensPerSecond, 1000/m.DecodeMsPerToken)
+		}
+		for id, c := range doc.Priorities {
+			o.Classes[id] = admission.Class{Rank: c.Rank, MinShare: c.MinShare, ReservedSlots: c.ReservedSlots}
+		}
+		l.policy.Configure(o)
+	}
+	return l
+}
+
+// Acquire waits for the request's turn. The caller must call release with the
+// tokens that the request took. An error means that nothing has run. A request
+// that already runs in the engine is admitted at once.
+func (g *Gate) Acquire(ctx context.Context, doc *config.Document, req *rpc.GenerateRequest) (release func(tokens int), err error) {
+	if g == nil {
+		return func(int) {}, nil
+	}
+	r := &admission.Request{
+		Customer: req.Customer, Weight: max(doc.Customers[req.Customer].Weight, 0), Class: req.Priority,
+		Tokens: prefix.Tokens(req.Prompt) + int(req.MaxTokens),
+	}
+	if d, ok := ctx.Deadline(); ok {
+		r.Deadline = g.now().Add(time.Until(d))
+	}
+	granted, l, err := g.enter(doc, req, r)
+	if err != nil {
+		return nil, err
+	}
+	release = func(tokens int) { g.done(l, r, tokens) }
+	select {
+	case <-granted:
+		return release, nil
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	delete(l.grants, r)
+	waiting := l.policy.Cancel(r)
+	g.mu.Unlock()
+	if !waiting {
+		release(0)
+	}
+	return nil, context.Cause(ctx)
+}
+
+// enter offers the request to the policy and returns the channel that closes when
+// it may start.
+func (g *Gate) enter(doc *config.Document, req *rpc.GenerateRequest, r *admission.Request) (<-chan struct{}, *line, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := g.line(doc, req.Endpoint)
+	granted := make(chan struct{})
+	if req.Resume {
+		l.policy.Force(r, g.now())
+		l.running[r] = struct{}{}
+		close(granted)
+		return granted, l, nil
+	}
+	o := l.policy.Offer(r, g.now())
+	if o.Verdict != admission.Wait {
+		load := l.policy.Load()
+		log.Info().Str("decision", "refuse").Str("request", req.RequestId).Str("customer", r.Customer).Str("endpoint", req.Endpoint).
+			Str("class", r.Class).Int("tokens", r.Tokens).Int("running", load.Running).Int("waiting", load.Waiting).
+			Int("queued_tokens", load.QueuedTokens).Dur("start", o.Start).Dur("retry_after", o.RetryAfter).Msg("admission")
+		return nil, nil, refusal(o, req.Endpoint, load)
+	}
+	l.grants[r] = granted
+	l.start(g.now())
+	return granted, l, nil
+}
+
+func refusal(o admission.Offer, endpoint string, load admission.Load) error {
+	if o.Verdict == admission.Late {
+		return apierr.Retry(apierr.DeadlineUnmet, apierr.NotRun, o.RetryAfter, fmt.Sprintf("endpoint %s would start the request in %s, after its deadline", endpoint, o.Start.Round(time.Millisecond)), "retry later, or allow more time with Galenaweir-Deadline-Ms")
+	}
+	return apierr.Retry(apierr.Overloaded, apierr.NotRun, o.RetryAfter, fmt.Sprintf("%d requests are waiting for endpoint %s", load.Waiting, endpoint), "retry later; another endpoint is tried")
+}
+
+// start grants all requests that may start now.
+func (l *line) start(now time.Time) {
+	for r := l.policy.Next(now); r != nil; r = l.policy.Next(now) {
+		l.running[r] = struct{}{}
+		if c, ok := l.grants[r]; ok {
+			delete(l.grants, r)
+			close(c)
+		}
+	}
+}
+
+func (g *Gate) done(l *line, r *admission.Request, tokens int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, ok := l.running[r]; !ok {
+		return
+	}
+	delete(l.running, r)
+	l.policy.Done(r, tokens, g.now())
+	l.start(g.now())
+}
+
+// Load returns the endpoint's load; false when the gate does not know it.
+func (g *Gate) Load(endpoint string) (admission.Load, bool) {
+	if g == nil {
+		return admission.Load{}, false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := g.lines[endpoint]
+	if l == nil {
+		return admission.Load{}, false
+	}
+	return l.policy.Load(), true
+}
--- a/cmd/galenaweir-agent/main.go
+++ b/cmd/galenaweir-agent/main.go
@@ -57,7 +57,7 @@
 	go cache.Run(stop)
 	a := agent.New(agent.Options{
 		ID: s.ID, CacheSecret: process.Secret(s), SilenceLimit: time.Duration(s.SilenceLimitMs) * time.Millisecond,
-		Config: cfg, Members: members, Engine: engine, Cache: cache, Directory: contexts,
+		Config: cfg, Members: members, Engine: engine, Cache: cache, Directory: contexts, Gate: agent.NewGate(time.Now),
 	})
 	l, err := net.Listen("tcp", s.RPCAddress)
 	if err != nil {
