Refuse prompts beyond the customer's limit at the entry

Cause: the entries did not apply the customers' limits. Conclusion: until the gossip carries the reports, each entry grants its equal share of a limit.

--- a/entry/chat.go
+++ b/entry/chat.go
@@ -102,7 +102,7 @@
 	}
 	key := prefix.DeriveCustomerKey(e.o.CacheSecret, p.customer)
 	p.conversation = conversationKey(key, r, c.GetHeader(headerConversation))
-	return p, nil
+	return p, e.charge(p)
 }
 
 func setPriority(p *prompt, doc *config.Document, customer config.Customer, name string) error {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,6 +11,7 @@
 
 	"google.golang.org/grpc"
 
+	"github.com/galenaweir/galenaweir/core/limits"
 	"github.com/galenaweir/galenaweir/core/routing"
 	"github.com/galenaweir/galenaweir/node"
 	"github.com/galenaweir/galenaweir/rpc"
@@ -42,13 +43,14 @@
 
 	draining atomic.Bool
 	running  sync.WaitGroup
+	limits   customerLimits
 	foreign  atomic.Int64 // frames of another attempt or customer
 	resumes  atomic.Int64
 }
 
 // New returns an entry.
 func New(o Options) *Entry {
-	return &Entry{o: o, view: newView(), rng: rand.New(rand.NewPCG(o.Seed, 0))}
+	return &Entry{o: o, view: newView(), limits: customerLimits{l: limits.New(o.ID)}, rng: rand.New(rand.NewPCG(o.Seed, 0))}
 }
 
 // Ready reports whether the entry can serve: it has a configuration and isn't
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -29,6 +29,7 @@
 	priority     string
 	deadline     time.Time
 	state        *node.ConfigState
+	charged      int  // tokens taken from the customer's limit
 	asked        bool // the directory was asked for hints
 	hints        []*rpc.ContextLocation
 }
@@ -60,6 +61,7 @@
 	for range maxEndpointsTried {
 		end, endpoint, err := e.attempt(ctx, p, out, skip)
 		if err == nil {
+			e.settle(p, end, nil)
 			return end, nil
 		}
 		last = err
@@ -70,6 +72,7 @@
 		skip[endpoint] = true
 		e.view.avoidFor(endpoint, time.Now().Add(avoidTime))
 	}
+	e.settle(p, nil, last)
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) && !apierr.Is(last, apierr.DeadlineExceeded) {
 		last = apierr.New(apierr.DeadlineExceeded, apierr.From(last).Ran, "the deadline passed", "allow more time with Galenaweir-Deadline-Ms").WithCause(last)
 	}
