Keep room in the admission queue for every customer

Cause: with a queue of 1000 places shared by all, the customer that sends most took nearly all of them: of two customers of equal weight, one that sends four times as much got 2.3 times the other's tokens (TestSharesUnderOverload). A decision also took time with the cube of the number of customers. Change: a customer may hold as many places as are still free; weights are summed as customers come and go, and the kept slots are computed once for each start. Conclusion: limits on shared queues need to be fair, too.

--- a/core/admission/fair/fair.go
+++ b/core/admission/fair/fair.go
@@ -40,6 +40,7 @@
 	served  float64 // tokens, decayed
 
 	customers map[string]*customer
+	weights   float64 // of the customers
 }
 
 // customer is one customer within a class.
@@ -108,22 +109,30 @@
 }
 
 func (p *Policy) customer(r *admission.Request, now time.Time) *customer {
-	cs := p.class(r.Class).customers
-	c := cs[r.Customer]
+	cl := p.class(r.Class)
+	c := cl.customers[r.Customer]
 	if c == nil {
 		c = &customer{}
-		cs[r.Customer] = c
+		cl.customers[r.Customer] = c
 	}
-	c.weight, c.seen = math.Max(r.Weight, math.SmallestNonzeroFloat32), now
+	w := math.Max(r.Weight, math.SmallestNonzeroFloat32)
+	cl.weights += w - c.weight
+	c.weight, c.seen = w, now
 	return c
 }
 
 // Offer implements admission.Policy.
 func (p *Policy) Offer(r *admission.Request, now time.Time) admission.Offer {
-	if p.waiting >= p.o.MaxWaiting {
+	c := p.class(r.Class)
+	// A customer may hold as many places as are still free, so that one customer
+	// takes at most half of the queue and there is always room for the others.
+	held := 0
+	if cu := c.customers[r.Customer]; cu != nil {
+		held = cu.waiting
+	}
+	if held >= p.o.MaxWaiting-p.waiting {
 		return admission.Offer{Verdict: admission.Queued, RetryAfter: p.retry(p.drain(p.queued))}
 	}
-	c := p.class(r.Class)
 	tag := max(c.virtual, c.finish[r.Customer])
 	o := admission.Offer{Start: p.estimate(c, r, tag)}
 	if late := now.Add(o.Start).Sub(r.Deadline); !r.Deadline.IsZero() && late > 0 {
@@ -156,7 +165,7 @@
 // estimate returns the wait of a request: what goes before it, over the rate of
 // all slots, plus the mean time until one of them is free.
 func (p *Policy) estimate(c *class, r *admission.Request, tag float64) time.Duration {
-	if p.waiting == 0 && p.mayStart(c, r.Customer) {
+	if p.waiting == 0 && p.mayStart(c, r.Customer, p.kept()) {
 		return 0
 	}
 	ahead := 0
@@ -181,11 +190,7 @@
 	if cu == nil || len(c.customers) < 2 {
 		return false
 	}
-	weights := 0.0
-	for _, o := range c.customers {
-		weights += o.weight
-	}
-	slots := float64(p.o.Slots) * cu.weight / weights
+	slots := float64(p.o.Slots) * cu.weight / c.weights
 	if float64(cu.running) > slots+staffing*math.Sqrt(slots) {
 		return true // a burst shows here long before it shows in the tokens
 	}
@@ -204,14 +209,14 @@
 // reserved for other classes are not. A customer above its share leaves as many
 // slots free as the light ones are likely to need: their requests can't wait for
 // its running ones, which end much later than a first token is due.
-func (p *Policy) mayStart(c *class, id string) bool {
+func (p *Policy) mayStart(c *class, id string, kept int) bool {
 	free := p.o.Slots - p.running
 	for _, o := range p.classes {
 		if o != c {
 			free -= max(0, o.ReservedSlots-o.running)
 		}
 	}
-	return free > 0 && (!p.heavy(c, id) || free > p.kept())
+	return free > 0 && (!p.heavy(c, id) || free > kept)
 }
 
 // kept returns the number of free slots that are kept for light customers.
@@ -236,9 +241,13 @@
 // Next implements admission.Policy.
 func (p *Policy) Next(now time.Time) *admission.Request {
 	p.decay(now)
+	if p.running >= p.o.Slots || p.waiting == 0 {
+		return nil
+	}
 	var best *admission.Request
+	kept := p.kept()
 	for _, id := range p.classOrder() {
-		if best = p.head(p.classes[id]); best != nil {
+		if best = p.head(p.classes[id], kept); best != nil {
 			break
 		}
 	}
@@ -281,14 +290,14 @@
 
 // head returns the request of the class with the lowest virtual start time among
 // the customers that may start.
-func (p *Policy) head(c *class) *admission.Request {
+func (p *Policy) head(c *class, kept int) *admission.Request {
 	var best *admission.Request
 	for id, q := range c.queues {
 		r := q[0]
 		if best != nil && (r.Tag() > best.Tag() || r.Tag() == best.Tag() && id > best.Customer) {
 			continue
 		}
-		if p.mayStart(c, id) {
+		if p.mayStart(c, id, kept) {
 			best = r
 		}
 	}
@@ -348,6 +357,7 @@
 	for _, c := range p.classes {
 		for id, cu := range c.customers {
 			if cu.running+cu.waiting == 0 && now.Sub(cu.seen) >= activeWindow {
+				c.weights -= cu.weight
 				delete(c.customers, id)
 				if c.finish[id] <= c.virtual || len(c.queues) == 0 {
 					delete(c.finish, id)
--- a/core/admission/fair/fair_test.go
+++ b/core/admission/fair/fair_test.go
@@ -25,7 +25,7 @@
 )
 
 func options() admission.Options {
-	return admission.Options{Slots: slots, TokensPerSecond: tokens / service.Seconds(), MaxWaiting: 5000, Classes: map[string]admission.Class{
+	return admission.Options{Slots: slots, TokensPerSecond: tokens / service.Seconds(), MaxWaiting: 1000, Classes: map[string]admission.Class{
 		"interactive": {Rank: 3, MinShare: 0.5, ReservedSlots: 2}, "standard": {Rank: 2, MinShare: 0.2}, "batch": {Rank: 1, MinShare: 0.1},
 	}}
 }
@@ -229,6 +229,25 @@
 	require.Empty(t, p.classes["batch"].finish)
 }
 
+// BenchmarkDecision measures one offer, one start and one end with many customers
+// waiting.
+func BenchmarkDecision(b *testing.B) {
+	p, now := New(), time.Unix(0, 0)
+	p.Configure(options())
+	var running []*admission.Request
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(time.Millisecond)
+		p.Offer(&admission.Request{Customer: fmt.Sprint(i % 800), Weight: 1, Class: "standard", Tokens: tokens, Deadline: now.Add(deadline)}, now)
+		for r := p.Next(now); r != nil; r = p.Next(now) {
+			running = append(running, r)
+		}
+		if len(running) > 0 && p.Load().Waiting > 800 {
+			p.Done(running[0], tokens, now)
+			running = running[1:]
+		}
+	}
+}
+
 // BenchmarkHeavyCustomer gives the figures of docs/decisions/0006-fairness.md.
 func BenchmarkHeavyCustomer(b *testing.B) {
 	for _, id := range kernel.IDs("admission") {
