--- a/agent/agent.go
+++ b/agent/agent.go
@@ -38,6 +38,7 @@
 	ClaimClient  *claimsvc.Client
 	Pool         *dial.Pool // connections to other agents
 	Cache        *Cache     // nil for no stores
+	Gate         *Gate      // nil to admit everything at once
 	Directory    *Directory // nil for no part in the context directory
 }
 
@@ -77,11 +78,9 @@
 	work     inflight.Group
 	calls    *calls
 
-	waiting      atomic.Int64
-	active       atomic.Int64
-	queuedTokens atomic.Int64
-	epoch        atomic.Uint64
-	dropped      atomic.Int64
+	active  atomic.Int64
+	epoch   atomic.Uint64
+	dropped atomic.Int64
 }
 
 // New returns an agent.
@@ -146,9 +145,13 @@
 }
 
 func (a *Agent) load(endpoint, version string) *rpc.LoadReport {
+	l, ok := a.o.Gate.Load(endpoint)
+	if !ok {
+		l.Running = int(a.active.Load())
+	}
 	return &rpc.LoadReport{
-		Endpoint: endpoint, Running: uint32(a.active.Load()), Waiting: uint32(a.waiting.Load()),
-		QueuedTokens: uint32(a.queuedTokens.Load()), WeightVersion: version, Leaving: a.Leaving(), Epoch: a.epoch.Add(1),
+		Endpoint: endpoint, Running: uint32(l.Running), Waiting: uint32(l.Waiting),
+		QueuedTokens: uint32(l.QueuedTokens), WeightVersion: version, Leaving: a.Leaving(), Epoch: a.epoch.Add(1),
 	}
 }
 
@@ -224,7 +227,7 @@
 	key := prefix.DeriveCustomerKey(a.o.CacheSecret, req.Customer)
 	salt := prefix.Derive(key, "salt", req.Model, req.Adapter)
 	r := runner{
-		engine: a.o.Engine, silence: a.o.SilenceLimit, dropped: func() { a.dropped.Add(1) },
+		ran: apierr.NotRun, engine: a.o.Engine, silence: a.o.SilenceLimit, dropped: func() { a.dropped.Add(1) },
 		mayRestart: req.ResumeSeq == 0 && !(req.Resume && a.Leaving()),
 	}
 	preq := &protocol.Request{
@@ -232,11 +235,15 @@
 		MaxTokens: int(req.MaxTokens), Priority: doc.Priorities[req.Priority].Rank,
 		CacheSalt: fmt.Sprintf("%x", salt), WeightVersion: req.WeightVersion,
 	}
-	a.o.Cache.Import(ctx, doc, req, preq.CacheSalt)
-	err := r.run(ctx, at, preq, req.Resume)
+	release, err := a.o.Gate.Acquire(ctx, doc, req)
+	if err == nil {
+		a.o.Cache.Import(ctx, doc, req, preq.CacheSalt)
+		err = r.run(ctx, at, preq, req.Resume)
+		release(at.tokens())
+	}
 	if err == nil {
-		a.o.Cache.Export(doc, req, preq.CacheSalt, at.weightVersion())
 		at.finish(nil)
+		a.o.Cache.Export(doc, req, preq.CacheSalt, at.weightVersion())
 		return
 	}
 	log.Warn().Str("request", req.RequestId).Str("attempt", at.id).Str("endpoint", at.endpoint).Str("ran", string(r.ran)).Err(err).Msg("attempt failed")
--- a/cmd/galenaweir-agent/main.go
+++ b/cmd/galenaweir-agent/main.go
@@ -66,7 +66,7 @@
 	go cache.Run(stop)
 	a := agent.New(agent.Options{
 		ID: s.ID, CacheSecret: process.Secret(s), SilenceLimit: time.Duration(s.SilenceLimitMs) * time.Millisecond,
-		Config: p, Members: p, Engine: engine, Cache: cache, Directory: contexts,
+		Config: p, Members: p, Engine: engine, Cache: cache, Directory: contexts, Gate: agent.NewGate(time.Now),
 		Claims: keeper, ClaimClient: claimsvc.NewClient(p, pool), Pool: pool,
 	})
 	opts := append(agent.ServerOptions(), grpc.Creds(creds))
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -85,7 +85,7 @@
 	}
 	key := prefix.DeriveCustomerKey(e.o.CacheSecret, p.customer)
 	p.conversation = conversationKey(key, r, c.GetHeader(headerConversation))
-	return p, nil
+	return p, e.charge(p)
 }
 
 func setPriority(p *prompt, doc *config.Document, customer config.Customer, name string) error {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/galenaweir/galenaweir/claimsvc"
+	"github.com/galenaweir/galenaweir/core/limits"
 	"github.com/galenaweir/galenaweir/core/routing"
 	"github.com/galenaweir/galenaweir/inflight"
 	"github.com/galenaweir/galenaweir/metrics"
@@ -60,6 +61,7 @@
 
 	leaving atomic.Bool
 	work    inflight.Group
+	limits  customerLimits
 	m       figures
 
 	requestsMu sync.Mutex
@@ -77,7 +79,7 @@
 	if o.CallerTimeout <= 0 {
 		o.CallerTimeout = defaultCallerTimeout
 	}
-	e := &Entry{o: o, view: newView(o.Seed), rng: rand.New(rand.NewPCG(o.Seed, 0)), m: newFigures(o.Metrics), requests: map[string]bool{}}
+	e := &Entry{o: o, view: newView(o.Seed), limits: customerLimits{l: limits.New(o.ID)}, rng: rand.New(rand.NewPCG(o.Seed, 0)), m: newFigures(o.Metrics), requests: map[string]bool{}}
 	o.Metrics.Gauge("running", func() any { return e.work.Count() })
 	o.Metrics.Gauge("config_version", func() any {
 		if st := o.Config.Current(); st != nil {
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -27,6 +27,7 @@
 	begun        time.Time
 	deadline     time.Time
 	state        *node.ConfigState
+	charged      int  // tokens taken from the customer's limit
 	asked        bool // the directory was asked for hints
 	hints        []*rpc.ContextLocation
 }
@@ -69,6 +70,7 @@
 	for n := range maxEndpointsTried {
 		end, endpoint, err := r.attempt(ctx)
 		if err == nil {
+			e.settle(p, end, nil)
 			return r.total(end), nil
 		}
 		r.note(err)
@@ -82,7 +84,9 @@
 		r.skip[endpoint] = true
 		e.view.avoidFor(endpoint, avoidTime)
 	}
-	return nil, r.failure(ctx, last)
+	err := r.failure(ctx, last)
+	e.settle(p, nil, err)
+	return nil, err
 }
 
 // note keeps the strongest of the attempts' outcomes.
