--- a/core/routing/prefixcost/prefixcost.go
+++ b/core/routing/prefixcost/prefixcost.go
@@ -33,6 +33,7 @@
 	Reversion time.Duration
 	// OthersWeight scales the cost put on other requests.
 	OthersWeight float64
+	FetchSlack   float64
 	// NoStore leaves prefixes in stores out of account.
 	NoStore bool
 }
@@ -43,6 +44,7 @@
 	defaultNearEqual      = 5 * time.Millisecond
 	defaultReversion      = time.Second
 	defaultOthersWeight   = 0.25
+	defaultFetchSlack     = 1.3
 )
 
 // Policy implements routing.Policy.
@@ -62,6 +64,9 @@
 	if o.Reversion == 0 {
 		o.Reversion = defaultReversion
 	}
+	if o.FetchSlack == 0 {
+		o.FetchSlack = defaultFetchSlack
+	}
 	if o.OthersWeight == 0 {
 		o.OthersWeight = defaultOthersWeight
 	}
@@ -88,6 +93,7 @@
 	suspect       float64 // seconds
 	others        float64
 	store         bool
+	fetchSlack    float64 // factor on the time to recompute
 	limit         float64 // seconds; the estimate of a costlier candidate may be cut short
 }
 
@@ -127,7 +133,7 @@
 	t := terms{
 		prompt: float64(r.PromptTokens), perToken: 1 / r.PrefillRate, bytesPerToken: float64(r.KVBytesPerToken),
 		lifetime: p.o.ReportLifetime, reversion: 1 / seconds(p.o.Reversion), suspect: seconds(p.o.SuspectPenalty),
-		others: p.o.OthersWeight, store: !p.o.NoStore, limit: math.Inf(1),
+		others: p.o.OthersWeight, store: !p.o.NoStore, fetchSlack: p.o.FetchSlack, limit: math.Inf(1),
 	}
 	t.sample(cs)
 	return t
@@ -174,8 +180,9 @@
 	if t.store && c.StoreTokens > c.EngineTokens && c.FetchRate > 0 {
 		rest := max(0, t.prompt-float64(c.StoreTokens)) * t.perToken
 		fetched := seconds(c.FetchWait) + float64(c.StoreTokens-c.EngineTokens)*t.bytesPerToken/c.FetchRate + rest
+		e.fetch = fetched < t.fetchSlack*build
 		if fetched < build {
-			build, prefill, e.fetch = fetched, rest, true
+			build, prefill = fetched, rest
 		}
 	}
 	e.firstToken = seconds(c.Hop) + wait + build
--- a/core/routing/prefixcost/prefixcost_test.go
+++ b/core/routing/prefixcost/prefixcost_test.go
@@ -107,6 +107,19 @@
 	}
 }
 
+// Guards against an import that is given up because of an estimate that is a
+// little too high, and against one that is asked for in vain.
+func TestImportIsAskedFor(t *testing.T) {
+	for _, c := range []struct {
+		wait time.Duration // recomputing takes 819 ms, the transfer 107 ms
+		want bool
+	}{{0, true}, {800 * time.Millisecond, true}, {2 * time.Second, false}} {
+		cs := candidates(1, func(_ int, cd *routing.Candidate) { cd.StoreTokens, cd.FetchWait = 8192, c.wait })
+		require.Equal(t, c.want, New(Options{}).Choose(request(), cs, newRng()).Fetch, "wait %v", c.wait)
+		require.False(t, New(Options{NoStore: true}).Choose(request(), cs, newRng()).Fetch)
+	}
+}
+
 // Guards against an allocation in the decision, which runs for each request.
 func TestNoAllocation(t *testing.T) {
 	cs, r, rng, p := candidates(830, func(i int, c *routing.Candidate) { c.ReportAge = time.Duration(i%3 - 1) }), request(), newRng(), New(Options{})
