Give the process ID of a local process

Cause: the capacity measurement reads CPU time and memory of each process of a local deployment from /proc, and had no process ID. Change: Process.PID. Conclusion: figures of entry and agent can be told apart.

--- a/bench/local/process.go
+++ b/bench/local/process.go
@@ -54,6 +54,16 @@
 	}
 }
 
+// PID returns the ID of the running process, 0 before the start.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
 // Wait waits for the process to end; it returns false after the limit.
 func (p *Process) Wait(limit time.Duration) bool {
 	p.mu.Lock()
