--- a/agent/agent.go
+++ b/agent/agent.go
@@ -227,7 +227,8 @@
 	key := prefix.DeriveCustomerKey(a.o.CacheSecret, req.Customer)
 	salt := prefix.Derive(key, "salt", req.Model, req.Adapter)
 	r := runner{
-		ran: apierr.NotRun, engine: a.o.Engine, silence: a.o.SilenceLimit, dropped: func() { a.dropped.Add(1) },
+		ran:    apierr.NotRun,
+		engine: a.o.Engine, silence: a.o.SilenceLimit, dropped: func() { a.dropped.Add(1) },
 		mayRestart: req.ResumeSeq == 0 && !(req.Resume && a.Leaving()),
 	}
 	preq := &protocol.Request{
@@ -242,8 +243,8 @@
 		release(at.tokens())
 	}
 	if err == nil {
-		at.finish(nil)
 		a.o.Cache.Export(doc, req, preq.CacheSalt, at.weightVersion())
+		at.finish(nil)
 		return
 	}
 	log.Warn().Str("request", req.RequestId).Str("attempt", at.id).Str("endpoint", at.endpoint).Str("ran", string(r.ran)).Err(err).Msg("attempt failed")
