--- a/core/claims/keeper.go
+++ b/core/claims/keeper.go
@@ -89,9 +89,6 @@
 	stage  stage
 	offset int64  // stageTaken
 	after  uint64 // stageFresh, stageLost: the reads up to this one began too early
-	// doomed claims are never granted, because part of the log before them was
-	// trimmed unread.
-	doomed bool
 }
 
 type observeWait struct {
--- a/core/claims/progress.go
+++ b/core/claims/progress.go
@@ -103,7 +103,6 @@
 		h, _ := k.st.Holding(w.claim.Key)
 		k.finish(w, Reply{Result: ResultUnavailable, Holding: h})
 		if w.stage != stageFresh && w.stage != stageQueued {
-			w.doomed = true
 			claims = append(claims, w)
 		}
 	}
@@ -169,8 +168,9 @@
 	return k.flush(now)
 }
 
-// restart follows the loss of the state: entries were trimmed unread, so nothing
-// that was appended before can be judged any more.
+// restart follows the loss of the state: entries were trimmed unread. Executors
+// that wait for a record in the log are told to give up; records that are not
+// read again are voided.
 func (k *Keeper) restart() {
 	k.readAll = false
 	var claims []*claimWait
@@ -178,7 +178,6 @@
 		switch w.stage {
 		case stageFresh, stageQueued:
 		default:
-			w.doomed = true
 			k.finish(w, Reply{Result: ResultUnavailable})
 			if w.stage == stageTaken {
 				w.stage, w.after = stageLost, k.reads
@@ -241,7 +240,7 @@
 func (k *Keeper) judge(w *claimWait, s Standing) Reply {
 	h, held := k.st.Holding(w.claim.Key)
 	switch {
-	case s == Valid && (w.doomed || !k.st.Covers(w.claim.KeyTimeMs)):
+	case s == Valid && !k.st.Covers(w.claim.KeyTimeMs):
 		return Reply{Result: ResultUnavailable}
 	case s == Valid && h.Outcome == nil:
 		return Reply{Result: ResultGranted}
