--- a/core/config/handon.go
+++ b/core/config/handon.go
@@ -74,13 +74,18 @@
 	return nil
 }
 
+// maxUnsnapshotted is the number of accepted records after which a snapshot is
+// written, so that a start without peers judges few records of a large document.
+const maxUnsnapshotted = 500
+
 // SnapshotDue reports whether a new snapshot is needed: half of the retention
-// has passed since the last one, or trims have left none that is usable.
+// has passed since the last one, many versions were accepted since, or trims have
+// left none that is usable.
 func (s *Stream) SnapshotDue(now time.Time, retention time.Duration) bool {
 	if s.state == nil || !s.AtEnd() {
 		return false
 	}
-	if s.first > s.snapshotAs+1 {
+	if s.first > s.snapshotAs+1 || s.accepted >= maxUnsnapshotted {
 		return true
 	}
 	last := s.snapshotMs
@@ -93,6 +98,24 @@
 	return now.UnixMilli()-last >= (retention / 2).Milliseconds()
 }
 
+// StartFrom adopts the newest usable one of the snapshots of the whole log, so that a
+// process that starts needn't judge every record. first is the first offset that
+// is kept.
+func (s *Stream) StartFrom(first int64, snapshots []Entry) error {
+	for i := len(snapshots) - 1; i >= 0; i-- {
+		r := snapshots[i].Record
+		if r.AsOf+1 < first || r.AsOf >= snapshots[i].Offset {
+			continue
+		}
+		st, err := NewState(r.NewVersion, r.NewHash, r.AsOf, r.Document)
+		if err != nil {
+			return err
+		}
+		return s.Adopt(st)
+	}
+	return nil
+}
+
 // SnapshotRecord returns a snapshot of the version in force. When the stream is
 // stuck in a gap, which means that no process could read what was trimmed, the
 // snapshot declares the version to be the one before the first kept record; the
--- a/core/config/stream.go
+++ b/core/config/stream.go
@@ -78,6 +78,7 @@
 	everRead   bool
 	snapshotMs int64 // time of the newest snapshot seen, 0 for none
 	snapshotAs int64
+	accepted   int // records accepted since the newest snapshot seen
 
 	history history // accepted patches that lead to the version in force
 }
@@ -186,7 +187,7 @@
 		return false, ErrMalformed
 	}
 	if e.TimeMs >= s.snapshotMs && r.AsOf >= s.snapshotAs {
-		s.snapshotMs, s.snapshotAs = e.TimeMs, r.AsOf
+		s.snapshotMs, s.snapshotAs, s.accepted = e.TimeMs, r.AsOf, 0
 	}
 	if !s.gap {
 		return false, nil
@@ -211,6 +212,7 @@
 		return err
 	}
 	s.history.add(e.Record)
+	s.accepted++
 	s.state, s.publisher = st, e.Record.Publisher
 	return nil
 }
@@ -225,17 +227,19 @@
 	if r.BaseVersion != s.Version() || r.NewVersion != r.BaseVersion+1 || (s.state != nil && !bytes.Equal(r.BaseHash, base[:])) {
 		return nil, fmt.Errorf("%w: made from version %d, version %d was in force", ErrLost, r.BaseVersion, s.Version())
 	}
-	doc := r.Document
-	if len(doc) == 0 {
-		if s.state == nil {
-			return nil, fmt.Errorf("%w: a patch without a base", ErrMalformed)
-		}
-		var err error
-		if doc, err = Merge(text, r.Patch); err != nil {
-			return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
-		}
+	var err error
+	switch {
+	case len(r.Document) > 0:
+		text, err = Canonical(r.Document)
+	case s.state == nil:
+		err = errors.New("a patch without a base")
+	default:
+		text, err = Merge(text, r.Patch)
 	}
-	st, err := NewState(r.NewVersion, r.NewHash, offset, doc)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	st, err := canonicalState(r.NewVersion, r.NewHash, offset, text)
 	if err != nil {
 		return nil, err
 	}
@@ -254,6 +258,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
+	return canonicalState(version, hash, through, text)
+}
+
+func canonicalState(version int64, hash []byte, through int64, text []byte) (*State, error) {
 	h := HashOf(text)
 	if !bytes.Equal(h[:], hash) {
 		return nil, fmt.Errorf("%w: the document's hash is %s, not %x", ErrMalformed, h, hash)
--- a/core/config/stream_test.go
+++ b/core/config/stream_test.go
@@ -182,6 +182,14 @@
 	l.readAll(fresh)
 	assert.True(t, fresh.AtEnd() && fresh.Version() == 5, "the snapshot wasn't taken")
 
+	start := config.NewStream()
+	require.NoError(t, start.StartFrom(l.first, []config.Entry{{Offset: 9, Record: late}}))
+	assert.Nil(t, start.State(), "a delayed snapshot was taken at the start")
+	require.NoError(t, start.StartFrom(l.first, []config.Entry{l.entries[len(l.entries)-2], {Offset: 9, Record: late}}))
+	assert.EqualValues(t, 4, start.Version())
+	l.readAll(start)
+	assert.True(t, start.AtEnd() && start.Version() == 5, "the records after the snapshot weren't read")
+
 	stuck := config.NewStream()
 	require.NoError(t, stuck.Adopt(s.State()))
 	l.trim(l.end())
@@ -236,6 +244,20 @@
 	assert.Equal(t, s.State(), p.State())
 }
 
+// Guards against a cold start that judges more records than the limit.
+func TestSnapshotAfterManyVersions(t *testing.T) {
+	l, s := &memLog{}, config.NewStream()
+	for i := range 500 {
+		assert.False(t, s.SnapshotDue(time.UnixMilli(1), time.Hour), "after %d versions", i)
+		l.append(record(t, fmt.Sprint(i), s.State(), document(t, fmt.Sprint("v", i), 8), false))
+		l.readAll(s)
+	}
+	assert.True(t, s.SnapshotDue(time.UnixMilli(1), time.Hour))
+	l.append(s.SnapshotRecord("s", "s"))
+	l.readAll(s)
+	assert.False(t, s.SnapshotDue(time.UnixMilli(1), time.Hour))
+}
+
 func hashOf(doc []byte) []byte { h := config.HashOf(doc); return h[:] }
 
 // world is several processes and operators over one log.
@@ -362,6 +384,19 @@
 					}
 				})
 			},
+			"start from snapshot": func(t *rapid.T) {
+				var snapshots []config.Entry
+				for _, e := range w.log.entries {
+					if e.Record.Snapshot {
+						snapshots = append(snapshots, e)
+					}
+				}
+				w.step(proc.Draw(t, "process"), func(s *config.Stream) {
+					if s.State() == nil && !w.outage {
+						_ = s.StartFrom(w.log.first, snapshots)
+					}
+				})
+			},
 			"restart": func(t *rapid.T) {
 				i := proc.Draw(t, "process")
 				for j, s := range w.procs {
--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -61,19 +61,6 @@
 	return c
 }
 
-// worst watches for a time and returns the largest number of nodes that held the
-// states of a node at once.
-func worst(n *simnet.Net, d time.Duration, of *simnet.Node, states ...membership.State) int {
-	w := 0
-	for end := n.Now + d; n.Now < end; {
-		n.Run(time.Second)
-		for _, s := range states {
-			w = max(w, seen(n, of, s))
-		}
-	}
-	return w
-}
-
 // Guards against deaths that stay unnoticed or are noticed late by some.
 func TestDeadProcessIsSeenByAll(t *testing.T) {
 	n := newNet(t, 60)
--- a/peer/config.go
+++ b/peer/config.go
@@ -48,6 +48,11 @@
 // waits for news, a second after the last one; otherwise 3 s after the last read
 // or news of a neighbour.
 func (p *Peer) pollLoop(ctx context.Context) {
+	// Peers know the version at the least cost; the log's snapshots come next.
+	p.askPeers()
+	if p.Current() == nil {
+		p.seek(ctx)
+	}
 	p.poll(ctx, 0)
 	for {
 		p.mu.Lock()
@@ -73,6 +78,21 @@
 	}
 }
 
+// seek adopts the newest snapshot of the log.
+func (p *Peer) seek(ctx context.Context) {
+	st, err := seek(ctx, p.o.Log)
+	if err != nil {
+		p.logState(err)
+		return
+	}
+	if st != nil {
+		p.advance(func(s *config.Stream) { err = s.Adopt(st) })
+	}
+	if err != nil && !errors.Is(err, config.ErrOld) {
+		log.Error().Err(err).Msg("snapshot of the configuration can't be used")
+	}
+}
+
 // poll reads the log to its end. The first read waits for a record.
 func (p *Peer) poll(ctx context.Context, wait time.Duration) {
 	for ctx.Err() == nil {
--- a/peer/follow.go
+++ b/peer/follow.go
@@ -28,10 +28,41 @@
 	return p, entries, nil
 }
 
+// seek reads the whole log without judging it and adopts the newest snapshot.
+func seek(ctx context.Context, l logsvc.Log) (*config.State, error) {
+	s := config.NewStream()
+	var snapshots []config.Entry
+	for from := int64(0); ; {
+		p, entries, err := readPage(ctx, l, from, 0)
+		if err != nil {
+			return nil, err
+		}
+		for _, e := range entries {
+			if e.Record != nil && e.Record.Snapshot {
+				snapshots = append(snapshots, e)
+			}
+			from = e.Offset + 1
+		}
+		if len(entries) == 0 || from >= p.Next {
+			err := s.StartFrom(p.First, snapshots)
+			return s.State(), err
+		}
+	}
+}
+
 // Follow reads the log until the stream is at its end, or stuck in a gap, and
 // returns the outcomes of the records on the way. It is for the operators'
 // command; processes read page by page.
 func Follow(ctx context.Context, l logsvc.Log, s *config.Stream) ([]config.Outcome, error) {
+	if s.State() == nil {
+		st, err := seek(ctx, l)
+		if err != nil {
+			return nil, err
+		}
+		if st != nil {
+			_ = s.Adopt(st) // a fresh stream takes any checked state
+		}
+	}
 	var all []config.Outcome
 	for {
 		p, entries, err := readPage(ctx, l, s.Next(), 0)
--- a/peer/start.go
+++ b/peer/start.go
@@ -40,12 +40,17 @@
 	addresses := p.sample(startPeers)
 	states := make([]*rpc.ConfigState, len(addresses))
 	var wg sync.WaitGroup
-	for i, a := range addresses {
-		wg.Go(func() {
-			if st, err := p.fetchConfig(a); err == nil {
-				states[i] = st
-			}
-		})
+	ask := func(i int) {
+		if st, err := p.fetchConfig(addresses[i]); err == nil {
+			states[i] = st
+		}
+	}
+	for i := range addresses {
+		if i == 0 {
+			ask(i) // the others then needn't send the document again
+			continue
+		}
+		wg.Go(func() { ask(i) })
 	}
 	wg.Wait()
 	p.mu.Lock()
