--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/jessevdk/go-flags"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/grpc"
@@ -202,12 +203,19 @@
 	again, err := c.publish(fmt.Sprint("by-", won), "x", &base)
 	require.NoError(t, err)
 	assert.Equal(t, operator.Published{Version: 2, Unchanged: true}, again)
+	c.eventually("ready", c.all((*peer.Peer).Ready))
 	statuses := operator.Statuses(context.Background(), c.pool, []string{c.hosts[0].Address, c.hosts[5].Address})
 	for i, s := range statuses {
 		require.NoError(t, s.Err)
 		assert.EqualValues(t, 2, s.Reply.ConfigVersion)
 		assert.Len(t, s.Reply.Members, 6, "process %d", i)
 	}
+	for _, args := range [][]string{{"status"}, {"members"}} {
+		f := flags.NewNamedParser("test", flags.None)
+		require.NoError(t, operator.AddCommands(f))
+		_, err := f.ParseArgs(append(append([]string{"operator"}, args...), "--peer", c.hosts[0].Address, "--peer", c.hosts[5].Address))
+		require.NoError(t, err)
+	}
 }
 
 // Guards against a publication that is reported wrongly or takes effect twice
