Test signals and the shutdown of the HTTP server

Cause: the two signals and the flush of the last answer had no test. Change: tests of Signals, Shutdown and the operators' address. Conclusion: the main programs only put these parts together.

--- a/process/process.go
+++ b/process/process.go
@@ -119,7 +119,13 @@
 }
 
 // Server is a running HTTP server.
-type Server struct{ s *http.Server }
+type Server struct {
+	s       *http.Server
+	address string
+}
+
+// Address returns the IP number and port that the server listens on.
+func (s *Server) Address() string { return s.address }
 
 // Serve serves HTTP on an IP number and port, over TLS when conf isn't nil.
 func Serve(address string, h http.Handler, conf *tls.Config) (*Server, error) {
@@ -140,7 +146,7 @@
 			log.Error().Str("address", address).Err(err).Msg("HTTP server ended")
 		}
 	}()
-	return &Server{s}, nil
+	return &Server{s, l.Addr().String()}, nil
 }
 
 // Shutdown takes no new connection and waits until the answers are on the wire.
--- /dev/null
+++ b/process/process_test.go
@@ -0,0 +1,69 @@
+package process
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a first signal that cuts work, and a second that doesn't.
+func TestSignals(t *testing.T) {
+	drain, stop := Signals()
+	require.NoError(t, syscall.Kill(syscall.Getpid(), syscall.SIGTERM))
+	<-drain.Done()
+	require.NoError(t, stop.Err())
+	require.NoError(t, syscall.Kill(syscall.Getpid(), syscall.SIGTERM))
+	<-stop.Done()
+}
+
+// Guards against a shutdown that cuts the last bytes of an answer, and against
+// metrics or health that aren't served.
+func TestShutdown(t *testing.T) {
+	begun, finish := make(chan struct{}), make(chan struct{})
+	s, err := Serve("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		<-finish
+		fmt.Fprint(w, "the whole answer")
+	}), nil)
+	require.NoError(t, err)
+	defer s.Close()
+	answer := make(chan string, 1)
+	go func() {
+		resp, err := http.Get("http://" + s.Address())
+		if err != nil {
+			answer <- err.Error()
+			return
+		}
+		defer resp.Body.Close()
+		b, _ := io.ReadAll(resp.Body)
+		answer <- string(b)
+	}()
+	<-begun
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.Error(t, s.Shutdown(ended), "an answer runs")
+	close(finish)
+	require.NoError(t, s.Shutdown(t.Context()))
+	require.Equal(t, "the whole answer", <-answer)
+
+	ready := false
+	o, err := ServeOperators("127.0.0.1:0", func() bool { return ready })
+	require.NoError(t, err)
+	defer o.Close()
+	status := func(path string) int {
+		resp, err := http.Get("http://" + o.Address() + path)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		return resp.StatusCode
+	}
+	require.Equal(t, http.StatusServiceUnavailable, status("/readyz"))
+	ready = true
+	require.Equal(t, http.StatusNoContent, status("/readyz"))
+	require.Equal(t, http.StatusNoContent, status("/healthz"))
+	require.Equal(t, http.StatusOK, status("/debug/vars"))
+}
