Test the credentials under gRPC

Cause: the handshakes were tested alone. Change: a call over the pool with the credentials, and one without. Conclusion: the pool's target gives the IP number that the certificate names.

--- a/tlsconf/tlsconf_test.go
+++ b/tlsconf/tlsconf_test.go
@@ -16,8 +16,14 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
 
+	"github.com/galenaweir/galenaweir/rpc"
+	"github.com/galenaweir/galenaweir/rpc/dial"
 	"github.com/galenaweir/galenaweir/settings"
 )
 
@@ -185,3 +191,27 @@
 	require.NoError(t, err)
 	require.EqualValues(t, 2, cert.Leaf.SerialNumber.Int64())
 }
+
+// Guards against credentials that work alone but not under gRPC.
+func TestGRPC(t *testing.T) {
+	f := files(t)
+	newAuthority(t).issue(f, "127.0.0.1", 2)
+	creds, err := Peers(f)
+	require.NoError(t, err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := grpc.NewServer(grpc.Creds(creds))
+	rpc.RegisterAgentServer(s, rpc.UnimplementedAgentServer{})
+	go func() { _ = s.Serve(l) }()
+	defer s.Stop()
+	call := func(c credentials.TransportCredentials) codes.Code {
+		pool := dial.New(c)
+		defer pool.Close()
+		conn, err := pool.Get(l.Addr().String())
+		require.NoError(t, err)
+		_, err = rpc.NewAgentClient(conn).Cancel(t.Context(), &rpc.CancelRequest{})
+		return status.Code(err)
+	}
+	require.Equal(t, codes.Unimplemented, call(creds))
+	require.Equal(t, codes.Unavailable, call(insecure.NewCredentials()))
+}
