Publish the agent's figures

Cause: the agent published nothing at /debug/vars. Change: running attempts, refusals by kind, engine resumes, foreign frames, configuration version and members.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"fmt"
 	"strings"
 	"sync"
@@ -19,6 +20,7 @@
 	"github.com/galenaweir/galenaweir/core/config"
 	"github.com/galenaweir/galenaweir/core/prefix"
 	"github.com/galenaweir/galenaweir/inflight"
+	"github.com/galenaweir/galenaweir/metrics"
 	"github.com/galenaweir/galenaweir/node"
 	"github.com/galenaweir/galenaweir/protocol"
 	"github.com/galenaweir/galenaweir/rpc"
@@ -32,6 +34,7 @@
 	Config       node.Config
 	Members      node.Members
 	Engine       protocol.Engine
+	Metrics      *metrics.Registry // nil for metrics.Default
 }
 
 // Times of the attempts that the agent keeps.
@@ -74,11 +77,29 @@
 	queuedTokens atomic.Int64
 	epoch        atomic.Uint64
 	dropped      atomic.Int64
+
+	refusals *expvar.Map // by error kind
+	resumes  *expvar.Int
 }
 
 // New returns an agent.
 func New(o Options) *Agent {
-	return &Agent{o: o, attempts: map[string]*attempt{}}
+	if o.Metrics == nil {
+		o.Metrics = metrics.Default
+	}
+	a := &Agent{o: o, attempts: map[string]*attempt{}, refusals: o.Metrics.CountBy("refusals"), resumes: o.Metrics.Count("engine_resumes")}
+	o.Metrics.Gauge("running", func() any { return a.active.Load() })
+	o.Metrics.Gauge("foreign_frames", func() any { return a.dropped.Load() })
+	o.Metrics.Gauge("config_version", func() any {
+		if st := o.Config.Current(); st != nil {
+			return st.Version
+		}
+		return 0
+	})
+	if o.Members != nil {
+		o.Metrics.Gauge("members", func() any { return len(o.Members.All()) })
+	}
+	return a
 }
 
 // DroppedFrames returns how many frames of engines named another attempt.
@@ -148,6 +169,7 @@
 func (a *Agent) Generate(req *rpc.GenerateRequest, s grpc.ServerStreamingServer[rpc.Frame]) error {
 	at, err := a.attempt(req)
 	if err != nil {
+		a.refusals.Add(string(apierr.From(err).Kind), 1)
 		return s.Send(&rpc.Frame{AttemptId: req.AttemptId, Customer: req.Customer, Body: &rpc.Frame_Error{Error: rpc.EncodeError(err)}, Load: a.load(req.Endpoint, "")})
 	}
 	return a.follow(s.Context(), at, req.ResumeSeq, s.Send)
@@ -217,6 +239,7 @@
 	salt := prefix.Derive(key, "salt", req.Model, req.Adapter)
 	r := runner{
 		engine: a.o.Engine, silence: a.o.SilenceLimit, dropped: func() { a.dropped.Add(1) },
+		resumed:    func() { a.resumes.Add(1) },
 		mayRestart: req.ResumeSeq == 0 && !(req.Resume && a.Leaving()),
 	}
 	err := r.run(ctx, at, &protocol.Request{
--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -132,6 +132,7 @@
 	engine  protocol.Engine
 	silence time.Duration
 	dropped func() // counts a frame that didn't fit
+	resumed func() // counts a reconnection
 	// mayRestart allows to send the request again, under the same ID, when the
 	// engine doesn't know the attempt and no frame of it was passed on.
 	mayRestart bool
@@ -168,6 +169,7 @@
 		if failures > maxEngineResumes || silent > maxSilentInRow {
 			return fmt.Errorf("gave up after %d resumes without progress: %w", failures-1, err)
 		}
+		r.resumed()
 		log.Warn().Str("attempt", a.id).Str("endpoint", a.endpoint).Uint64("seq", check.Next()).Err(err).Msg("engine stream resumed")
 		resume = !errors.Is(err, protocol.ErrNotFound)
 		if !sleep(ctx, resumePause) {
