--- a/entry/budget.go
+++ b/entry/budget.go
@@ -29,8 +29,8 @@
 	backoffMaximum = 200 * time.Millisecond
 )
 
-// windowBudget counts requests and repeats in slots of a second.
-type windowBudget struct {
+// WindowBudget implements Budget: it counts requests and repeats in slots of a second.
+type WindowBudget struct {
 	mu       sync.Mutex
 	now      func() time.Time
 	rng      *rand.Rand
@@ -39,12 +39,13 @@
 	repeats  [budgetSlots]int
 }
 
-func newWindowBudget(now func() time.Time, seed uint64) *windowBudget {
-	return &windowBudget{now: now, rng: rand.New(rand.NewPCG(seed, 1))}
+// NewWindowBudget returns the budget of design section 9.6.
+func NewWindowBudget(now func() time.Time, seed uint64) *WindowBudget {
+	return &WindowBudget{now: now, rng: rand.New(rand.NewPCG(seed, 1))}
 }
 
 // advance clears the slots that have left the window and returns the current one.
-func (b *windowBudget) advance() int {
+func (b *WindowBudget) advance() int {
 	slot := b.now().UnixNano() / int64(budgetWindow/budgetSlots)
 	for s := max(b.slot+1, slot-budgetSlots+1); s <= slot; s++ {
 		b.requests[s%budgetSlots], b.repeats[s%budgetSlots] = 0, 0
@@ -54,14 +55,14 @@
 }
 
 // Request implements Budget.
-func (b *windowBudget) Request() {
+func (b *WindowBudget) Request() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.requests[b.advance()]++
 }
 
 // Allow implements Budget.
-func (b *windowBudget) Allow() bool {
+func (b *WindowBudget) Allow() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.advance()
@@ -78,7 +79,7 @@
 }
 
 // Backoff implements Budget: a random wait of up to twice the doubling base.
-func (b *windowBudget) Backoff(n int) time.Duration {
+func (b *WindowBudget) Backoff(n int) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return time.Duration(b.rng.Int64N(int64(2 * min(backoffBase<<min(n, budgetSlots), backoffMaximum))))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -64,7 +64,7 @@
 // New returns an entry.
 func New(o Options) *Entry {
 	if o.Budget == nil {
-		o.Budget = newWindowBudget(time.Now, o.Seed)
+		o.Budget = NewWindowBudget(time.Now, o.Seed)
 	}
 	if o.Metrics == nil {
 		o.Metrics = metrics.Default
