--- a/entry/budget.go
+++ b/entry/budget.go
@@ -25,47 +25,46 @@
 // traffic, so that an entry with little traffic can repeat something at all.
 const budgetFloor = 10
 
-// sharedBudget is the product's budget, for concurrent use.
-type sharedBudget struct {
+// WindowBudget implements Budget with core/retry, for concurrent use.
+type WindowBudget struct {
 	mu     sync.Mutex
 	start  time.Time
 	now    func() time.Time
 	budget *retry.Budget
 	rng    *rand.Rand
-	floor  [budgetFloor]time.Duration // last repeats beyond the share; zero for none
-	next   int                        // place of the oldest in floor
+	last   [budgetFloor]time.Duration // times of the last repeats; zero for none
+	next   int                        // place of the oldest
 }
 
-func newBudget(now func() time.Time, seed uint64) *sharedBudget {
-	return &sharedBudget{start: now(), now: now, budget: retry.NewBudget(retry.RetryShare, retry.BudgetWindow), rng: rand.New(rand.NewPCG(seed, 1))}
+// NewWindowBudget returns the budget of docs/design.md, section 9.6.
+func NewWindowBudget(now func() time.Time, seed uint64) *WindowBudget {
+	return &WindowBudget{start: now(), now: now, budget: retry.NewBudget(retry.RetryShare, retry.BudgetWindow), rng: rand.New(rand.NewPCG(seed, 1))}
 }
 
 // Request implements Budget.
-func (b *sharedBudget) Request() {
+func (b *WindowBudget) Request() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.budget.Request(b.now().Sub(b.start))
 }
 
 // Allow implements Budget.
-func (b *sharedBudget) Allow() bool {
+func (b *WindowBudget) Allow() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now().Sub(b.start)
-	if b.budget.Spend(now) {
-		return true
-	}
-	oldest := b.floor[b.next]
-	if oldest != 0 && now-oldest < retry.BudgetWindow {
+	oldest := b.last[b.next]
+	few := oldest == 0 || now-oldest >= retry.BudgetWindow
+	if !b.budget.Spend(now) && !few {
 		return false
 	}
-	b.floor[b.next] = max(now, 1)
+	b.last[b.next] = max(now, 1)
 	b.next = (b.next + 1) % budgetFloor
 	return true
 }
 
 // Backoff implements Budget.
-func (b *sharedBudget) Backoff(n int, remaining time.Duration) (time.Duration, bool) {
+func (b *WindowBudget) Backoff(n int, remaining time.Duration) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return retry.Backoff{}.Pause(n, remaining, b.rng)
