Take evicted contexts out of the directory

Cause: entries kept choosing an engine for a prefix that it had evicted. Change: the evictions among an engine's cache events are passed to the directory, which removes contexts whose last piece is gone; drops of stored blocks are logged with their inputs. Result: go test -race -count=3 ./agent passes; without the removal, or with a piece that came back counted as evicted, a test fails. Conclusion: evictions are seen when the next prompt reaches the engine, so that a hint can be wrong until then.

--- a/agent/cache.go
+++ b/agent/cache.go
@@ -34,6 +34,9 @@
 	Now    func() time.Time // of estimates
 	// Announce is told where a context is; nil if nobody wants to know.
 	Announce func(key prefix.Hash, l *rpc.ContextLocation)
+	// Evicted is told which pieces an engine no longer holds; nil if nobody wants to
+	// know.
+	Evicted func(endpoint string, pieces []prefix.Hash)
 	// RefreshTimeout bounds the wait for an engine's state and cache events
 	// before an attempt; without them the engine recomputes. 200 ms if zero.
 	RefreshTimeout time.Duration
@@ -220,9 +223,13 @@
 	}
 	p := c.describe(doc, req, salt, st.WeightVersion)
 	v := c.view(address)
-	if err := v.refresh(ctx, c.o.Engine, address); err != nil {
+	evicted, err := v.refresh(ctx, c.o.Engine, address)
+	if err != nil {
 		return nil, nil, err
 	}
+	if c.o.Evicted != nil {
+		c.o.Evicted(req.Endpoint, evicted)
+	}
 	return p, v.missing(p.chain), nil
 }
 
--- a/agent/cache_test.go
+++ b/agent/cache_test.go
@@ -415,10 +415,15 @@
 		{"all lost", nil, []int{0, 1, 2}, 4},
 	} {
 		s.events = c.events
-		require.NoError(t, v.refresh(t.Context(), s, ""), c.name)
+		_, err := v.refresh(t.Context(), s, "")
+		require.NoError(t, err, c.name)
 		require.Equal(t, c.missing, v.missing(chain), c.name)
 		require.Equal(t, c.resyncs, v.resyncs, c.name)
 	}
+	s.events = []protocol.CacheEvent{ev(1, 1, false), ev(2, 2, false), ev(3, 1, true), ev(4, 2, true), ev(5, 1, false)}
+	evicted, err := v.refresh(t.Context(), s, "")
+	require.NoError(t, err)
+	require.Equal(t, []prefix.Hash{{2}}, evicted, "a piece that came back is not evicted")
 }
 
 func storeOptions() store.Options { return store.Options{MemoryBytes: 1 << 20} }
--- a/agent/directory.go
+++ b/agent/directory.go
@@ -48,9 +48,10 @@
 
 	mu      sync.Mutex
 	shard   *directory.Shard
-	own     *directory.Shard // contexts that ran here
-	ownKeys []prefix.Hash    // in the order of their first run
-	pending map[prefix.Hash][]*rpc.ContextLocation
+	own     *directory.Shard            // contexts that ran here
+	ownKeys []prefix.Hash               // in the order of their first run
+	byTip   map[prefix.Hash]prefix.Hash // own contexts by their last piece
+	pending map[prefix.Hash][]*rpc.DirectoryUpdate
 	owners  []string // as of the last re-announcement
 	moving  []prefix.Hash
 }
@@ -64,7 +65,7 @@
 	own.Capacity = maxOwnContexts
 	return &Directory{
 		o: o, shard: directory.NewShard(o.Shard, o.Now()), own: directory.NewShard(own, o.Now()),
-		pending: map[prefix.Hash][]*rpc.ContextLocation{},
+		pending: map[prefix.Hash][]*rpc.DirectoryUpdate{}, byTip: map[prefix.Hash]prefix.Hash{},
 	}
 }
 
@@ -87,15 +88,41 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.o.Now()
-	if d.own.Get(key, now) == nil {
+	before := d.own.Get(key, now)
+	for _, b := range before {
+		delete(d.byTip, b.ChainTip)
+	}
+	if before == nil {
 		d.ownKeys = append(d.ownKeys, key)
 		if len(d.ownKeys) > maxOwnContexts {
 			d.ownKeys = slices.Delete(d.ownKeys, 0, len(d.ownKeys)-maxOwnContexts)
 		}
 	}
 	d.own.Put(key, fromWire(l), now)
-	if len(d.pending) < maxPending {
-		d.pending[key] = append(d.pending[key], l)
+	if len(d.byTip) >= maxOwnContexts {
+		clear(d.byTip) // evictions go unnoticed until the contexts run again
+	}
+	d.byTip[fromWire(l).ChainTip] = key
+	d.queue(&rpc.DirectoryUpdate{ContextKey: key[:], Location: l})
+}
+
+// Evicted queues the removal of contexts whose last piece an engine no longer
+// holds. An engine evicts the last piece of a context after the others.
+func (d *Directory) Evicted(endpoint string, pieces []prefix.Hash) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, tip := range pieces {
+		if key, ok := d.byTip[tip]; ok {
+			d.own.Remove(key, endpoint, "")
+			d.queue(&rpc.DirectoryUpdate{ContextKey: key[:], Location: &rpc.ContextLocation{Endpoint: endpoint}, Removed: true})
+		}
+	}
+}
+
+func (d *Directory) queue(u *rpc.DirectoryUpdate) {
+	key := prefix.Hash(u.ContextKey)
+	if len(d.pending) < maxPending || d.pending[key] != nil {
+		d.pending[key] = append(d.pending[key], u)
 	}
 }
 
@@ -134,21 +161,19 @@
 	d.shard.Expire(now, expirePerInterval)
 	d.noteOwners(ids, now)
 	out := map[string][]*rpc.DirectoryUpdate{}
-	add := func(key prefix.Hash, l *rpc.ContextLocation) {
+	add := func(key prefix.Hash, us ...*rpc.DirectoryUpdate) {
 		if o := owner(key, ids); o != "" {
-			out[o] = append(out[o], &rpc.DirectoryUpdate{ContextKey: key[:], Location: l})
+			out[o] = append(out[o], us...)
 		}
 	}
-	for key, ls := range d.pending {
-		for _, l := range ls {
-			add(key, l)
-		}
+	for key, us := range d.pending {
+		add(key, us...)
 	}
 	clear(d.pending)
 	n := min(maxReannounce, len(d.moving))
 	for _, key := range d.moving[:n] {
 		for _, l := range d.own.Get(key, now) {
-			add(key, toWire(l))
+			add(key, &rpc.DirectoryUpdate{ContextKey: key[:], Location: toWire(l)})
 		}
 	}
 	d.moving = d.moving[n:]
--- a/agent/directory_test.go
+++ b/agent/directory_test.go
@@ -115,6 +115,54 @@
 	return nil, ctx.Err()
 }
 
+// A context that its engine has evicted is taken out of the directory at the next
+// prompt, and its store's location stays; otherwise entries keep choosing an
+// engine for a prefix that it no longer has.
+func TestEvictionsAreAnnounced(t *testing.T) {
+	d := newDirectories(t, 3)
+	r := newRig(t, storeOptions(), nil)
+	runner := d.byID["agent-0"]
+	r.cache.o.Announce, r.cache.o.Evicted = runner.Announce, runner.Evicted
+	key := prefix.ContextKey(prefix.DeriveCustomerKey([]byte("secret"), "a"), "c")
+	locations := func() (out []string) {
+		runner.flush(t.Context())
+		for _, l := range d.lookup.Lookup(t.Context(), key) {
+			out = append(out, l.Endpoint+l.Store)
+		}
+		return out
+	}
+	r.cache.o.Now = time.Now
+	r.run("a")
+	r.export()
+	require.Equal(t, []string{"e", "s"}, locations())
+	r.run("b")
+	require.Equal(t, []string{"e", "s"}, locations(), "nothing was evicted")
+	r.eng.Evict()
+	r.run("b")
+	require.Equal(t, []string{"s"}, locations())
+	for i := range d.members.all {
+		if id := d.members.all[i].ID; id == owner(key, Owners(d.members, "r")) {
+			d.members.all[i].State = node.Leaving
+			break
+		}
+	}
+	require.Equal(t, []string{"s"}, locations(), "the new owner is not told of the evicted prefix")
+	r.run("a")
+	require.Equal(t, []string{"e", "s"}, locations())
+}
+
+// The eviction of a piece that a context no longer ends with removes nothing.
+func TestEvictionOfAnEarlierTip(t *testing.T) {
+	d := NewDirectory(DirectoryOptions{ID: "a", Members: &fixedMembers{}, Shard: directory.DefaultOptions()})
+	for tip := range byte(2) {
+		d.Announce(prefix.Hash{9}, &rpc.ContextLocation{Endpoint: "e", UpdatedMs: time.Now().UnixMilli(), ChainTip: []byte{tip + 1}})
+	}
+	d.Evicted("e", []prefix.Hash{{1}})
+	require.Len(t, d.pending[prefix.Hash{9}], 2)
+	d.Evicted("e", []prefix.Hash{{2}})
+	require.True(t, d.pending[prefix.Hash{9}][2].Removed)
+}
+
 // An owner that does not answer costs an entry no more than the time limit, and a
 // malformed update costs the owner nothing.
 func TestDirectoryFaults(t *testing.T) {
--- a/agent/engineview.go
+++ b/agent/engineview.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/galenaweir/galenaweir/core/prefix"
@@ -23,8 +25,9 @@
 
 // refresh applies the engine's events since the last refresh. The last event is
 // asked for again: if it does not come back as it was, events were lost or the
-// engine restarted, and the view starts from nothing.
-func (v *engineView) refresh(ctx context.Context, e protocol.Engine, address string) error {
+// engine restarted, and the view starts from nothing. It returns the pieces that
+// were evicted.
+func (v *engineView) refresh(ctx context.Context, e protocol.Engine, address string) ([]prefix.Hash, error) {
 	v.refreshing.Lock()
 	defer v.refreshing.Unlock()
 	v.mu.Lock()
@@ -32,16 +35,15 @@
 	v.mu.Unlock()
 	events, err := e.CacheEvents(ctx, address, max(1, last.Number)-1)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if last.Number > 0 && (len(events) == 0 || events[0] != last) {
 		v.reset()
 		if events, err = e.CacheEvents(ctx, address, 0); err != nil {
-			return err
+			return nil, err
 		}
 	}
-	v.apply(events)
-	return nil
+	return v.apply(events), nil
 }
 
 func (v *engineView) reset() {
@@ -51,10 +53,12 @@
 	v.held, v.last = map[prefix.Hash]struct{}{}, protocol.CacheEvent{}
 }
 
-// apply takes events in their order; at a gap the view forgets what it held.
-func (v *engineView) apply(events []protocol.CacheEvent) {
+// apply takes events in their order; at a gap the view forgets what it held. It
+// returns the pieces that the events evict and don't bring back.
+func (v *engineView) apply(events []protocol.CacheEvent) (evicted []prefix.Hash) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	gone := map[prefix.Hash]struct{}{}
 	for _, ev := range events {
 		if ev.Number <= v.last.Number {
 			continue
@@ -65,11 +69,14 @@
 		}
 		if ev.Evicted {
 			delete(v.held, ev.Block)
+			gone[ev.Block] = struct{}{}
 		} else {
+			delete(gone, ev.Block)
 			v.held[ev.Block] = struct{}{}
 		}
 		v.last = ev
 	}
+	return slices.Collect(maps.Keys(gone))
 }
 
 // missing returns the indices of the chain's pieces that the engine lacks.
--- a/agent/export.go
+++ b/agent/export.go
@@ -203,6 +203,8 @@
 		return slices.ContainsFunc(victims, func(v storedBlock) bool { return v.store == b.store && v.slot.Generation == b.slot.Generation })
 	})
 	c.mu.Unlock()
+	log.Info().Str("decision", "drop").Str("store", store).Str("tier", string(t)).Int64("bytes", bytes).Dur("value", value).
+		Int("held", len(held)).Int("dropped", len(victims)).Msg("placement")
 	for _, v := range victims {
 		if err := c.o.Store.Free(ctx, v.address, v.slot); err != nil && !errors.Is(err, storeclient.ErrChanged) {
 			return false
--- a/cmd/galenaweir-agent/main.go
+++ b/cmd/galenaweir-agent/main.go
@@ -53,6 +53,7 @@
 	go contexts.Run(stop)
 	cache := agent.NewCache(agent.CacheOptions{
 		Secret: process.Secret(s), Engine: engine, Store: storeclient.New(storeclient.DefaultOptions()), Announce: contexts.Announce,
+		Evicted: contexts.Evicted,
 	})
 	go cache.Run(stop)
 	a := agent.New(agent.Options{
