Measure the slopes behind the target size

Change: bench/capacity and bench/cmd/capacity measure control, directory, claims, configuration, routing, entry and agent at three sizes or more, fit a line to each, and extrapolate it to the target; make capacity. Conclusion: the figures of the page can be produced by one command.

--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,10 @@
 measure:
 	go run ./bench/cmd/measure --out docs/measurements
 
+# Measures the slopes; writes docs/CAPACITY.md and docs/measurements/capacity.json.
+capacity: build
+	./bin/capacity --root .
+
 tidy:
 	@for m in $(MODULES); do (cd $$m && GOWORK=off go mod tidy); done
 
--- /dev/null
+++ b/bench/capacity/capacity_test.go
@@ -0,0 +1,111 @@
+package capacity
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const root = "../.."
+
+// Guards against a page whose figures or text differ from the committed
+// measurement.
+func TestPageHoldsTheCommittedFigures(t *testing.T) {
+	r, err := Read(root)
+	require.NoError(t, err)
+	want, err := r.Page()
+	require.NoError(t, err)
+	got, err := os.ReadFile(filepath.Join(root, PageFile))
+	require.NoError(t, err)
+	require.Equal(t, want, string(got), "run make capacity, or bin/capacity --root . --page after a change of the text")
+}
+
+// Guards against figures in the committed measurement that are not the fit of
+// their own points, and against limits or targets that were changed only there.
+func TestCommittedFitsAreThoseOfTheirPoints(t *testing.T) {
+	r, err := Read(root)
+	require.NoError(t, err)
+	require.NotEmpty(t, r.Slopes)
+	for _, s := range r.Slopes {
+		f := s.fit()
+		require.GreaterOrEqual(t, len(s.Points), 3, s.ID)
+		assert.InDelta(t, f.Gradient, s.Gradient, 1e-9*(1+abs(f.Gradient)), s.ID)
+		assert.InDelta(t, f.Value, s.Value, 1e-9*(1+abs(f.Value)), s.ID)
+	}
+}
+
+func abs(x float64) float64 { return max(x, -x) }
+
+// Guards against wrong extrapolations and verdicts.
+func TestSlope(t *testing.T) {
+	line := []Point{{1, 3}, {2, 5}, {4, 9}}
+	for name, c := range map[string]struct {
+		slope   Slope
+		value   float64
+		reaches float64
+		verdict string
+	}{
+		"linear":              {Slope{Points: line, Target: 10, Limit: 21}, 21, 10, Met},
+		"above the limit":     {Slope{Points: line, Target: 10, Limit: 20}, 21, 9.5, NotMet},
+		"logarithmic":         {Slope{Points: []Point{{2, 1}, {4, 2}, {8, 3}}, Scale: Log2, Target: 1024, Limit: 11}, 10, 2048, Met},
+		"point at the target": {Slope{Points: []Point{{1, 1}, {2, 9}, {3, 5}}, Target: 2, Limit: 6}, 5, 2.5, NotMet},
+		"beyond the target":   {Slope{Points: line, Target: 2, Limit: 6}, 5, 2.5, Met},
+		"no limit":            {Slope{Points: line, Target: 10}, 21, -0.5, NoLimit},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := c.slope.fit()
+			assert.InDelta(t, c.value, s.Value, 1e-9)
+			assert.InDelta(t, c.reaches, s.Reaches(s.Limit), 1e-9)
+			assert.Equal(t, c.verdict, s.Verdict())
+		})
+	}
+}
+
+// Guards against a measured document that the system would refuse, and a change
+// that is not a small patch.
+func TestDocumentIsValid(t *testing.T) {
+	const customers = 20
+	d := document(customers)
+	require.NoError(t, d.Validate())
+	text, err := canonical(d)
+	require.NoError(t, err)
+	change, err := changeRecord(d, text)
+	require.NoError(t, err)
+	s := newStream(text)
+	require.EqualValues(t, 1, s.Version())
+	assert.Less(t, len(change.Patch), len(text)/percent)
+	_, err = cpuOfPatch(text, change)
+	require.NoError(t, err)
+}
+
+// Guards against a simulated keeper that leaves claims without an answer or
+// exceeds the append limit of a partition.
+func TestKeeperRunGrantsClaims(t *testing.T) {
+	const perSecond = 100
+	r := newKeeperRun()
+	require.NoError(t, r.run(perSecond))
+	sent := perSecond * claimRunTime.Seconds()
+	assert.Greater(t, float64(r.granted), 0.9*sent)
+	assert.LessOrEqual(t, float64(r.appends), limitAppendsPerSec*claimRunTime.Seconds()+1)
+	held := 0
+	for i := range int(sent) {
+		if _, ok := r.k.State().Holding(claimOf(i, r.now).Key); ok {
+			held++
+		}
+	}
+	assert.GreaterOrEqual(t, held, r.granted)
+}
+
+// Guards against a simulation whose figures change between runs.
+func TestSimulationIsRepeatable(t *testing.T) {
+	const daemons = 10
+	a, err := simulate(daemons)
+	require.NoError(t, err)
+	b, err := simulate(daemons)
+	require.NoError(t, err)
+	require.Equal(t, a, b)
+	assert.Positive(t, a.bytes)
+}
--- /dev/null
+++ b/bench/capacity/page.go
@@ -0,0 +1,96 @@
+package capacity
+
+import (
+	_ "embed"
+	"errors"
+	"fmt"
+	"math"
+	"strings"
+	"text/template"
+)
+
+//go:embed page.md.tmpl
+var pageTemplate string
+
+// Page returns docs/CAPACITY.md with the figures of the report.
+func (r *Report) Page() (string, error) {
+	t, err := template.New("page").Option("missingkey=error").Funcs(r.functions()).Parse(pageTemplate)
+	if err != nil {
+		return "", fmt.Errorf("parse the page: %w", err)
+	}
+	var b strings.Builder
+	if err := t.Execute(&b, r); err != nil {
+		return "", fmt.Errorf("write the page: %w", err)
+	}
+	return b.String(), nil
+}
+
+// functions are those of the template. Values are plain numbers until num or
+// int formats them.
+func (r *Report) functions() template.FuncMap {
+	slopeValue := func(f func(Slope) float64) func(string) (float64, error) {
+		return func(id string) (float64, error) {
+			s, err := r.Find(id)
+			return f(s), err
+		}
+	}
+	return template.FuncMap{
+		"at":    slopeValue(func(s Slope) float64 { return s.Value }),
+		"per":   slopeValue(func(s Slope) float64 { return s.Gradient }),
+		"first": slopeValue(func(s Slope) float64 { return s.Points[0].Y }),
+		"last":  slopeValue(func(s Slope) float64 { return s.Points[len(s.Points)-1].Y }),
+		"verdict": func(id string) (string, error) {
+			s, err := r.Find(id)
+			return s.Verdict(), err
+		},
+		"judge": judge,
+		"const": constant,
+		"mul": func(a float64, bs ...float64) float64 {
+			return fold(a, bs, func(x, y float64) float64 { return x * y })
+		},
+		"add": func(a float64, bs ...float64) float64 {
+			return fold(a, bs, func(x, y float64) float64 { return x + y })
+		},
+		"div": func(a, b float64) float64 { return a / b },
+		"num": number,
+		"int": whole,
+	}
+}
+
+func fold(a float64, bs []float64, f func(x, y float64) float64) float64 {
+	for _, b := range bs {
+		a = f(a, b)
+	}
+	return a
+}
+
+// whole formats without decimals, with commas between the thousands.
+func whole(v float64) string {
+	if math.IsInf(v, 0) {
+		return "no size"
+	}
+	const group = 3
+	s := fmt.Sprintf("%.0f", v)
+	for i := len(s) - group; i > 0; i -= group {
+		s = s[:i] + "," + s[i:]
+	}
+	return s
+}
+
+var errUnknownConstant = errors.New("unknown constant in the page's template")
+
+// constant returns a figure of the target by name.
+func constant(name string) (float64, error) {
+	v, ok := map[string]float64{
+		"daemons": targetDaemons, "entries": targetEntries, "agents": targetAgents, "endpoints": targetEndpoints, "domains": targetDomains,
+		"requests": targetRequestsPerSec, "tokens": targetTokensPerSec, "contexts": targetContexts, "customers": targetCustomers,
+		"changes": targetChangesPerDay, "restarts": targetRestartsPerDay, "day": secondsPerDay,
+		"streams": targetStreams, "entryStreams": streamsPerEntry, "agentStreams": streamsPerAgent, "agentContexts": contextsPerAgent,
+		"partitions": claimPartitions, "partitionClaims": claimsPerPart, "keptClaims": keptClaimsPerPart, "paymentShare": paymentShare,
+		"answerBytes": answerBytes, "mebibyte": mebibyte, "maxGroupClaims": maxGroupClaims, "maxAppends": limitAppendsPerSec,
+	}[name]
+	if !ok {
+		return 0, fmt.Errorf("%w: %q", errUnknownConstant, name)
+	}
+	return v, nil
+}
