Wire rollout, limits and load reports between the processes

Cause: the agents' rollout had no carrier, the entries' limit reports were not exchanged, and load reports lacked classes, slot time and links, which the routing estimate uses. Result: go test -race ./entry ./agent ./peer ./core/membership passes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -82,6 +82,7 @@
 	attempts map[string]*attempt
 	work     inflight.Group
 	calls    *calls
+	backlog  backlog
 
 	active  atomic.Int64
 	epoch   atomic.Uint64
@@ -167,17 +168,6 @@
 	return ids
 }
 
-func (a *Agent) load(endpoint, version string) *rpc.LoadReport {
-	l, ok := a.o.Gate.Load(endpoint)
-	if !ok {
-		l.Running = int(a.active.Load())
-	}
-	return &rpc.LoadReport{
-		Endpoint: endpoint, Running: uint32(l.Running), Waiting: uint32(l.Waiting),
-		QueuedTokens: uint32(l.QueuedTokens), WeightVersion: version, Leaving: a.Leaving(), Epoch: a.epoch.Add(1),
-	}
-}
-
 // Generate implements rpc.AgentServer.
 func (a *Agent) Generate(req *rpc.GenerateRequest, s grpc.ServerStreamingServer[rpc.Frame]) error {
 	at, err := a.attempt(req)
@@ -261,11 +251,15 @@
 		MaxTokens: int(req.MaxTokens), Priority: doc.Priorities[req.Priority].Rank,
 		CacheSalt: fmt.Sprintf("%x", salt), WeightVersion: req.WeightVersion,
 	}
+	r.began = a.backlog.add(req.Endpoint, preq.Priority, int(req.PrefillTokens))
+	defer r.began()
 	release, err := a.o.Gate.Acquire(ctx, doc, req)
 	if err == nil {
+		granted := time.Now()
 		a.o.Cache.Import(ctx, doc, req, preq.CacheSalt)
 		err = r.run(ctx, at, preq, req.Resume)
 		release(at.tokens())
+		a.backlog.held(req.Endpoint, time.Since(granted))
 	}
 	if err == nil {
 		a.o.Cache.Export(doc, req, preq.CacheSalt, at.weightVersion())
--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -147,6 +147,7 @@
 	silence time.Duration
 	dropped func() // counts a frame that didn't fit
 	resumed func() // counts a reconnection
+	began   func() // the prompt is prefilled
 	// mayRestart allows to send the request again, under the same ID, when the
 	// engine doesn't know the attempt and no frame of it was passed on.
 	mayRestart bool
@@ -251,6 +252,9 @@
 	}
 	switch v {
 	case stream.Accept:
+		if e.Kind == protocol.Started {
+			r.began()
+		}
 		a.add(frameOf(a, e))
 	case stream.Foreign:
 		r.dropped()
--- a/bench/cmd/membership/main.go
+++ b/bench/cmd/membership/main.go
@@ -131,7 +131,7 @@
 		SnapshotBytes: func(ms []membership.Member) int { return proto.Size(peer.EncodeMembers(ms)) },
 	})
 	for i, x := range n.Nodes {
-		x.M.SetEndpoints([]membership.Endpoint{{ID: fmt.Sprintf("naviq-%03d", 2*i), WeightVersion: "2026-12-03"}, {ID: fmt.Sprintf("naviq-%03d", 2*i+1), WeightVersion: "2026-12-03"}})
+		x.M.SetEndpoints(0, []membership.Endpoint{{ID: fmt.Sprintf("naviq-%03d", 2*i), WeightVersion: "2026-12-03"}, {ID: fmt.Sprintf("naviq-%03d", 2*i+1), WeightVersion: "2026-12-03"}})
 	}
 	n.LogVersion = 1
 	busy := r.traffic(n)
--- a/cmd/galenaweir-agent/main.go
+++ b/cmd/galenaweir-agent/main.go
@@ -76,6 +76,10 @@
 		return err
 	}
 	go p.Run(stop)
+	weights := agent.NewRollout(agent.RolloutOptions{
+		ID: s.ID, Config: p, Engine: engine, Peers: &agent.GossipPeers{Members: p, Announcer: p}, Now: time.Now,
+	})
+	go weights.Run(stop)
 	operators, err := process.ServeOperators(s.OperatorAddress, func() bool { return p.Ready() && !a.Leaving() })
 	if err != nil {
 		return err
--- a/cmd/galenaweir-entry/main.go
+++ b/cmd/galenaweir-entry/main.go
@@ -63,6 +63,7 @@
 		Config:        p, Members: p, Pool: pool, Claims: claimsvc.NewClient(p, pool),
 		Contexts: &entry.DirectoryLookup{Region: s.Region, Members: p, Pool: pool}, Seed: rand.Uint64(),
 	})
+	go e.ShareUsage(stop, p)
 	h, err := e.Handler()
 	if err != nil {
 		return err
--- a/core/membership/machine.go
+++ b/core/membership/machine.go
@@ -130,14 +130,16 @@
 	return v
 }
 
-// SetEndpoints announces the state of this process's endpoints when it changed.
-func (m *Machine) SetEndpoints(es []Endpoint) {
+// SetEndpoints announces the state of this process's endpoints when it changed,
+// to all out-neighbours at once: a rollout counts on its announcements.
+func (m *Machine) SetEndpoints(now time.Duration, es []Endpoint) []Command {
 	if slices.Equal(m.self.Endpoints, es) {
-		return
+		return nil
 	}
 	m.self.Endpoints = slices.Clone(es)
 	m.self.Incarnation++
 	m.announce(m.self)
+	return m.NotifyAll(now)
 }
 
 // Leave announces that this process is leaving to all out-neighbours at once.
--- a/core/membership/member.go
+++ b/core/membership/member.go
@@ -30,6 +30,7 @@
 	ID            string
 	WeightVersion string
 	Leaving       bool
+	Stage         uint32 // of a weight rollout, as package rollout numbers them
 }
 
 // Member is one process and, in messages, an update about it. An update without
--- /dev/null
+++ b/entry/gossip.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/galenaweir/galenaweir/core/limits"
+	"github.com/galenaweir/galenaweir/core/membership"
+	"github.com/galenaweir/galenaweir/rpc"
+)
+
+// UsageGossip carries the customers' demands between the entries.
+type UsageGossip interface {
+	SetUsage(us []membership.Usage)
+	// Usage returns the announced demands of all entries with their ages.
+	Usage() []membership.Usage
+}
+
+// ShareUsage announces this entry's demands and takes those of the others until
+// ctx ends.
+func (e *Entry) ShareUsage(ctx context.Context, g UsageGossip) {
+	t := time.NewTicker(limits.ReportInterval)
+	defer t.Stop()
+	for {
+		e.exchangeUsage(g, time.Now())
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (e *Entry) exchangeUsage(g UsageGossip, now time.Time) {
+	var own []membership.Usage
+	for _, u := range e.Usage() {
+		own = append(own, membership.Usage{Customer: u.Customer, Entry: u.Entry, TokensPerSecond: u.TokensPerSecond})
+	}
+	g.SetUsage(own)
+	byEntry := map[string][]*rpc.CustomerUsage{}
+	sent := map[string]time.Time{}
+	for _, u := range g.Usage() {
+		if u.Entry == e.o.ID {
+			continue
+		}
+		byEntry[u.Entry] = append(byEntry[u.Entry], &rpc.CustomerUsage{Customer: u.Customer, Entry: u.Entry, TokensPerSecond: u.TokensPerSecond})
+		if at := now.Add(-u.Age); at.After(sent[u.Entry]) {
+			sent[u.Entry] = at
+		}
+	}
+	for id, us := range byEntry {
+		e.ObserveUsage(us, sent[id])
+	}
+}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -163,7 +163,7 @@
 		RequestId: r.p.id, AttemptId: uuid.NewString(), Customer: r.p.customer, Endpoint: to.endpoint, Model: r.p.model,
 		Conversation: r.p.conversation, Prompt: r.p.text, MaxTokens: uint32(r.p.maxTokens), Priority: r.p.priority,
 		ConfigVersion: r.p.state.Version, PrefixOutput: r.answer.String(), WeightVersion: version,
-		Hint: to.hint, OverShare: to.overShare,
+		Hint: to.hint, OverShare: to.overShare, PrefillTokens: uint32(to.prefill),
 	}
 	f.check = stream.NewChecker(f.req.AttemptId, r.p.customer)
 	end, err := f.run(ctx)
--- a/entry/route.go
+++ b/entry/route.go
@@ -68,6 +68,7 @@
 type routed struct {
 	endpoint, address string
 	overShare         bool
+	prefill           int                  // tokens expected
 	hint              *rpc.ContextLocation // where to fetch the prefix from, nil for nowhere
 }
 
@@ -105,6 +106,7 @@
 		held = c.StoreTokens
 	}
 	take.prefill = max(1, req.PromptTokens-held)
+	r.prefill = take.prefill
 	r.overShare = e.view.chose(take)
 	logRoute(p, req, cs, choice)
 	return r, nil
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -202,7 +202,7 @@
 
 // SetEndpoints announces this process's endpoints: weight versions and leaving.
 func (p *Peer) SetEndpoints(es []membership.Endpoint) {
-	p.update(func(time.Duration) []membership.Command { p.machine.SetEndpoints(es); return nil })
+	p.update(func(now time.Duration) []membership.Command { return p.machine.SetEndpoints(now, es) })
 }
 
 // SetUsage announces the demand of customers above half of their limit at this
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -446,7 +446,7 @@
 		return b
 	}})
 	for _, x := range n.Nodes {
-		x.M.SetEndpoints([]membership.Endpoint{{ID: "naviq-engine-00", WeightVersion: "2026-12-03-a"}, {ID: "naviq-engine-01", WeightVersion: "2026-12-03-a", Leaving: true}})
+		x.M.SetEndpoints(0, []membership.Endpoint{{ID: "naviq-engine-00", WeightVersion: "2026-12-03-a"}, {ID: "naviq-engine-01", WeightVersion: "2026-12-03-a", Leaving: true}})
 		x.M.SetConfig(1<<30, make([]byte, 8))
 	}
 	for range 5 {
