--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -96,38 +96,83 @@
 	}
 }
 
+// unit is one machine that knows m0 to m7, with a clock in seconds.
+type unit struct{ *membership.Machine }
+
+func newUnit() unit {
+	u := unit{membership.New(membership.Options{Self: membership.Member{ID: "x", Incarnation: 1}, Rand: rand.New(rand.NewPCG(7, 7))})}
+	for i := range 8 {
+		u.hear(0, membership.Member{ID: fmt.Sprint("m", i), Address: fmt.Sprint("a", i), State: membership.Live, Incarnation: 1})
+	}
+	return u
+}
+
+func at(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func (u unit) hear(s float64, updates ...membership.Member) membership.Message {
+	return u.Receive(at(s), membership.Message{From: "m0", Incarnation: 1, Updates: updates})
+}
+
+func (u unit) state(s float64, id string) membership.State {
+	m, _ := u.Get(at(s), id)
+	return m.State
+}
+
 // Guards against a starved process, which hears others but runs late, that
 // suspects them or cuts their time to refute short.
 func TestLateTicksSuspendJudgement(t *testing.T) {
-	at := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-	m := membership.New(membership.Options{Self: membership.Member{ID: "x", Incarnation: 1}, Rand: rand.New(rand.NewPCG(7, 7))})
-	hear := func(s float64, updates ...membership.Member) {
-		m.Receive(at(s), membership.Message{From: "m0", Incarnation: 1, Updates: updates})
-	}
-	for i := range 8 {
-		hear(0, membership.Member{ID: fmt.Sprint("m", i), Address: fmt.Sprint("a", i), State: membership.Live, Incarnation: 1})
-	}
+	u := newUnit()
 	for s := range 20 {
-		m.Tick(at(float64(s)))
+		u.Tick(at(float64(s)))
 	}
-	hear(19, membership.Member{ID: "m1", State: membership.Suspect, Incarnation: 1})
-	hear(60, membership.Member{})
-	assert.Empty(t, m.Failed(at(60), "m2"), "a failure that was noticed before the late tick")
+	u.hear(19, membership.Member{ID: "m1", State: membership.Suspect, Incarnation: 1})
+	u.hear(60)
+	assert.Empty(t, u.Failed(at(60), "m2"), "a failure that was noticed before the late tick")
 	const rotation = 4 // out-neighbours among 9
 	for s := range rotation + 1 {
-		m.Tick(at(float64(60 + s)))
-		hear(float64(60 + s))
-		assert.Equal(t, s == rotation, len(m.Failed(at(60.5+float64(s)), "m2")) > 0, "%d ticks after the late one", s)
+		u.Tick(at(float64(60 + s)))
+		u.hear(float64(60 + s))
+		assert.Equal(t, s == rotation, len(u.Failed(at(60.5+float64(s)), "m2")) > 0, "%d ticks after the late one", s)
 	}
-	m.Tick(at(65))
-	u, _ := m.Get(at(65), "m1")
-	assert.Equal(t, membership.Suspect, u.State, "the time of the suspect went on during the pause")
+	u.Tick(at(65))
+	assert.Equal(t, membership.Suspect, u.state(65, "m1"), "the time of the suspect went on during the pause")
 	for s := range 4 {
-		hear(float64(66 + s))
-		m.Tick(at(float64(66 + s)))
+		u.hear(float64(66 + s))
+		u.Tick(at(float64(66 + s)))
+	}
+	assert.Equal(t, membership.Gone, u.state(70, "m1"))
+}
+
+// Guards against a process that hears from nobody and judges or spreads verdicts.
+func TestIsolatedProcessJudgesNobody(t *testing.T) {
+	u := newUnit()
+	u.hear(0, membership.Member{ID: "m1", State: membership.Suspect, Incarnation: 1})
+	for s := range 30 {
+		for _, c := range u.Tick(at(float64(s))) {
+			for _, x := range c.Message.Updates {
+				assert.False(t, s > 4 && x.State == membership.Suspect && x.ID != c.Target, "a verdict spreads after %d s", s)
+			}
+		}
+		assert.Equal(t, s <= 4, len(u.Failed(at(float64(s)), "m2")) > 0, "after %d s", s)
+		u.Probed(at(float64(s)), "m2", true)
+		u.Probed(at(float64(s)), "m2", true)
+	}
+	assert.Equal(t, membership.Suspect, u.state(30, "m1"))
+}
+
+// Guards against a member that is gone at once because another process says so.
+func TestGoneOfOthersIsDoubted(t *testing.T) {
+	u := newUnit()
+	gone := membership.Member{ID: "m1", State: membership.Gone, Incarnation: 1}
+	for s := range 8 {
+		u.Tick(at(float64(s)))
+		u.hear(float64(s), gone)
+		require.Equal(t, membership.Suspect, u.state(float64(s), "m1"), "after %d s", s)
 	}
-	u, _ = m.Get(at(70), "m1")
-	assert.Equal(t, membership.Gone, u.State)
+	u.hear(8, gone)
+	assert.Equal(t, membership.Gone, u.state(8, "m1"))
+	u.hear(9, membership.Member{ID: "m1", Address: "a1", State: membership.Live, Incarnation: 2})
+	assert.Equal(t, membership.Live, u.state(9, "m1"))
 }
 
 // Guards against a resumed process that suspects others for its own lateness.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -225,9 +225,12 @@
 		p, l := start(nil)
 		c.eventually("several reads", func() bool { return l.reads.Load() >= rounds })
 		assert.False(t, p.Ready())
+		l.down.Store(false)
+		before := l.reads.Load()
+		c.eventually("reads of an empty log", func() bool { return l.reads.Load() >= before+rounds })
+		assert.False(t, p.Ready(), "ready without a version")
 		_, err := c.publish("v1", "eve", nil)
 		require.NoError(t, err)
-		l.down.Store(false)
 		c.eventually("ready from the log", p.Ready)
 	})
 	t.Run("peers disagree", func(t *testing.T) {
