Test the fetch after a cut and readiness without a peer

Cause: removing either guard failed no test. Change: a process that was cut off must fetch the members and give up its own verdicts; a version that no reachable peer confirms isn't ready. Conclusion: both guards are covered.

--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -146,9 +146,11 @@
 // Guards against a process that hears from nobody and judges or spreads verdicts.
 func TestIsolatedProcessJudgesNobody(t *testing.T) {
 	u := newUnit()
+	u.Merge(0, nil)
 	u.hear(0, membership.Member{ID: "m1", State: membership.Suspect, Incarnation: 1})
 	for s := range 30 {
 		for _, c := range u.Tick(at(float64(s))) {
+			assert.NotEqual(t, membership.FetchMembers, c.Kind)
 			for _, x := range c.Message.Updates {
 				assert.False(t, s > 4 && x.State == membership.Suspect && x.ID != c.Target, "a verdict spreads after %d s", s)
 			}
@@ -158,6 +160,19 @@
 		u.Probed(at(float64(s)), "m2", true)
 	}
 	assert.Equal(t, membership.Suspect, u.state(30, "m1"))
+	u.hear(30)
+	fetched := 0
+	for s := 30.0; s < 34; s++ {
+		for _, c := range u.Tick(at(s)) {
+			if c.Kind == membership.FetchMembers {
+				fetched++
+			}
+		}
+		u.hear(s)
+	}
+	assert.Positive(t, fetched, "the members aren't fetched again")
+	u.Merge(at(34), []membership.Member{{ID: "m1", Address: "a1", State: membership.Live, Incarnation: 1}})
+	assert.Equal(t, membership.Live, u.state(34, "m1"), "its own verdict stands against the others'")
 }
 
 // Guards against a member that is gone at once because another process says so.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -176,11 +176,15 @@
 type fakePeer struct {
 	rpc.UnimplementedPeerServer
 	state atomic.Pointer[rpc.ConfigState]
+	down  atomic.Bool
 	asked atomic.Int64
 }
 
 func (f *fakePeer) FetchConfig(context.Context, *rpc.FetchConfigRequest) (*rpc.FetchConfigReply, error) {
 	f.asked.Add(1)
+	if f.down.Load() {
+		return nil, errors.New("down")
+	}
 	return &rpc.FetchConfigReply{State: f.state.Load()}, nil
 }
 
@@ -235,12 +239,22 @@
 	})
 	t.Run("peers disagree", func(t *testing.T) {
 		p, l := start(contacts)
-		c.eventually("several rounds", func() bool {
-			return l.reads.Load() >= rounds && fakes[0].asked.Load() >= rounds && fakes[1].asked.Load() >= rounds
-		})
+		severalRounds := func() {
+			a, b := fakes[0].asked.Load(), fakes[1].asked.Load()
+			c.eventually("several rounds", func() bool {
+				return l.reads.Load() >= rounds && fakes[0].asked.Load() >= a+rounds && fakes[1].asked.Load() >= b+rounds
+			})
+		}
+		severalRounds()
 		assert.False(t, p.Ready())
 		assert.EqualValues(t, 2, p.Current().Version)
+		fakes[0].down.Store(true)
+		fakes[1].down.Store(true)
+		severalRounds()
+		assert.False(t, p.Ready(), "ready with a version that no peer confirms")
 		fakes[0].state.Store(state(2))
+		fakes[0].down.Store(false)
+		fakes[1].down.Store(false)
 		c.eventually("ready when they agree", p.Ready)
 	})
 }
