Ask peers only after the first read of the host list

Cause: a start asked its peers before it knew any, and read the whole log in their place; grants, the repetition of members and the second probe of listed suspects had no test that failed without them. Change: the first question waits for the first attempt at the host list; unit tests of the three. Conclusion: a start reads the log only when no peer answers.

--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -143,6 +143,69 @@
 	assert.Equal(t, membership.Gone, u.state(70, "m1"))
 }
 
+// Guards against a member that is gone while the platform's list has it and others
+// reach it, and against one that the list lacks and that is kept.
+func TestListedSuspectIsProbedAgain(t *testing.T) {
+	for _, listed := range []bool{true, false} {
+		u := newUnit()
+		var hosts []membership.Host
+		for i := range 8 {
+			if id := fmt.Sprint("m", i); i > 0 {
+				u.hear(0, membership.Member{ID: id, State: membership.Suspect, Incarnation: 1})
+				hosts = append(hosts, membership.Host{ID: id})
+			}
+		}
+		if listed {
+			u.HostList(0, hosts)
+		}
+		probed := map[string]bool{}
+		for s := range 12 {
+			for _, c := range u.Tick(at(float64(s))) {
+				if c.Kind == membership.IndirectProbe {
+					probed[c.Target] = true
+					u.Probed(at(float64(s)), c.Target, true)
+				}
+			}
+			u.hear(float64(s))
+		}
+		assert.Equal(t, listed, len(probed) > 0, "listed: %t", listed)
+		want := membership.Gone
+		if listed {
+			want = membership.Suspect
+		}
+		for i := 1; i < 8; i++ {
+			assert.Equal(t, want, u.state(12, fmt.Sprint("m", i)), "listed: %t", listed)
+		}
+	}
+}
+
+// Guards against members that missed an update and never get it.
+func TestAllMembersAreRepeated(t *testing.T) {
+	u := newUnit()
+	repeated := map[string]bool{}
+	for s := range 200 {
+		for _, c := range u.Tick(at(float64(s))) {
+			for _, x := range c.Message.Updates {
+				if s > 100 && x.Address != "" {
+					repeated[x.ID] = true
+				}
+			}
+		}
+	}
+	assert.Len(t, repeated, 8)
+}
+
+// Guards against a process that hands out more snapshots at a time than its limit.
+func TestGrantsAreLimited(t *testing.T) {
+	u := newUnit()
+	for range 4 {
+		require.True(t, u.Grant())
+	}
+	require.False(t, u.Grant())
+	u.Release()
+	assert.True(t, u.Grant())
+}
+
 // Guards against a process that hears from nobody and judges or spreads verdicts.
 func TestIsolatedProcessJudgesNobody(t *testing.T) {
 	u := newUnit()
--- a/peer/config.go
+++ b/peer/config.go
@@ -49,6 +49,10 @@
 // or news of a neighbour.
 func (p *Peer) pollLoop(ctx context.Context) {
 	// Peers know the version at the least cost; the log's snapshots come next.
+	select {
+	case <-p.listRead:
+	case <-ctx.Done():
+	}
 	p.askPeers()
 	if p.Current() == nil {
 		p.seek(ctx)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -71,9 +71,10 @@
 	stuckAt    time.Duration // when the stream was first found stuck, 0 for not
 	snapshotAt time.Duration // last attempt to write a snapshot, 0 for none
 
-	current atomic.Pointer[node.ConfigState]
-	ready   atomic.Bool
-	members atomic.Pointer[view]
+	listRead chan struct{} // closes after the first attempt to read the host list
+	current  atomic.Pointer[node.ConfigState]
+	ready    atomic.Bool
+	members  atomic.Pointer[view]
 }
 
 // view is the members at one moment.
@@ -86,7 +87,7 @@
 func New(o Options) *Peer {
 	o.Interval = cmp.Or(o.Interval, defaultInterval)
 	o.Retention = cmp.Or(o.Retention, defaultRetention)
-	p := &Peer{o: o, start: time.Now(), stream: config.NewStream(), changed: make(chan struct{}), ctx: context.Background()}
+	p := &Peer{o: o, start: time.Now(), stream: config.NewStream(), changed: make(chan struct{}), listRead: make(chan struct{}), ctx: context.Background()}
 	p.rand = rand.New(rand.NewPCG(o.Seed, uint64(p.start.UnixNano())))
 	p.machine = membership.New(membership.Options{
 		Self: membership.Member{ID: o.ID, Role: o.Role, Address: o.Address, FailureDomain: o.FailureDomain, Region: o.Region, Incarnation: uint64(p.start.UnixMilli())},
@@ -152,6 +153,7 @@
 }
 
 func (p *Peer) listLoop(ctx context.Context) {
+	first := sync.OnceFunc(func() { close(p.listRead) })
 	for {
 		wait := retryIntervals * p.o.Interval
 		l, err := p.o.HostList.Hosts(ctx)
@@ -165,6 +167,7 @@
 		} else if ctx.Err() == nil {
 			log.Warn().Err(err).Msg("host list is unavailable; members stay as known through gossip")
 		}
+		first()
 		if !pause(ctx, wait+p.jitter(wait/2)) {
 			return
 		}
