End an attempt at its end frame

Cause: the agent read a stream on after the end frame, so an engine that kept it open held up the attempt's end, and with it a drain. Removing the wait for delivery, the resume on a leaving agent, and the orphan timer's case of an ended attempt failed no test, partly because of this. Change: the end frame ends the reading; tests of the three guards.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -114,7 +114,11 @@
 			synctest.Test(t, func(t *testing.T) {
 				e := &protocoltest.Engine{Generated: c.generated, Resumed: c.resumed}
 				a := newAgent(e)
+				begun := time.Now()
 				r := a.followed(t, t.Context(), prompt(c.resume))
+				if c.name == "whole" {
+					require.Zero(t, time.Since(begun), "the end frame ends the attempt, though the engine keeps the stream open")
+				}
 				if c.ran == "" {
 					require.Equal(t, received{text: "levy", end: true}, r)
 				} else {
@@ -165,7 +169,10 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
 		a.followed(t, ctx, prompt(false))
 		cancel()
-		time.Sleep(2 * orphanGrace)
+		begun := time.Now()
+		require.NoError(t, a.Drain(t.Context()), "nobody comes back for the ended attempt")
+		require.LessOrEqual(t, time.Since(begun), orphanGrace)
+		time.Sleep(orphanGrace)
 		require.Equal(t, received{text: "levy", end: true}, a.followed(t, t.Context(), prompt(true)))
 		require.NotContains(t, e.Calls(), "cancel")
 		time.Sleep(keepEnded)
@@ -197,6 +204,21 @@
 		require.NoError(t, <-drained)
 		time.Sleep(keepEnded)
 	})
+	synctest.Test(t, func(t *testing.T) {
+		e := &protocoltest.Engine{Resumed: []protocoltest.Stream{sends(nil, started, text, ended), sends(protocol.ErrNotFound)}}
+		a := newAgent(e)
+		a.BeginDrain()
+		require.Equal(t, received{text: "levy", end: true}, a.followed(t, t.Context(), prompt(true)), "running work that a restarted agent resumes")
+		lost := prompt(true)
+		lost.AttemptId = "lost"
+		at, err := a.attempt(lost)
+		require.NoError(t, err)
+		synctest.Wait()
+		require.True(t, at.ended())
+		require.Equal(t, []string{"resume", "resume", "cancel"}, e.Calls(), "an attempt that never reached the engine is new work")
+		at.deliver()
+		time.Sleep(keepEnded)
+	})
 	synctest.Test(t, func(t *testing.T) {
 		a := newAgent(&protocoltest.Engine{})
 		at, err := a.attempt(prompt(false))
--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -110,6 +110,10 @@
 // errSilent is the cause of cancelling a stream that sent nothing for the limit.
 var errSilent = errors.New("the engine's stream went silent")
 
+// errEnded ends the reading of a stream after its end frame, so that an engine
+// that keeps it open doesn't hold up the attempt's end.
+var errEnded = errors.New("the end frame has come")
+
 // errOrphaned is the cause of cancelling an attempt that nobody follows.
 var errOrphaned = errors.New("no entry follows the attempt")
 
@@ -238,6 +242,9 @@
 	switch v {
 	case stream.Accept:
 		a.add(frameOf(a, e))
+		if check.Whole() {
+			return true, errEnded
+		}
 	case stream.Foreign:
 		r.dropped()
 	case stream.Gap:
