Show stores, a payment and a configuration change in the demo

Cause: the demo lacked the payment, its repeat, the configuration change and a store to bring an evicted context back from. Change: bench/local starts store hosts and names the product's policies; demo steps for payment and configuration.

--- a/bench/cmd/demo/main.go
+++ b/bench/cmd/demo/main.go
@@ -50,6 +50,8 @@
 	return []step{
 		{"first prompt", firstPrompt},
 		{"returning conversation", returningConversation},
+		{"payment", payment},
+		{"configuration change", configurationChange},
 		{"silent connection", silentConnection},
 		{"leaving agent", leavingAgent},
 	}
@@ -58,7 +60,7 @@
 func run(o options) error {
 	ctx, cancel := context.WithTimeout(context.Background(), demoLimit)
 	defer cancel()
-	d, err := local.Start(ctx, local.Options{Bin: o.Bin, Agents: 4, Entries: 2, Services: 2, Customers: []string{roadways, haulage}, Forward: true})
+	d, err := local.Start(ctx, local.Options{Bin: o.Bin, Agents: 4, Entries: 2, Services: 2, Stores: 2, Customers: []string{roadways, haulage}, Forward: true})
 	if err != nil {
 		return err
 	}
--- a/bench/local/document.go
+++ b/bench/local/document.go
@@ -34,7 +34,7 @@
 			{Method: "POST", PathPrefix: "/echo", Idempotent: true, TimeoutMs: 2000},
 		}}},
 		Endpoints: map[string]config.Endpoint{},
-		Policies:  config.Policies{Routing: "routing.least_load"},
+		Policies:  config.Policies{Routing: "routing.prefix_cost", Admission: "admission.fair", Placement: "placement.value"},
 		Claims:    config.Claims{Partitions: 8, KeyWindowSeconds: 86_400, GroupIntervalMs: 40, MaxAnswerBytes: 65_536},
 	}
 	for _, fd := range failureDomains {
@@ -53,6 +53,10 @@
 			Address: a, Model: Model, Slots: slots, Accelerators: 4, KVTokens: 65_536,
 		}
 	}
+	for i, a := range d.Stores {
+		doc.Stores[storeName(i)] = config.Store{Address: a, FailureDomain: failureDomains[i%len(failureDomains)], MemoryBytes: 64 << 20}
+		doc.Links["store-"+storeName(i)] = config.Link{From: storeName(i), To: "*", OneWayMs: 1, BytesPerSecond: storeLinkBytesPerSecond}
+	}
 	for i, a := range d.ServiceAddrs {
 		doc.Endpoints[fmt.Sprintf("levy-%d", i)] = config.Endpoint{
 			Host: fmt.Sprintf("host-%d", i), FailureDomain: failureDomains[i%len(failureDomains)], Agent: agentName(i),
--- a/bench/local/local.go
+++ b/bench/local/local.go
@@ -28,6 +28,7 @@
 	Agents     int    // each with one engine
 	Entries    int
 	Services   int // replicas of levy-core, at the first agents
+	Stores     int // hosts for cache blocks
 	EngineArgs []string
 	Customers  []string
 	Slots      int  // of each engine in the document; 0 for 16
@@ -55,6 +56,7 @@
 	Engines       []string
 	ToEngine      []*forwarder.Forwarder // when forwarding
 	ServiceAddrs  []string
+	Stores        []string
 	LogAddress    string
 	HostAddress   string
 }
@@ -149,6 +151,11 @@
 
 func agentName(i int) string { return fmt.Sprintf("agent-%d", i) }
 func entryName(i int) string { return fmt.Sprintf("entry-%d", i) }
+func storeName(i int) string { return fmt.Sprintf("prompt-vault-%c", 'a'+i) }
+
+// storeLinkBytesPerSecond is the limit of each store's link. A token's KV cache
+// has 16 bytes here, so that a fetch is several times faster than the prefill.
+const storeLinkBytesPerSecond = 4 << 20
 
 // allocate chooses the addresses.
 func (d *Deployment) allocate() error {
@@ -166,6 +173,9 @@
 	for range d.o.Services {
 		d.ServiceAddrs = append(d.ServiceAddrs, next())
 	}
+	for range d.o.Stores {
+		d.Stores = append(d.Stores, next())
+	}
 	for i := range d.o.Entries {
 		d.CallerAddress = append(d.CallerAddress, next())
 		d.RPC[entryName(i)], d.Operators[entryName(i)] = next(), next()
@@ -202,6 +212,11 @@
 			return err
 		}
 	}
+	for i, a := range d.Stores {
+		if _, err := d.startProcess(storeName(i), "standin", "store", "--listen", a, "--link", fmt.Sprint(storeLinkBytesPerSecond)); err != nil {
+			return err
+		}
+	}
 	if len(d.ServiceAddrs) == 0 {
 		return nil
 	}
