Close the gaps that the mutants of the guards showed

Cause: a reader that had seen only an empty partition took trimmed entries for a fresh start; a void could be forgotten before its late claim when the retention was shorter than the key window; six guards had no test. Change: the first page is remembered; voids outlive the trim; keeper tests cover old reads, memory floors, trims and windows; a repeat of a running request is tested.

--- a/claimsvc/payment_test.go
+++ b/claimsvc/payment_test.go
@@ -93,6 +93,31 @@
 	require.Equal(t, 1, d.ledger.Effects("p"))
 }
 
+// TestRepeatWaits guards against a repeat that takes a running request for lost.
+func TestRepeatWaits(t *testing.T) {
+	d := newDeployment(t, 2)
+	var arrived, let [2]chan struct{}
+	for i := range arrived {
+		arrived[i], let[i] = d.slow(i)
+	}
+	r := request{key: newKey(t), body: payment("p")}
+	first := make(chan answer)
+	go func() { first <- d.send(r) }()
+	select {
+	case <-arrived[0]:
+	case <-arrived[1]:
+	}
+	repeat := r
+	repeat.entry, repeat.deadline = 1, 200*time.Millisecond
+	a := d.send(repeat)
+	require.Equal(t, []string{"deadline_exceeded", "unknown"}, []string{a.err.Type, a.err.Ran}, a.body)
+	close(let[0])
+	close(let[1])
+	repeat.deadline = 0
+	require.Equal(t, (<-first).body, d.send(repeat).body)
+	require.Equal(t, 1, d.ledger.Effects("p"))
+}
+
 // TestLogFaults guards against a second effect, or a false not_run, when the
 // log's answer is lost, hangs, or the append comes late.
 func TestLogFaults(t *testing.T) {
@@ -318,3 +343,20 @@
 	require.Equal(t, "unknown", d.send(request{method: "GET", path: path, key: newKey(t)}).err.Ran)
 	require.EqualValues(t, 2, calls.Load())
 }
+
+// TestCopiedCall guards against a second dispatch when an entry's message
+// reaches the executor twice.
+func TestCopiedCall(t *testing.T) {
+	d := newDeployment(t, 1)
+	m, _ := d.fixed.Get(agentID(0))
+	conn, err := d.pool.Get(m.Address)
+	require.NoError(t, err)
+	req := &rpc.CallRequest{AttemptId: "one", Customer: "vadodara", Service: testService, Endpoint: "levy-0", Method: "POST", Path: "/payments", Body: []byte(payment("p")), ContentType: "application/json", IdempotencyKey: newKey(t)}
+	for i := range 2 {
+		reply, err := rpc.NewAgentClient(conn).Call(t.Context(), req)
+		require.NoError(t, err)
+		require.Nil(t, reply.Error)
+		require.Equal(t, i > 0, reply.Replayed)
+	}
+	require.Equal(t, 1, d.ledger.Effects("p"))
+}
--- a/core/claims/state.go
+++ b/core/claims/state.go
@@ -1,6 +1,9 @@
 package claims
 
-import "container/heap"
+import (
+	"container/heap"
+	"time"
+)
 
 // Standing tells how the log has judged an attempt.
 type Standing int
@@ -26,10 +29,18 @@
 	key      Hash
 }
 
-// mark remembers the offset of a void or a floor until the log trims it.
-type mark struct {
+// maxKeyWindow is the longest key window that a configuration may set.
+const maxKeyWindow = 7 * 24 * time.Hour
+
+// voidMark and floorMark remember where a void or a floor was read, until it may
+// be forgotten.
+type voidMark struct {
+	offset, stampMs int64
+	attempt         string
+}
+
+type floorMark struct {
 	offset   int64
-	attempt  string
 	resource Hash
 }
 
@@ -41,6 +52,7 @@
 // State is what one reader knows of a claim partition. Every reader that has
 // applied the same entries has judged every claim alike.
 type State struct {
+	began    bool  // a page was read, if only an empty one
 	next     int64 // offset of the next entry to apply
 	start    int64 // offset of the first entry applied
 	startMs  int64 // its stamp, zero before it is known
@@ -48,7 +60,8 @@
 	holdings map[Hash]*Holding
 	attempts map[string]judged
 	floors   map[Hash]floor
-	marks    []mark
+	voids    []voidMark
+	shown    []floorMark
 	expiry   expiryHeap
 	// forgottenMs is the latest key time among the forgotten holdings. Claims of
 	// keys up to it are invalid, so that a longer key window in a later
@@ -93,13 +106,14 @@
 // in between were trimmed; the state is then empty and must be read again.
 func (s *State) Read(p Page) bool {
 	if p.First > s.next {
-		fresh := s.next == 0 && s.logMs == 0
+		began := s.began
 		*s = *NewState()
 		s.start, s.next = p.First, p.First
-		if !fresh {
+		if began {
 			return false
 		}
 	}
+	s.began = true
 	for _, e := range p.Entries {
 		if e.Offset != s.next {
 			if e.Offset < s.next {
@@ -125,15 +139,15 @@
 		case KindClaim:
 			s.claim(r.Claim, e.TimeMs)
 		case KindVoid:
-			s.void(r.Attempt, e.Offset)
+			s.void(r.Attempt, e)
 		case KindRelease:
-			s.release(r.Attempt, e.Offset)
+			s.release(r.Attempt, e)
 		case KindOutcome:
 			s.outcome(r.Attempt, r.Outcome)
 		case KindFloor:
 			if r.Version > s.floors[r.Resource].version {
 				s.floors[r.Resource] = floor{r.Version, e.Offset}
-				s.marks = append(s.marks, mark{offset: e.Offset, resource: r.Resource})
+				s.shown = append(s.shown, floorMark{e.Offset, r.Resource})
 			}
 		}
 	}
@@ -158,17 +172,17 @@
 	heap.Push(&s.expiry, expiry{c.ExpiresMs, c.Attempt})
 }
 
-func (s *State) void(attempt string, offset int64) {
+func (s *State) void(attempt string, e Entry) {
 	if s.attempts[attempt].standing == Unseen {
 		s.attempts[attempt] = judged{standing: Voided}
-		s.marks = append(s.marks, mark{offset: offset, attempt: attempt})
+		s.voids = append(s.voids, voidMark{e.Offset, e.TimeMs, attempt})
 	}
 }
 
-func (s *State) release(attempt string, offset int64) {
+func (s *State) release(attempt string, e Entry) {
 	j := s.attempts[attempt]
 	if j.standing == Unseen {
-		s.void(attempt, offset)
+		s.void(attempt, e)
 		return
 	}
 	h, ok := s.holdings[j.key]
@@ -200,21 +214,24 @@
 	}
 }
 
-// trim forgets voids and floors that the log has dropped. A claim that comes
-// after its void was dropped has expired, since the retention is longer than the
-// key window.
+// trim forgets the floors that the log has dropped, and the voids that are so old
+// that no claim after them can be within its window, even when the log's
+// retention is shorter than the window.
 func (s *State) trim(first int64) {
 	n := 0
-	for ; n < len(s.marks) && s.marks[n].offset < first; n++ {
-		m := s.marks[n]
-		if m.attempt != "" && s.attempts[m.attempt].standing == Voided {
-			delete(s.attempts, m.attempt)
-		}
-		if m.attempt == "" && s.floors[m.resource].offset == m.offset {
+	for ; n < len(s.shown) && s.shown[n].offset < first; n++ {
+		if m := s.shown[n]; s.floors[m.resource].offset == m.offset {
 			delete(s.floors, m.resource)
 		}
 	}
-	s.marks = s.marks[n:]
+	s.shown = s.shown[n:]
+	old := s.logMs - (maxKeyWindow + FutureLimit).Milliseconds()
+	for n = 0; n < len(s.voids) && s.voids[n].offset < first && s.voids[n].stampMs < old; n++ {
+		if a := s.voids[n].attempt; s.attempts[a].standing == Voided {
+			delete(s.attempts, a)
+		}
+	}
+	s.voids = s.voids[n:]
 }
 
 type expiry struct {
--- a/core/claims/state_test.go
+++ b/core/claims/state_test.go
@@ -81,6 +81,9 @@
 	require.Equal(t, Voided, s.Standing("v"))
 	require.True(t, s.Read(Page{First: 2, Next: 2}))
 	require.Zero(t, s.Floor(r))
+	require.Equal(t, Voided, s.Standing("v"), "a claim of the attempt may still come")
+	late := Entry{Offset: 2, TimeMs: (8 * 24 * time.Hour).Milliseconds()}
+	require.True(t, s.Read(Page{First: 2, Next: 3, Entries: []Entry{late}}))
 	require.Equal(t, Unseen, s.Standing("v"))
 	require.False(t, s.Read(Page{First: 7, Next: 9, Entries: []Entry{floorAt(7, 9)}}), "offsets 2 to 6 were trimmed unread")
 	require.EqualValues(t, 7, s.Next())
