--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -11,6 +12,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/galenaweir/galenaweir/core/apierr"
+	"github.com/galenaweir/galenaweir/logsvc"
 	"github.com/galenaweir/galenaweir/rpc"
 	standinlog "github.com/galenaweir/galenaweir/standin/logsvc"
 )
@@ -66,6 +69,36 @@
 	assert.Equal(t, "changes to version 1 (JSON merge patch; null removes):\n{\n  \"deployment\": \"e\"\n}\n", diff(changed))
 }
 
+// failingLog is empty and fails every append.
+type failingLog struct{ err error }
+
+func (l failingLog) Append(context.Context, string, []byte) (logsvc.Appended, error) {
+	return logsvc.Appended{}, l.err
+}
+
+func (failingLog) Read(context.Context, string, int64, time.Duration) (logsvc.Page, error) {
+	return logsvc.Page{}, nil
+}
+
+// Guards against a publication that is reported as without effect when it may
+// have one, or the other way round.
+func TestOutcomeOfFailedAppends(t *testing.T) {
+	doc, err := readDocument(write(t, valid))
+	require.NoError(t, err)
+	for _, c := range []struct {
+		err  error
+		kind apierr.Kind
+		ran  apierr.Ran
+	}{
+		{logsvc.ErrRefused, apierr.LogUnavailable, apierr.NotRun},
+		{logsvc.ErrUnknown, apierr.OutcomeUnknown, apierr.Unknown},
+	} {
+		_, err := Publish(t.Context(), PublishOptions{Log: failingLog{c.err}, Document: doc, Attempts: 3, Retry: time.Nanosecond})
+		assert.Equal(t, c.kind, apierr.From(err).Kind, "%v", c.err)
+		assert.Equal(t, c.ran, apierr.From(err).Ran, "%v", c.err)
+	}
+}
+
 // Guards against a status that hides a process that lags or isn't ready.
 func TestStatusReportsDisagreement(t *testing.T) {
 	at := func(version int64, ready bool) statusOf {
