Test lost answers and lost races of a publication without timing

Cause: the race over sockets often ended before the second operator read the log, so that a rival's record taken for the own one failed no test. Change: publications run against a log in memory that puts a rival's record first or loses the answer. Conclusion: the look-up by publish ID is covered.

--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -11,9 +11,11 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/galenaweir/galenaweir/core/apierr"
 	"github.com/galenaweir/galenaweir/logsvc"
+	"github.com/galenaweir/galenaweir/peer"
 	"github.com/galenaweir/galenaweir/rpc"
 	standinlog "github.com/galenaweir/galenaweir/standin/logsvc"
 )
@@ -69,33 +71,68 @@
 	assert.Equal(t, "changes to version 1 (JSON merge patch; null removes):\n{\n  \"deployment\": \"e\"\n}\n", diff(changed))
 }
 
-// failingLog is empty and fails every append.
-type failingLog struct{ err error }
+// memLog is a log in memory whose appends fail with or without effect, after a
+// rival's record.
+type memLog struct {
+	rival   []byte
+	effect  bool
+	err     error
+	records []logsvc.Record
+}
+
+func (l *memLog) append(data []byte) {
+	l.records = append(l.records, logsvc.Record{Offset: int64(len(l.records)), Data: data})
+}
 
-func (l failingLog) Append(context.Context, string, []byte) (logsvc.Appended, error) {
+func (l *memLog) Append(_ context.Context, _ string, data []byte) (logsvc.Appended, error) {
+	if l.rival != nil {
+		l.append(l.rival)
+		l.rival = nil
+	}
+	if l.effect {
+		l.append(data)
+	}
 	return logsvc.Appended{}, l.err
 }
 
-func (failingLog) Read(context.Context, string, int64, time.Duration) (logsvc.Page, error) {
-	return logsvc.Page{}, nil
+func (l *memLog) Read(_ context.Context, _ string, from int64, _ time.Duration) (logsvc.Page, error) {
+	return logsvc.Page{Next: int64(len(l.records)), Records: l.records[from:]}, nil
 }
 
 // Guards against a publication that is reported as without effect when it may
-// have one, or the other way round.
-func TestOutcomeOfFailedAppends(t *testing.T) {
+// have one or the other way round, that is sent again although the log has it,
+// and against a rival's record that is taken for the own one.
+func TestOutcomes(t *testing.T) {
 	doc, err := readDocument(write(t, valid))
 	require.NoError(t, err)
+	other := bytes.Replace(doc, []byte(`"d"`), []byte(`"e"`), 1)
+	r, err := newRecord(nil, PublishOptions{Document: other, Publisher: "rival"})
+	require.NoError(t, err)
+	rival, err := proto.Marshal(peer.EncodeRecord(r))
+	require.NoError(t, err)
 	for _, c := range []struct {
-		err  error
-		kind apierr.Kind
-		ran  apierr.Ran
+		name    string
+		log     memLog
+		kind    apierr.Kind
+		ran     apierr.Ran
+		records int
 	}{
-		{logsvc.ErrRefused, apierr.LogUnavailable, apierr.NotRun},
-		{logsvc.ErrUnknown, apierr.OutcomeUnknown, apierr.Unknown},
+		{"refused", memLog{err: logsvc.ErrRefused}, apierr.LogUnavailable, apierr.NotRun, 0},
+		{"unknown", memLog{err: logsvc.ErrUnknown}, apierr.OutcomeUnknown, apierr.Unknown, 0},
+		{"lost answer", memLog{err: logsvc.ErrUnknown, effect: true}, "", "", 1},
+		{"lost race", memLog{rival: rival, effect: true}, apierr.InvalidRequest, apierr.NotRun, 2},
 	} {
-		_, err := Publish(t.Context(), PublishOptions{Log: failingLog{c.err}, Document: doc, Attempts: 3, Retry: time.Nanosecond})
-		assert.Equal(t, c.kind, apierr.From(err).Kind, "%v", c.err)
-		assert.Equal(t, c.ran, apierr.From(err).Ran, "%v", c.err)
+		t.Run(c.name, func(t *testing.T) {
+			p, err := Publish(t.Context(), PublishOptions{Log: &c.log, Document: doc, Attempts: 3, Retry: time.Nanosecond})
+			assert.Len(t, c.log.records, c.records)
+			if c.kind == "" {
+				require.NoError(t, err)
+				assert.EqualValues(t, 1, p.Version)
+				return
+			}
+			assert.Equal(t, c.kind, apierr.From(err).Kind, "%v", err)
+			assert.Equal(t, c.ran, apierr.From(err).Ran, "%v", err)
+		})
 	}
 }
 
