--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -10,7 +11,11 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/galenaweir/galenaweir/core/apierr"
+	"github.com/galenaweir/galenaweir/logsvc"
+	"github.com/galenaweir/galenaweir/peer"
 	"github.com/galenaweir/galenaweir/rpc"
 	standinlog "github.com/galenaweir/galenaweir/standin/logsvc"
 )
@@ -66,6 +71,71 @@
 	assert.Equal(t, "changes to version 1 (JSON merge patch; null removes):\n{\n  \"deployment\": \"e\"\n}\n", diff(changed))
 }
 
+// memLog is a log in memory whose appends fail with or without effect, after a
+// rival's record.
+type memLog struct {
+	rival   []byte
+	effect  bool
+	err     error
+	records []logsvc.Record
+}
+
+func (l *memLog) append(data []byte) {
+	l.records = append(l.records, logsvc.Record{Offset: int64(len(l.records)), Data: data})
+}
+
+func (l *memLog) Append(_ context.Context, _ string, data []byte) (logsvc.Appended, error) {
+	if l.rival != nil {
+		l.append(l.rival)
+		l.rival = nil
+	}
+	if l.effect {
+		l.append(data)
+	}
+	return logsvc.Appended{}, l.err
+}
+
+func (l *memLog) Read(_ context.Context, _ string, from int64, _ time.Duration) (logsvc.Page, error) {
+	return logsvc.Page{Next: int64(len(l.records)), Records: l.records[from:]}, nil
+}
+
+// Guards against a publication that is reported as without effect when it may
+// have one or the other way round, that is sent again although the log has it,
+// and against a rival's record that is taken for the own one.
+func TestOutcomes(t *testing.T) {
+	doc, err := readDocument(write(t, valid))
+	require.NoError(t, err)
+	other := bytes.Replace(doc, []byte(`"d"`), []byte(`"e"`), 1)
+	r, err := newRecord(nil, PublishOptions{Document: other, Publisher: "rival"})
+	require.NoError(t, err)
+	rival, err := proto.Marshal(peer.EncodeRecord(r))
+	require.NoError(t, err)
+	for _, c := range []struct {
+		name    string
+		log     memLog
+		kind    apierr.Kind
+		ran     apierr.Ran
+		records int
+	}{
+		{"refused", memLog{err: logsvc.ErrRefused}, apierr.LogUnavailable, apierr.NotRun, 0},
+		{"unknown", memLog{err: logsvc.ErrUnknown}, apierr.OutcomeUnknown, apierr.Unknown, 0},
+		{"lost answer", memLog{err: logsvc.ErrUnknown, effect: true}, "", "", 1},
+		{"lost race", memLog{rival: rival, effect: true}, apierr.InvalidRequest, apierr.NotRun, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p, err := Publish(t.Context(), PublishOptions{Log: &c.log, Document: doc, Attempts: 3, Retry: time.Nanosecond})
+			assert.Len(t, c.log.records, c.records)
+			if c.kind == "" {
+				require.NoError(t, err)
+				assert.EqualValues(t, 1, p.Version)
+				return
+			}
+			assert.Equal(t, c.kind, apierr.From(err).Kind, "%v", err)
+			assert.Equal(t, c.ran, apierr.From(err).Ran, "%v", err)
+		})
+	}
+}
+
 // Guards against a status that hides a process that lags or isn't ready.
 func TestStatusReportsDisagreement(t *testing.T) {
 	at := func(version int64, ready bool) statusOf {
