Keep the close of a silent connection from its other end

Cause: the forwarder passed the agent's close of a silent connection on to the entry, as no middlebox without state does. Change: a lost direction loses the close too. A request that is first sent on a silent connection has a test on both hops.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -14,6 +14,7 @@
 	"github.com/galenaweir/galenaweir/rpc"
 	"github.com/galenaweir/galenaweir/rpc/dial"
 	"github.com/galenaweir/galenaweir/standin/engine"
+	"github.com/galenaweir/galenaweir/standin/forwarder"
 )
 
 // Guards against answers that an ordinary client library can't read.
@@ -83,6 +84,27 @@
 	}
 }
 
+// Guards against a request that is lost, or run twice, because it was sent on a
+// connection that had gone silent before.
+func TestSilentBeforeRequest(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		hop  func(p *path) *forwarder.Forwarder
+	}{
+		{"to the agent", func(p *path) *forwarder.Forwarder { return p.toAgent[0] }},
+		{"to the engine", func(p *path) *forwarder.Forwarder { return p.toEngin[0] }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			p := newPath(t, 1)
+			p.requireWhole(p.ask(t.Context(), "first", 5, nil), "first", 5)
+			require.Positive(t, c.hop(p).Silence(true, true))
+			p.requireWhole(p.ask(t.Context(), "second", 5, nil), "second", 5)
+			require.Zero(t, c.hop(p).Silent())
+		})
+	}
+}
+
 // Guards against a text that continues on other weights, and against an error
 // that denies that the request ran.
 func TestContinueNeedsSameVersion(t *testing.T) {
--- a/standin/forwarder/forwarder.go
+++ b/standin/forwarder/forwarder.go
@@ -23,6 +23,8 @@
 	client, server net.Conn
 	loseToServer   bool
 	loseToClient   bool
+	clientClosed   bool
+	running        int // directions that are still copied
 }
 
 // New listens on a free loopback port.
@@ -58,7 +60,7 @@
 	defer f.mu.Unlock()
 	n := 0
 	for c := range f.conns {
-		if c.loseToServer || c.loseToClient {
+		if (c.loseToServer || c.loseToClient) && !c.clientClosed {
 			n++
 		}
 	}
@@ -91,7 +93,7 @@
 			_ = client.Close()
 			continue
 		}
-		c := &conn{client: client, server: server}
+		c := &conn{client: client, server: server, running: 2}
 		f.mu.Lock()
 		f.conns[c] = true
 		f.mu.Unlock()
@@ -105,12 +107,11 @@
 // copy passes bytes on until one end closes. Lost bytes are read all the same, so
 // that the close of an end is seen.
 func (f *Forwarder) copy(c *conn, to, from net.Conn, lose *bool) {
-	defer f.remove(c)
 	b := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(b)
 		if err != nil {
-			return
+			break
 		}
 		f.mu.Lock()
 		lost := *lose
@@ -119,14 +120,23 @@
 			continue
 		}
 		if _, err := to.Write(b[:n]); err != nil {
-			return
+			break
 		}
 	}
+	f.ended(c, to, from, lose)
 }
 
-func (f *Forwarder) remove(c *conn) {
-	c.close()
+// ended passes the close of one end on, unless that direction is lost.
+func (f *Forwarder) ended(c *conn, to, from net.Conn, lose *bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.conns, c)
+	_ = from.Close()
+	c.clientClosed = c.clientClosed || from == c.client
+	if !*lose {
+		_ = to.Close()
+	}
+	if c.running--; c.running == 0 {
+		c.close()
+		delete(f.conns, c)
+	}
 }
