Choose a leaving endpoint rather than none

Cause: an agent that restarted within 5 s of its word that it leaves was left out, even as the only one before a model. Change: its endpoint is chosen when there is no other; an agent that does leave refuses by itself.

--- a/bench/local/local.go
+++ b/bench/local/local.go
@@ -254,10 +254,23 @@
 	return err
 }
 
+// Ready returns an error for the first process found that isn't ready.
+func (d *Deployment) Ready(ctx context.Context) error {
+	for name, addr := range d.Operators {
+		if err := getOK(ctx, "http://"+addr+"/readyz"); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	return nil
+}
+
+// WaitReady waits until every process is ready, for at most the usual limit.
+func (d *Deployment) WaitReady(ctx context.Context) error { return d.ready(ctx) }
+
 // ready waits until every process says that it is.
 func (d *Deployment) ready(ctx context.Context) error {
 	for name, addr := range d.Operators {
-		err := waitFor(ctx, name+" to be ready", func() error { return getOK("http://" + addr + "/readyz") })
+		err := waitFor(ctx, name+" to be ready", func() error { return getOK(ctx, "http://"+addr+"/readyz") })
 		if err != nil {
 			return fmt.Errorf("%w\n%s", err, d.Log(name))
 		}
@@ -265,8 +278,12 @@
 	return nil
 }
 
-func getOK(url string) error {
-	resp, err := http.Get(url)
+func getOK(ctx context.Context, url string) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return err
 	}
--- a/entry/view.go
+++ b/entry/view.go
@@ -78,7 +78,8 @@
 }
 
 // candidates returns the endpoints that may be chosen, in the order of their IDs.
-// Endpoints to avoid are left out unless there are no others.
+// Endpoints to avoid, or whose agent said that it leaves, are left out unless
+// there are no others: the agent may have restarted, and else refuses by itself.
 func (v *view) candidates(doc *config.Document, ms node.Members, q candidateQuery, now time.Time) []routing.Candidate {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -100,9 +101,8 @@
 			c.WeightVersion = r.WeightVersion
 		}
 		switch {
-		case l.report != nil && l.report.Leaving && now.Sub(l.at) < leavingHold:
 		case q.version != "" && c.WeightVersion != "" && c.WeightVersion != q.version:
-		case now.Before(l.avoid):
+		case now.Before(l.avoid), l.report != nil && l.report.Leaving && now.Sub(l.at) < leavingHold:
 			avoided = append(avoided, c)
 		default:
 			cs = append(cs, c)
