--- a/entry/view.go
+++ b/entry/view.go
@@ -141,7 +141,8 @@
 }
 
 // candidates returns the endpoints that may be chosen, in the order of their IDs.
-// Endpoints to avoid are left out unless there are no others.
+// Endpoints to avoid, or whose agent said that it leaves, are left out unless
+// there are no others: the agent may have restarted, and else refuses by itself.
 func (v *view) candidates(ix *index, ms node.Members, q candidateQuery) []routing.Candidate {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -161,7 +162,7 @@
 			continue
 		}
 		e := v.endpoint(p.id)
-		if e.leaving && now-e.at < leavingHold || q.version != "" && e.version != "" && e.version != q.version {
+		if q.version != "" && e.version != "" && e.version != q.version {
 			continue
 		}
 		c := routing.Candidate{
@@ -169,7 +170,7 @@
 			WeightVersion: e.version, Suspect: m.State == node.Suspect, FetchWait: wait, FetchRate: rate,
 		}
 		e.load.Fill(&c, min(max(q.class, 0), routing.Classes-1), q.prefillRate, now)
-		if now < e.avoid || e.breaker.Open(now) {
+		if now < e.avoid || e.breaker.Open(now) || e.leaving && now-e.at < leavingHold {
 			avoided = append(avoided, c)
 		} else {
 			cs = append(cs, c)
