Keep ports of restarted processes from being taken

Cause: TestRetryBudget failed once with 'address already in use': an agent that comes back listens on its old port, which a connection of another process had taken as its ephemeral port meanwhile. Change: tests and bench/local listen on a loopback address made from their process ID; connections of others come from 127.0.0.1. The rendezvous hashing of membership and claimsvc moves to core/rendezvous. Conclusion: the port, not the retry budget, was at fault.

--- a/bench/local/local.go
+++ b/bench/local/local.go
@@ -67,8 +67,12 @@
 	return customer + "." + hex.EncodeToString(sum[:])
 }
 
+// freeAddress returns a free port on a loopback address of this process's own.
+// Connections from other processes have 127.0.0.1 as their source, and so can't
+// take the port before the program that it is for.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+pid>>15&63, pid>>7&255, 1+pid&127))
 	if err != nil {
 		return "", err
 	}
--- a/claimsvc/client.go
+++ b/claimsvc/client.go
@@ -1,10 +1,8 @@
 package claimsvc
 
 import (
-	"cmp"
 	"context"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,19 +10,15 @@
 
 	"github.com/galenaweir/galenaweir/core/claims"
 	"github.com/galenaweir/galenaweir/core/config"
+	"github.com/galenaweir/galenaweir/core/rendezvous"
 	"github.com/galenaweir/galenaweir/node"
 	"github.com/galenaweir/galenaweir/rpc"
 	"github.com/galenaweir/galenaweir/rpc/dial"
 )
 
-// Rank orders IDs by rendezvous hashing for the key, best first.
-func Rank(key string, ids []string) []string {
-	weight := func(id string) uint64 { return xxhash.Sum64String(key + "\x00" + id) }
-	out := slices.Clone(ids)
-	slices.SortFunc(out, func(a, b string) int {
-		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a, b))
-	})
-	return out
+// Rank returns the n best IDs by rendezvous hashing for the key, best first.
+func Rank(key string, ids []string, n int) []string {
+	return rendezvous.Top(rendezvous.Key([]byte(key)), ids, n)
 }
 
 // Keepers returns the keeper of the partition and its standby, among the agents
@@ -44,7 +38,7 @@
 			suspect = append(suspect, m.ID)
 		}
 	}
-	order := append(Rank(Stream(partition), live), Rank(Stream(partition), suspect)...)
+	order := append(Rank(Stream(partition), live, keepersPerPartition), Rank(Stream(partition), suspect, keepersPerPartition)...)
 	var out []node.Member
 	for _, id := range order[:min(len(order), keepersPerPartition)] {
 		out = append(out, byID[id])
--- a/core/membership/duties.go
+++ b/core/membership/duties.go
@@ -1,6 +1,10 @@
 package membership
 
-import "time"
+import (
+	"time"
+
+	"github.com/galenaweir/galenaweir/core/rendezvous"
+)
 
 // The roles of a member.
 const (
@@ -19,7 +23,7 @@
 		return true
 	}
 	ids := liveAgents(members, self.FailureDomain)
-	for _, id := range Rendezvous(KeyHash("config-poll/"+self.FailureDomain), ids, pollersPerDomain) {
+	for _, id := range rendezvous.Top(rendezvous.Key([]byte("config-poll/"+self.FailureDomain)), ids, pollersPerDomain) {
 		if id == self.ID {
 			return true
 		}
@@ -30,7 +34,7 @@
 // WritesSnapshots reports whether the process is the agent that writes the
 // snapshots of the configuration.
 func WritesSnapshots(self Member, members []Member) bool {
-	return Owner(KeyHash("config-snapshot"), liveAgents(members, "")) == self.ID
+	return rendezvous.Owner(rendezvous.Key([]byte("config-snapshot")), liveAgents(members, "")) == self.ID
 }
 
 func liveAgents(members []Member, domain string) []string {
--- a/core/membership/rendezvous_test.go
+++ b/core/rendezvous/members_test.go
@@ -1,4 +1,4 @@
-package membership_test
+package rendezvous
 
 import (
 	"fmt"
@@ -6,13 +6,11 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
-
-	"github.com/galenaweir/galenaweir/core/membership"
 )
 
 // Guards against duties that move when an uninvolved member comes or goes, that
 // depend on the order of the IDs, or that pile up on a few members.
-func TestRendezvous(t *testing.T) {
+func TestTopAmongMembers(t *testing.T) {
 	const members, keys = 330, 3300
 	ids := make([]string, members)
 	for i := range ids {
@@ -22,20 +20,20 @@
 	slices.Reverse(reversed)
 	held := map[string]int{}
 	for k := range uint64(keys) {
-		got := membership.Rendezvous(k, ids, 3)
+		got := Top(k, ids, 3)
 		assert.Len(t, got, 3)
-		assert.Equal(t, got, membership.Rendezvous(k, reversed, 3))
-		assert.Equal(t, got[0], membership.Owner(k, ids))
+		assert.Equal(t, got, Top(k, reversed, 3))
+		assert.Equal(t, got[0], Owner(k, ids))
 		without := slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return id == got[0] })
-		assert.Equal(t, got[1:], membership.Rendezvous(k, without, 2))
+		assert.Equal(t, got[1:], Top(k, without, 2))
 		held[got[0]]++
 	}
 	for _, id := range ids {
 		assert.Less(t, held[id], 3*keys/members, id)
 	}
-	assert.Empty(t, membership.Rendezvous(1, nil, 3))
-	assert.Len(t, membership.Rendezvous(1, ids[:2], 3), 2)
-	assert.Empty(t, membership.Owner(1, nil))
+	assert.Empty(t, Top(1, nil, 3))
+	assert.Len(t, Top(1, ids[:2], 3), 2)
+	assert.Empty(t, Owner(1, nil))
 	buf := make([]string, 0, 3)
-	assert.Zero(t, testing.AllocsPerRun(10, func() { buf = membership.AppendRendezvous(buf[:0], 7, ids, 3) }))
+	assert.Zero(t, testing.AllocsPerRun(10, func() { buf = AppendTop(buf[:0], 7, ids, 3) }))
 }
--- a/core/rendezvous/rendezvous.go
+++ b/core/rendezvous/rendezvous.go
@@ -5,7 +5,6 @@
 import (
 	"encoding/binary"
 	"slices"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -23,12 +22,17 @@
 	return d.Sum64()
 }
 
+// before reports whether the weight and ID come before the other ones.
+func before(w uint64, id string, v uint64, other string) bool {
+	return w > v || w == v && id < other
+}
+
 // Owner returns the member with the highest weight for the key, "" when there is
 // none. It does not allocate.
 func Owner(key uint64, ids []string) string {
 	best, bestScore := "", uint64(0)
 	for _, id := range ids {
-		if s := score(key, id); best == "" || s > bestScore || s == bestScore && id < best {
+		if s := score(key, id); best == "" || before(s, id, bestScore, best) {
 			best, bestScore = id, s
 		}
 	}
@@ -37,26 +41,26 @@
 
 // Top returns the n members with the highest weights for the key, highest first.
 func Top(key uint64, ids []string, n int) []string {
-	type weighted struct {
-		id    string
-		score uint64
-	}
-	ws := make([]weighted, len(ids))
-	for i, id := range ids {
-		ws[i] = weighted{id, score(key, id)}
-	}
-	slices.SortFunc(ws, func(a, b weighted) int {
-		if a.score != b.score {
-			if a.score > b.score {
-				return -1
-			}
-			return 1
+	return AppendTop(make([]string, 0, max(0, min(n, len(ids)))), key, ids, n)
+}
+
+// AppendTop is Top into dst, without allocation when dst has room. It suits a
+// small n: the cost is a weight for each ID and an insertion for each result.
+func AppendTop(dst []string, key uint64, ids []string, n int) []string {
+	start := len(dst)
+	for _, id := range ids {
+		s := score(key, id)
+		i := len(dst)
+		for i > start && before(s, id, score(key, dst[i-1]), dst[i-1]) {
+			i--
+		}
+		if i-start >= n {
+			continue
+		}
+		if len(dst)-start == n {
+			dst = dst[:len(dst)-1]
 		}
-		return strings.Compare(a.id, b.id)
-	})
-	out := make([]string, 0, min(n, len(ws)))
-	for _, w := range ws[:min(n, len(ws))] {
-		out = append(out, w.id)
+		dst = slices.Insert(dst, i, id)
 	}
-	return out
+	return dst
 }
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -190,12 +191,19 @@
 	return p
 }
 
+// ownLoopback returns a loopback address that no other process listens on or
+// connects from, so that an agent that comes back finds its port free.
+func ownLoopback() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>15&63, pid>>7&255, 1+pid&127)
+}
+
 // startAgent starts agent i, again at its address if it had one.
 func (p *path) startAgent(i int) {
 	a := p.agents[i]
 	address := a.address
 	if address == "" {
-		address = "127.0.0.1:0"
+		address = ownLoopback() + ":0"
 	}
 	l, err := net.Listen("tcp", address)
 	require.NoError(p.t, err)
--- a/entry/services.go
+++ b/entry/services.go
@@ -26,6 +26,9 @@
 )
 
 // Headers of service calls.
+// maxRanked bounds the replicas that a lookup tries.
+const maxRanked = 8
+
 const (
 	headerKey             = "Idempotency-Key"
 	headerReplayed        = "Galenaweir-Replayed"
@@ -208,7 +211,7 @@
 		key = call.req.RequestId
 	}
 	var out []executor
-	for _, id := range append(claimsvc.Rank(key, live), claimsvc.Rank(key, suspect)...) {
+	for _, id := range append(claimsvc.Rank(key, live, maxRanked), claimsvc.Rank(key, suspect, maxRanked)...) {
 		out = append(out, byID[id])
 	}
 	return out
