Draw old load reports towards the mean within 0.3 s

Cause: at the target size an entry hears of each endpoint about every 2 s; a report trusted for a second is wrong for most of it. Change: Reversion from 1 s to 0.3 s; the version before stays as routing.prefix_cost_v3. make measure also replays the policy with load reports every 500 ms on running streams. Reports on running streams are proposed for the agent.

--- a/bench/measure/measure.go
+++ b/bench/measure/measure.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -17,14 +18,19 @@
 	"github.com/galenaweir/galenaweir/core/routing/prefixcost"
 	_ "github.com/galenaweir/galenaweir/core/routing/prefixcostv1" // plug-in
 	_ "github.com/galenaweir/galenaweir/core/routing/prefixcostv2" // plug-in
+	_ "github.com/galenaweir/galenaweir/core/routing/prefixcostv3" // plug-in
 	_ "github.com/galenaweir/galenaweir/core/routing/sticky"       // plug-in
 )
 
 // Product is the policy under measurement; Oracle is the name of the replay with
-// exact knowledge.
+// exact knowledge; MoreReports is the product's policy when agents also send
+// their load with a running stream's frames every moreReportsGap.
 const (
-	Product = string(prefixcost.ID)
-	Oracle  = "oracle"
+	Product     = string(prefixcost.ID)
+	Oracle      = "oracle"
+	MoreReports = "prefix_cost, reports every 500 ms"
+
+	moreReportsGap = 500 * time.Millisecond
 )
 
 // seed of the replays' random choices.
@@ -49,13 +55,13 @@
 	Outcomes []Verdict `json:"outcomes"`
 }
 
-// policies returns the registered routing policies in order, and the oracle.
+// policies returns the registered routing policies in order, and the variants.
 func policies() []string {
 	var ps []string
 	for _, id := range kernel.IDs(prefixcost.ID.Family()) {
 		ps = append(ps, string(id))
 	}
-	return append(ps, Oracle)
+	return append(ps, MoreReports, Oracle)
 }
 
 // NewPolicy returns the policy of the name. The oracle uses the product's cost
@@ -64,6 +70,9 @@
 	if name == Oracle {
 		return prefixcost.New(prefixcost.Options{NearEqual: 1}), nil
 	}
+	if name == MoreReports {
+		name = Product
+	}
 	return kernel.New[routing.Policy](kernel.ID(name))
 }
 
@@ -94,7 +103,11 @@
 			if err != nil {
 				return fmt.Errorf("policy %s: %w", r.Policy, err)
 			}
-			r.Result = replay.Run(trace.Generate(s), replay.Options{Policy: p, Oracle: r.Policy == Oracle, Seed: seed})
+			o := replay.Options{Policy: p, Oracle: r.Policy == Oracle, Seed: seed}
+			if r.Policy == MoreReports {
+				o.ReportGap = moreReportsGap
+			}
+			r.Result = replay.Run(trace.Generate(s), o)
 			return nil
 		})
 	}
--- a/bench/replay/agent.go
+++ b/bench/replay/agent.go
@@ -178,11 +178,25 @@
 		return
 	}
 	a.frame(w, func() { w.entry.first(w, interval) })
+	a.keepReporting(w)
 	now := a.s.c.now
 	end := now + time.Duration(w.output-1)*interval
 	a.s.c.at(min(end, max(now, w.deadline)), func() { a.end(w, end <= w.deadline) })
 }
 
+// keepReporting sends the load with a token's frame every ReportGap, if set.
+func (a *agent) keepReporting(w *work) {
+	if a.s.o.ReportGap <= 0 {
+		return
+	}
+	a.s.c.after(a.s.o.ReportGap, func() {
+		if a.live[w] {
+			a.frame(w, func() {})
+			a.keepReporting(w)
+		}
+	})
+}
+
 func (a *agent) end(w *work, whole bool) {
 	if !a.live[w] {
 		return
--- a/bench/replay/sim.go
+++ b/bench/replay/sim.go
@@ -21,6 +21,9 @@
 	// instant of each decision.
 	Oracle bool
 	Seed   uint64
+	// ReportGap is the time between two load reports on one stream; zero for
+	// reports on the first and last frame only, as agents send them.
+	ReportGap time.Duration
 	// Decisions takes a line for each decision, if set.
 	Decisions func(Decision)
 }
--- a/core/routing/prefixcost/prefixcost.go
+++ b/core/routing/prefixcost/prefixcost.go
@@ -42,7 +42,7 @@
 	defaultReportLifetime = 10 * time.Second
 	defaultSuspectPenalty = time.Second
 	defaultNearEqual      = 5 * time.Millisecond
-	defaultReversion      = time.Second
+	defaultReversion      = 300 * time.Millisecond
 	defaultOthersWeight   = 0.25
 	defaultFetchSlack     = 1.3
 )
--- a/core/routing/prefixcostv2/prefixcostv2.go
+++ b/core/routing/prefixcostv2/prefixcostv2.go
@@ -4,6 +4,8 @@
 package prefixcostv2
 
 import (
+	"time"
+
 	"github.com/galenaweir/galenaweir/core/kernel"
 	"github.com/galenaweir/galenaweir/core/routing/prefixcost"
 )
@@ -12,5 +14,5 @@
 const ID kernel.ID = "routing.prefix_cost_v2"
 
 func init() {
-	kernel.Register(kernel.Info{ID: ID, New: func() any { return prefixcost.New(prefixcost.Options{FetchSlack: 1}) }})
+	kernel.Register(kernel.Info{ID: ID, New: func() any { return prefixcost.New(prefixcost.Options{FetchSlack: 1, Reversion: time.Second}) }})
 }
