Show six policies in the plots and cut their longest bars

Cause: one overloaded baseline took the whole axis, and colours repeated. Change: the plots show least_load, no_store, sticky, prefix_cost_v1, prefix_cost and the oracle; first-token bars end at 2000 ms. Conclusion: the table keeps all policies and whole figures.

--- a/bench/measure/plots.go
+++ b/bench/measure/plots.go
@@ -20,6 +20,16 @@
 	barWidth   = 8 * vg.Millimeter / 2
 )
 
+// shown are the policies in the plots; the table has all.
+var shown = []string{"routing.least_load", "routing.no_store", "routing.sticky", "routing.prefix_cost_v1", Product, Oracle}
+
+// longestShown cuts the bars of overloaded replays, in ms, so that the others
+// can be told apart.
+const longestShown = 2000
+
+// legendRoom is the height of the axis over the highest bar.
+const legendRoom = 1.35
+
 // plotted are the traces that each figure shows; the fault traces would crowd it.
 var plotted = []string{"returning", "bursts", "rollout", "even", "heavy"}
 
@@ -28,7 +38,7 @@
 		title string
 		value func(*replay.Result) float64
 	}{
-		"first-token-p95.png": {"first token, p95 (ms)", func(x *replay.Result) float64 { return x.FirstToken["all"].P95 }},
+		"first-token-p95.png": {"first token, p95 (ms, bars end at 2000)", func(x *replay.Result) float64 { return min(longestShown, x.FirstToken["all"].P95) }},
 		"recomputed.png":      {"tokens recomputed, of those built before (%)", func(x *replay.Result) float64 { return percent * x.Recomputed }},
 		"links.png":           {"link use, highest mean of a link (%)", highestMean},
 	} {
@@ -65,21 +75,23 @@
 	p.Title.Text = title
 	p.Legend.Top = true
 	p.Y.Min = 0
-	ps := policies()
-	for i, name := range ps {
+	highest := 0.0
+	for i, name := range shown {
 		var vs plotter.Values
 		for _, t := range traces {
 			vs = append(vs, value(r.find(t, name)))
+			highest = max(highest, vs[len(vs)-1])
 		}
 		bars, err := plotter.NewBarChart(vs, barWidth)
 		if err != nil {
 			return err
 		}
 		bars.Color, bars.LineStyle.Width = plotutil.Color(i), 0
-		bars.Offset = barWidth * vg.Length(float64(i)-float64(len(ps)-1)/2)
+		bars.Offset = barWidth * vg.Length(float64(i)-float64(len(shown)-1)/2)
 		p.Add(bars)
 		p.Legend.Add(strings.TrimPrefix(name, "routing."), bars)
 	}
+	p.Y.Max = legendRoom * highest
 	p.NominalX(traces...)
 	return p.Save(groupWidth*vg.Length(len(traces)+1), plotHeight, file)
 }
