Let a failing payment test end

Cause: a handler that waits for the test kept its server from closing, so that a failure showed only as a timeout of the whole run. Change: the handler is released when the test ends.

--- a/claimsvc/payment_test.go
+++ b/claimsvc/payment_test.go
@@ -96,12 +96,13 @@
 // TestRepeatWaits guards against a repeat that takes a running request for lost.
 func TestRepeatWaits(t *testing.T) {
 	d := newDeployment(t, 2)
-	var arrived, let [2]chan struct{}
+	var arrived [2]chan struct{}
+	var release [2]func()
 	for i := range arrived {
-		arrived[i], let[i] = d.slow(i)
+		arrived[i], release[i] = d.slow(i)
 	}
 	r := request{key: newKey(t), body: payment("p")}
-	first := make(chan answer)
+	first := make(chan answer, 1)
 	go func() { first <- d.send(r) }()
 	select {
 	case <-arrived[0]:
@@ -111,8 +112,8 @@
 	repeat.entry, repeat.deadline = 1, 200*time.Millisecond
 	a := d.send(repeat)
 	require.Equal(t, []string{"deadline_exceeded", "unknown"}, []string{a.err.Type, a.err.Ran}, a.body)
-	close(let[0])
-	close(let[1])
+	release[0]()
+	release[1]()
 	repeat.deadline = 0
 	require.Equal(t, (<-first).body, d.send(repeat).body)
 	require.Equal(t, 1, d.ledger.Effects("p"))
@@ -225,8 +226,9 @@
 }
 
 // slow puts a handler before a replica that waits for the test.
-func (d *deployment) slow(i int) (arrived chan struct{}, let chan struct{}) {
-	arrived, let = make(chan struct{}, 8), make(chan struct{})
+func (d *deployment) slow(i int) (arrived chan struct{}, release func()) {
+	arrived, let := make(chan struct{}, 8), make(chan struct{})
+	release = sync.OnceFunc(func() { close(let) })
 	inner := d.replicas[i].Handler()
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		arrived <- struct{}{}
@@ -234,17 +236,19 @@
 		inner.ServeHTTP(w, r)
 	}))
 	d.t.Cleanup(s.Close)
+	d.t.Cleanup(release) // before Close, which waits for the handler
 	d.fixed.endpoint(i, s.Listener.Addr().String())
-	return arrived, let
+	return arrived, release
 }
 
 // TestExecutorLost guards against a second run, and a false not_run, when the
 // entry loses the executor after the dispatch and asks a second one.
 func TestExecutorLost(t *testing.T) {
 	d := newDeployment(t, 2)
-	var arrived, let [2]chan struct{}
+	var arrived [2]chan struct{}
+	var release [2]func()
 	for i := range arrived {
-		arrived[i], let[i] = d.slow(i)
+		arrived[i], release[i] = d.slow(i)
 	}
 	key := newKey(t)
 	done := make(chan answer)
@@ -263,7 +267,7 @@
 	d.startAgent(lost) // a new incarnation
 	a = d.send(request{entry: 1, key: key, body: payment("p")})
 	require.Equal(t, []string{"outcome_unknown", "unknown"}, []string{a.err.Type, a.err.Ran}, a.body)
-	close(let[lost]) // the lost executor was cut off, not dead
+	release[lost]() // the lost executor was cut off, not dead
 	for !strings.Contains(a.body, "settled") && t.Context().Err() == nil {
 		a = d.send(request{method: "GET", path: "/v1/outcomes/" + key})
 	}
