Fail the tests of drain and half requests properly

Cause: an entry's drain that doesn't wait failed no test, and the test of half a request hung without the time limit instead of failing. Change: the drain's test reads the running gauge when the drain has ended; the test of half a request has a limit of its own.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -147,6 +147,7 @@
 	p := newPath(t, 1)
 	var running sync.WaitGroup
 	var drained error
+	var figures string // when the drain had ended
 	a := p.ask(t.Context(), "running", longAnswer, func(int) {
 		p.entry.BeginDrain()
 		require.False(t, p.entry.Ready())
@@ -155,11 +156,15 @@
 		stop()
 		require.ErrorContains(t, p.entry.Drain(cut), "cut ")
 		require.Equal(t, "draining", errorType(t, p.ask(t.Context(), "new", 5, nil).err))
-		running.Go(func() { drained = p.entry.Drain(t.Context()) })
+		running.Go(func() {
+			drained = p.entry.Drain(t.Context())
+			figures = p.figures.String()
+		})
 	})
 	p.requireWhole(a, "running", longAnswer)
 	running.Wait()
 	require.NoError(t, drained)
+	require.Contains(t, figures, `"running":0`, "the drain ends after the answers")
 }
 
 func errorType(t *testing.T, err error) string {
--- a/entry/input_test.go
+++ b/entry/input_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
@@ -138,6 +139,7 @@
 	c, err := net.Dial("tcp", strings.TrimPrefix(p.url, "http://"))
 	require.NoError(t, err)
 	defer c.Close()
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(waitLimit)))
 	_, err = fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s.%s\r\nContent-Length: 100\r\n\r\n{", customerID, secret)
 	require.NoError(t, err)
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
