Report load on keep-alives and hold prefill back at the gate

Change: keep-alive frames carry the load report; the gate grants only while granted prompts that have not begun hold fewer than 4096 tokens. Result: TestGateHoldsPrefillBack fails when the check is removed (started 2, not 1); go test -race ./agent ./entry passes. The product's own gain is not measured.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -251,8 +251,12 @@
 		MaxTokens: int(req.MaxTokens), Priority: doc.Priorities[req.Priority].Rank,
 		CacheSalt: fmt.Sprintf("%x", salt), WeightVersion: req.WeightVersion,
 	}
-	r.began = a.backlog.add(req.Endpoint, preq.Priority, int(req.PrefillTokens))
-	defer r.began()
+	prefilled := a.backlog.add(req.Endpoint, preq.Priority, int(req.PrefillTokens))
+	defer prefilled()
+	r.began = func() {
+		prefilled()
+		a.o.Gate.Began(req.Endpoint, req.AttemptId)
+	}
 	release, err := a.o.Gate.Acquire(ctx, doc, req)
 	if err == nil {
 		granted := time.Now()
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -28,7 +28,7 @@
 		select {
 		case <-changed:
 		case <-keepAlive.C:
-			if err := send(&rpc.Frame{AttemptId: at.id, Customer: at.customer, Body: &rpc.Frame_KeepAlive{KeepAlive: &rpc.KeepAlive{}}}); err != nil {
+			if err := send(&rpc.Frame{AttemptId: at.id, Customer: at.customer, Body: &rpc.Frame_KeepAlive{KeepAlive: &rpc.KeepAlive{}}, Load: a.load(at.endpoint, at.weightVersion())}); err != nil {
 				return err
 			}
 		case <-ctx.Done():
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -18,7 +18,14 @@
 	"github.com/galenaweir/galenaweir/rpc"
 )
 
-const maxWaiting = 1000 // requests before one endpoint
+const (
+	maxWaiting = 1000 // requests before one endpoint
+	// maxEnginePrefill is the number of prompt tokens that an engine may have
+	// before it when another request is granted. What waits here can be ordered
+	// fairly; what waits in the engine can't. Less than this leaves the engine
+	// idle between two prompts.
+	maxEnginePrefill = 4096
+)
 
 // Gate admits prompts to the engines in the order of the admission policy. A nil
 // Gate admits everything at once.
@@ -33,9 +40,17 @@
 type line struct {
 	id      string // of the policy
 	policy  admission.Policy
-	grants  map[*admission.Request]chan struct{}
+	grants  map[*admission.Request]*grant
 	config  *config.Document // as configured last
-	running map[*admission.Request]struct{}
+	running map[*admission.Request]*grant
+	prefill int // tokens of granted requests whose first frame has not come
+}
+
+// grant is a request's turn.
+type grant struct {
+	attempt string
+	prefill int           // tokens, zero once the first frame has come
+	granted chan struct{} // closes when the request may start
 }
 
 // NewGate returns a gate; now is the clock of its policies.
@@ -52,7 +67,7 @@
 		if err != nil {
 			p = fair.New()
 		}
-		l = &line{id: doc.Policies.Admission, policy: p, grants: map[*admission.Request]chan struct{}{}, running: map[*admission.Request]struct{}{}}
+		l = &line{id: doc.Policies.Admission, policy: p, grants: map[*admission.Request]*grant{}, running: map[*admission.Request]*grant{}}
 		g.lines[endpoint] = l
 	}
 	if l.config != doc {
@@ -114,12 +129,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	l := g.line(doc, req.Endpoint)
-	granted := make(chan struct{})
+	turn := &grant{attempt: req.AttemptId, prefill: int(req.PrefillTokens), granted: make(chan struct{})}
 	if req.Resume {
 		l.policy.Force(r, g.now())
-		l.running[r] = struct{}{}
-		close(granted)
-		return granted, l, nil
+		turn.prefill = 0
+		l.running[r] = turn
+		close(turn.granted)
+		return turn.granted, l, nil
 	}
 	o := l.policy.Offer(r, g.now())
 	if o.Verdict != admission.Wait {
@@ -129,9 +145,9 @@
 			Int("queued_tokens", load.QueuedTokens).Dur("start", o.Start).Dur("retry_after", o.RetryAfter).Msg("admission")
 		return nil, nil, refusal(o, req.Endpoint, load)
 	}
-	l.grants[r] = granted
+	l.grants[r] = turn
 	l.start(g.now())
-	return granted, l, nil
+	return turn.granted, l, nil
 }
 
 func refusal(o admission.Offer, endpoint string, load admission.Load) error {
@@ -143,22 +159,53 @@
 
 // start grants all requests that may start now.
 func (l *line) start(now time.Time) {
-	for r := l.policy.Next(now); r != nil; r = l.policy.Next(now) {
-		l.running[r] = struct{}{}
-		if c, ok := l.grants[r]; ok {
+	for l.prefill < maxEnginePrefill {
+		r := l.policy.Next(now)
+		if r == nil {
+			return
+		}
+		turn, ok := l.grants[r]
+		if !ok {
+			turn = &grant{}
+		}
+		l.running[r] = turn
+		l.prefill += turn.prefill
+		if ok {
 			delete(l.grants, r)
-			close(c)
+			close(turn.granted)
 		}
 	}
 }
 
+// Began notes that the engine has sent the attempt's first frame.
+func (g *Gate) Began(endpoint, attempt string) {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := g.lines[endpoint]
+	if l == nil {
+		return
+	}
+	for _, turn := range l.running {
+		if turn.attempt == attempt {
+			l.prefill -= turn.prefill
+			turn.prefill = 0
+		}
+	}
+	l.start(g.now())
+}
+
 func (g *Gate) done(l *line, r *admission.Request, tokens int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if _, ok := l.running[r]; !ok {
+	turn, ok := l.running[r]
+	if !ok {
 		return
 	}
 	delete(l.running, r)
+	l.prefill -= turn.prefill
 	l.policy.Done(r, tokens, g.now())
 	l.start(g.now())
 }
--- a/agent/gate_test.go
+++ b/agent/gate_test.go
@@ -128,3 +128,29 @@
 	load := r.agent.load("e", "")
 	require.Zero(t, load.Running+load.Waiting)
 }
+
+// Guards against prompts that wait in the engine, where a later one of a light
+// customer can't pass them.
+func TestGateHoldsPrefillBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, doc := NewGate(time.Now), gateDoc()
+		e := doc.Endpoints["e"]
+		e.Slots = 8
+		doc.Endpoints["e"] = e
+		started := 0
+		ask := func(attempt string) {
+			req := gateRequest("a")
+			req.AttemptId, req.PrefillTokens = attempt, maxEnginePrefill
+			_, err := g.Acquire(t.Context(), doc, req)
+			require.NoError(t, err)
+			started++
+		}
+		ask("first")
+		go ask("second")
+		synctest.Wait()
+		require.Equal(t, 1, started)
+		g.Began("e", "first")
+		synctest.Wait()
+		require.Equal(t, 2, started)
+	})
+}
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -166,10 +166,10 @@
 
 // accept checks a frame and passes its text on.
 func (f *follower) accept(fr *rpc.Frame) error {
+	f.e.view.report(fr.Load)
 	if fr.GetKeepAlive() != nil {
 		return nil
 	}
-	f.e.view.report(fr.Load)
 	var v stream.Verdict
 	switch b := fr.Body.(type) {
 	case *rpc.Frame_Error:
