Pass sampling parameters on to the engine

Cause: temperature, stop and the other sampling parameters were accepted and ignored, which callers of language models don't expect. Change: the entry keeps the eight usual parameters as they came; the agent adds them to the engine's request behind its own fields. Conclusion: parameters that would change the answer's shape stay refused.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -249,7 +249,7 @@
 	preq := &protocol.Request{
 		AttemptID: at.engineID, Model: req.Model, Prompt: req.Prompt, Continue: req.PrefixOutput,
 		MaxTokens: int(req.MaxTokens), Priority: doc.Priorities[req.Priority].Rank,
-		CacheSalt: fmt.Sprintf("%x", salt), WeightVersion: req.WeightVersion,
+		CacheSalt: fmt.Sprintf("%x", salt), WeightVersion: req.WeightVersion, Sampling: req.Sampling,
 	}
 	prefilled := a.backlog.add(req.Endpoint, preq.Priority, int(req.PrefillTokens))
 	defer prefilled()
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -71,7 +71,7 @@
 	}
 	p := &prompt{
 		id: requestOf(c), customer: customerOf(c), model: r.Model, text: r.text(),
-		maxTokens: r.maxTokens(), state: st, begun: time.Now(),
+		maxTokens: r.maxTokens(), sampling: r.samplingJSON(), state: st, begun: time.Now(),
 	}
 	// Compared one by one: the sum of a caller's number may overflow.
 	if n := prefix.Tokens(p.text); n > m.MaxContextTokens || p.maxTokens > m.MaxContextTokens-n {
--- a/entry/fuzz_test.go
+++ b/entry/fuzz_test.go
@@ -38,3 +38,13 @@
 		require.Equal(t, chat, len(r.Messages) > 0)
 	})
 }
+
+// Guards against parameters of the caller that are lost on their way to the engine.
+func TestSamplingParameters(t *testing.T) {
+	r, err := parseCompletion([]byte(`{"prompt":"x","temperature":0.2,"stop":["\n"],"user":"u"}`), false)
+	require.NoError(t, err)
+	require.JSONEq(t, `{"temperature":0.2,"stop":["\n"]}`, string(r.samplingJSON()))
+	r, err = parseCompletion([]byte(`{"prompt":"x"}`), false)
+	require.NoError(t, err)
+	require.Empty(t, r.samplingJSON())
+}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -23,6 +23,7 @@
 	model        string
 	text         string
 	maxTokens    int
+	sampling     []byte // JSON object, nil for the engine's defaults
 	priority     string
 	begun        time.Time
 	deadline     time.Time
@@ -163,7 +164,7 @@
 		RequestId: r.p.id, AttemptId: uuid.NewString(), Customer: r.p.customer, Endpoint: to.endpoint, Model: r.p.model,
 		Conversation: r.p.conversation, Prompt: r.p.text, MaxTokens: uint32(r.p.maxTokens), Priority: r.p.priority,
 		ConfigVersion: r.p.state.Version, PrefixOutput: r.answer.String(), WeightVersion: version,
-		Hint: to.hint, OverShare: to.overShare, PrefillTokens: uint32(to.prefill),
+		Hint: to.hint, OverShare: to.overShare, PrefillTokens: uint32(to.prefill), Sampling: r.p.sampling,
 	}
 	f.check = stream.NewChecker(f.req.AttemptId, r.p.customer)
 	end, err := f.run(ctx)
--- a/entry/request.go
+++ b/entry/request.go
@@ -10,11 +10,23 @@
 	"github.com/galenaweir/galenaweir/core/prefix"
 )
 
+// sampling holds the parameters that are passed on to the engine as they came.
+type sampling struct {
+	Temperature      json.RawMessage `json:"temperature,omitempty"`
+	TopP             json.RawMessage `json:"top_p,omitempty"`
+	Stop             json.RawMessage `json:"stop,omitempty"`
+	Seed             json.RawMessage `json:"seed,omitempty"`
+	PresencePenalty  json.RawMessage `json:"presence_penalty,omitempty"`
+	FrequencyPenalty json.RawMessage `json:"frequency_penalty,omitempty"`
+	LogitBias        json.RawMessage `json:"logit_bias,omitempty"`
+	ResponseFormat   json.RawMessage `json:"response_format,omitempty"`
+}
+
 // completionRequest is the body of chat completions and completions. Fields that
-// are not listed, such as temperature, top_p, stop, seed and the penalties, are
-// accepted and ignored: the engines' sampling is set by the model's operators.
-// Fields that would change the shape of the answer are refused; docs/callers.md.
+// are not listed are accepted and ignored; those that would change the shape of
+// the answer are refused, as docs/callers.md says.
 type completionRequest struct {
+	sampling
 	Model               string    `json:"model"`
 	Messages            []message `json:"messages"`
 	Prompt              textParts `json:"prompt"`
@@ -171,3 +183,12 @@
 func (r *completionRequest) includeUsage() bool {
 	return r.StreamOptions != nil && r.StreamOptions.IncludeUsage
 }
+
+// samplingJSON returns the sampling parameters as a JSON object, nil for none.
+func (r *completionRequest) samplingJSON() []byte {
+	b, err := json.Marshal(r.sampling)
+	if err != nil || len(b) <= len("{}") {
+		return nil
+	}
+	return b
+}
--- a/protocol/protocol.go
+++ b/protocol/protocol.go
@@ -19,6 +19,7 @@
 	Priority      int    // higher first
 	CacheSalt     string // separates the customers' cache blocks
 	WeightVersion string // the engine refuses any other; empty for any
+	Sampling      []byte // JSON object of sampling parameters, nil for the engine's defaults
 }
 
 // EventKind tells what an Event carries.
--- a/protocol/streaming/streaming.go
+++ b/protocol/streaming/streaming.go
@@ -83,7 +83,7 @@
 	if err != nil {
 		return fmt.Errorf("encode the completion: %w", err)
 	}
-	resp, err := c.do(ctx, http.MethodPost, address, "/v1/completions", b)
+	resp, err := c.do(ctx, http.MethodPost, address, "/v1/completions", withSampling(b, r.Sampling))
 	if err != nil {
 		return err
 	}
@@ -91,6 +91,17 @@
 	return readStream(resp.Body, sink)
 }
 
+// withSampling adds the members of a JSON object to those of the body. Members of
+// the body come last, so that they count where a name stands twice.
+func withSampling(body, sampling []byte) []byte {
+	inner := bytes.TrimSpace(sampling)
+	if len(inner) <= len("{}") || inner[0] != '{' {
+		return body
+	}
+	out := append([]byte(nil), inner[:len(inner)-1]...)
+	return append(append(out, ','), body[1:]...)
+}
+
 // Resume implements protocol.Engine.
 func (c *Client) Resume(ctx context.Context, address, attemptID string, fromSeq uint64, sink func(protocol.Event) error) error {
 	resp, err := c.do(ctx, http.MethodGet, address, fmt.Sprintf("/v1/requests/%s/stream?from_seq=%d", url.PathEscape(attemptID), fromSeq), nil)
