Hedge short interactive answers

Cause: core/retry's hedging rule was tested but not used: a yes-or-no answer waited for one slow endpoint. Change: when a short interactive answer has not started after the p95 of the recent ones, a second attempt starts on another endpoint within 2% of the traffic; only the frames of the attempt that starts first are passed on, and the other is cancelled. The gain in first-token time is not measured.

--- a/agent/payment.go
+++ b/agent/payment.go
@@ -275,5 +275,5 @@
 	if ctx.Err() != nil {
 		return apierr.Retry(apierr.DeadlineExceeded, apierr.NotRun, logRetryAfter, "the deadline passed before the request was dispatched", "retry with the same key and allow more time").WithCause(cause)
 	}
-	return apierr.Retry(apierr.LogUnavailable, apierr.NotRun, logRetryAfter, "the platform's log did not take the claim; the request was not dispatched", "retry with the same key").WithCause(cause)
+	return apierr.Retry(apierr.LogUnavailable, apierr.NotRun, logRetryAfter, "the platform's log did not take the claim; this request was not dispatched", "retry with the same key and no other: whether an earlier request with it ran is known when the log is back").WithCause(cause)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -55,6 +55,7 @@
 	view     *view
 	indexes  indexCache
 	policies policies
+	hedges   hedges
 
 	rngMu sync.Mutex
 	rng   *rand.Rand
@@ -79,7 +80,7 @@
 	if o.CallerTimeout <= 0 {
 		o.CallerTimeout = defaultCallerTimeout
 	}
-	e := &Entry{o: o, view: newView(o.Seed), limits: customerLimits{l: limits.New(o.ID)}, rng: rand.New(rand.NewPCG(o.Seed, 0)), m: newFigures(o.Metrics), requests: map[string]bool{}}
+	e := &Entry{o: o, view: newView(o.Seed), hedges: newHedges(), limits: customerLimits{l: limits.New(o.ID)}, rng: rand.New(rand.NewPCG(o.Seed, 0)), m: newFigures(o.Metrics), requests: map[string]bool{}}
 	o.Metrics.Gauge("running", func() any { return e.work.Count() })
 	o.Metrics.Gauge("config_version", func() any {
 		if st := o.Config.Current(); st != nil {
@@ -99,6 +100,7 @@
 	firstToken    *metrics.Durations
 	betweenTokens *metrics.Durations
 	retries       *expvar.Int
+	hedged        *expvar.Int // second attempts for short interactive answers
 	continued     *expvar.Int // attempts that continued an answer elsewhere
 	resumes       *expvar.Int
 	foreign       *expvar.Int // frames of another attempt or customer
@@ -108,7 +110,7 @@
 	return figures{
 		requests: r.CountBy("requests"), refusals: r.CountBy("refusals"), promptTokens: r.CountBy("prompt_tokens"),
 		firstToken: r.Durations("first_token"), betweenTokens: r.Durations("between_tokens"),
-		retries: r.Count("retries"), continued: r.Count("continued"), resumes: r.Count("resumes"), foreign: r.Count("foreign_frames"),
+		retries: r.Count("retries"), hedged: r.Count("hedged"), continued: r.Count("continued"), resumes: r.Count("resumes"), foreign: r.Count("foreign_frames"),
 	}
 }
 
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -188,7 +188,32 @@
 	return nil
 }
 
+// attempt follows the attempt to its end, frees the engine when it was given up,
+// and tells the endpoint's breaker.
+func (f *follower) attempt(ctx context.Context) (*rpc.End, error) {
+	f.r.winner.Store(f)
+	return f.race(ctx)
+}
+
+// race is attempt for one of two attempts, of which the first to start wins.
+func (f *follower) race(ctx context.Context) (*rpc.End, error) {
+	end, err := f.run(ctx)
+	if err != nil && f.sent {
+		f.cancelRemote()
+	}
+	if !errors.Is(err, errLost) {
+		f.judge(err)
+	}
+	return end, err
+}
+
+// errLost is the end of an attempt whose competitor started first.
+var errLost = errors.New("another attempt started first")
+
 func (f *follower) pass(fr *rpc.Frame) error {
+	if !f.r.winner.CompareAndSwap(nil, f) && f.r.winner.Load() != f {
+		return apierr.New(apierr.Cancelled, apierr.DidRun, "another attempt of the request started first", "").WithCause(errLost)
+	}
 	var err error
 	switch b := fr.Body.(type) {
 	case *rpc.Frame_Start:
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -58,6 +59,9 @@
 	previous uint32          // tokens of the attempts before the current one
 	lastText time.Time
 	ran      apierr.Ran // what all attempts so far may have done
+
+	// winner is the attempt whose frames are passed on: the first to start.
+	winner atomic.Pointer[follower]
 }
 
 // relay runs the prompt and returns its end frame, with the usage of all
@@ -159,6 +163,16 @@
 		return nil, "", err
 	}
 	r.previous = r.tokens
+	f := r.follower(to, version)
+	if r.answer.Len() > 0 || len(r.skip) > 0 {
+		end, err := f.attempt(ctx)
+		return end, to.endpoint, err
+	}
+	return r.hedged(ctx, f)
+}
+
+// follower prepares an attempt on the endpoint.
+func (r *relay) follower(to routed, version string) *follower {
 	f := &follower{e: r.e, r: r, address: to.address}
 	f.req = &rpc.GenerateRequest{
 		RequestId: r.p.id, AttemptId: uuid.NewString(), Customer: r.p.customer, Endpoint: to.endpoint, Model: r.p.model,
@@ -167,12 +181,7 @@
 		Hint: to.hint, OverShare: to.overShare, PrefillTokens: uint32(to.prefill), Sampling: r.p.sampling,
 	}
 	f.check = stream.NewChecker(f.req.AttemptId, r.p.customer)
-	end, err := f.run(ctx)
-	if err != nil && f.sent {
-		f.cancelRemote()
-	}
-	f.judge(err)
-	return end, to.endpoint, err
+	return f
 }
 
 // start passes the start of the first attempt on.
@@ -189,6 +198,7 @@
 	now := time.Now()
 	if r.lastText.IsZero() {
 		r.e.m.firstToken.Observe(r.p.priority, now.Sub(r.p.begun))
+		r.e.hedges.observe(r.p, now.Sub(r.p.begun))
 	} else {
 		r.e.m.betweenTokens.Observe(r.p.priority, now.Sub(r.lastText))
 	}
