Give the stand-in's last frame a usage of its own

Cause: the race detector found that the first frame's usage was changed when the last one was made, while a reader could still be encoding it. Change: the last frame has a copy. Result: go test -race -count=6 -run TestRetryBudget ./entry passes; it failed before. Conclusion: a fault of the stand-in, not of the path.

--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -225,8 +225,9 @@
 		length += uint64(len(w))
 		e.emit(s, Frame{Choices: []Choice{{Text: w}}})
 	}
-	usage.CompletionTokens = s.req.MaxTokens - from
-	e.emit(s, Frame{Choices: []Choice{{FinishReason: "length"}}, Usage: &usage, LengthBytes: length, WeightVersion: s.version})
+	total := usage // the first frame's usage may still be on its way to a reader
+	total.CompletionTokens = s.req.MaxTokens - from
+	e.emit(s, Frame{Choices: []Choice{{FinishReason: "length"}}, Usage: &total, LengthBytes: length, WeightVersion: s.version})
 }
 
 func sleep(s *sequence, d time.Duration) bool {
