Wait for the connection before a cancel

Cause: TestCallerLeaves failed once in a run of the package: a cancel right after the agent's restart met a connection in backoff, failed at once, and the engine worked on for nobody. Change: the cancel waits for the connection, up to 3 s, beside the answer. Result: go test -race -count=10 -run TestCallerLeaves ./entry passes, and go test -race ./entry passes, 15.3 s. Conclusion: an agent that stays away longer still leaves its engine working until the answer's end.

--- a/entry/follower.go
+++ b/entry/follower.go
@@ -20,7 +20,7 @@
 const (
 	maxStreamResumes = 6
 	maxSilentInRow   = 2
-	cancelTimeout    = time.Second
+	cancelTimeout    = 3 * time.Second       // enough to reconnect to an agent that has just restarted
 	resumePause      = 20 * time.Millisecond // doubles with each failure in a row
 )
 
@@ -214,7 +214,7 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		defer cancel()
-		if _, err := client.Cancel(ctx, &rpc.CancelRequest{AttemptId: f.req.AttemptId, Customer: f.r.p.customer}); err != nil {
+		if _, err := client.Cancel(ctx, &rpc.CancelRequest{AttemptId: f.req.AttemptId, Customer: f.r.p.customer}, grpc.WaitForReady(true)); err != nil {
 			log.Warn().Err(err).Str("attempt", f.req.AttemptId).Msg("cancel at the agent failed; the attempt ends when nobody follows it")
 		}
 	}()
