Test that the budget spares a planned stop

Cause: removing the exception for leaving agents, or the closing of idle connections to the engine after a silence, failed no test. Change: tests with a budget that allows nothing, and with several idle connections that have gone silent; the test's engine wrapper no longer hides CloseIdle. Removed, the exception fails TestRetryBudget. For CloseIdle the removal was tried only while the wrapper still hid it, so it is to be tried again. Conclusion: the guards have tests.

--- a/entry/agent_fake_test.go
+++ b/entry/agent_fake_test.go
@@ -152,6 +152,13 @@
 	first, second = p.scripted(0, forbidden), p.scripted(1, forbidden)
 	require.Equal(t, "forbidden", errorType(t, p.ask(t.Context(), "x", 1, nil).err))
 	require.Len(t, append(first.requests(), second.requests()...), 1)
+
+	p = newPath(t, 2, func(o *entry.Options) { o.Budget = noBudget{} })
+	leaving := p.scripted(0, refuse(apierr.Retry(apierr.Draining, apierr.NotRun, time.Second, "leaving", "retry")))
+	for range 20 {
+		p.requireWhole(p.ask(t.Context(), "x", 1, nil), "x", 1)
+	}
+	require.NotEmpty(t, leaving.requests(), "a planned stop needs no budget")
 }
 
 // Guards against a budget that isn't a share of the traffic of its window.
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/galenaweir/galenaweir/core/apierr"
+	"github.com/galenaweir/galenaweir/entry"
 	"github.com/galenaweir/galenaweir/rpc"
 	"github.com/galenaweir/galenaweir/rpc/dial"
 	"github.com/galenaweir/galenaweir/standin/engine"
@@ -69,7 +70,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			p := newPath(t, 2)
+			p := newPath(t, 2, func(o *entry.Options) { o.Budget = noBudget{} }) // a begun answer is not to be lost for it
 			a := p.ask(t.Context(), "dispute reply", longAnswer, func(i int) { c.act(p, i) })
 			p.requireWhole(a, "dispute reply", longAnswer)
 			require.Equal(t, c.continued, p.figures.Count("continued").String())
@@ -97,7 +98,16 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			p := newPath(t, 1)
-			p.requireWhole(p.ask(t.Context(), "first", 5, nil), "first", 5)
+			// At once, so that several connections to the engine are left idle.
+			var nested func(depth int)
+			nested = func(depth int) {
+				p.requireWhole(p.ask(t.Context(), "first", 100, func(int) {
+					if depth > 0 {
+						nested(depth - 1)
+					}
+				}), "first", 100)
+			}
+			nested(4)
 			require.Positive(t, c.hop(p).Silence(true, true))
 			p.requireWhole(p.ask(t.Context(), "second", 5, nil), "second", 5)
 			require.Zero(t, c.hop(p).Silent())
@@ -124,7 +134,7 @@
 // Guards against a request that fails although another endpoint could take it,
 // and against a planned stop that cuts an answer.
 func TestLeavingAgent(t *testing.T) {
-	p := newPath(t, 2)
+	p := newPath(t, 2, func(o *entry.Options) { o.Budget = noBudget{} }) // a planned stop needs none
 	var running sync.WaitGroup
 	var drained error
 	a := p.ask(t.Context(), "running", longAnswer, func(i int) {
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -109,7 +109,7 @@
 
 // mortalEngine keeps a crashed agent from cancelling at the engine.
 type mortalEngine struct {
-	protocol.Engine
+	*streaming.Client
 	dead *atomic.Bool
 }
 
@@ -117,7 +117,7 @@
 	if m.dead.Load() {
 		return protocol.ErrNoConnect
 	}
-	return m.Engine.Cancel(ctx, address, id)
+	return m.Client.Cancel(ctx, address, id)
 }
 
 func document(endpoints []string) *config.Document {
@@ -146,8 +146,14 @@
 	return doc
 }
 
-// newPath starts a path with n agents.
-func newPath(t *testing.T, n int) *path {
+// noBudget allows no repeated attempt.
+type noBudget struct{ entry.Budget }
+
+func (noBudget) Request()    {}
+func (noBudget) Allow() bool { return false }
+
+// newPath starts a path with n agents; change may set other options of the entry.
+func newPath(t *testing.T, n int, change ...func(*entry.Options)) *path {
 	p := &path{t: t, config: nodetest.NewConfig(nil), figures: metrics.New()}
 	members, endpoints := nodetest.Members{}, []string{}
 	forward := func(address string) *forwarder.Forwarder {
@@ -174,8 +180,12 @@
 	require.NoError(t, p.config.Current().Doc.Validate())
 	pool := dial.New(insecure.NewCredentials())
 	t.Cleanup(pool.Close)
-	p.entry = entry.New(entry.Options{ID: "entry-0", CacheSecret: []byte("cache secret"), SilenceLimit: silenceLimit, MaxBodyBytes: 1 << 16,
-		Config: p.config, Members: members, Pool: pool, Routing: leastload.Policy{}, Seed: routingSeed, Metrics: p.figures, CallerTimeout: silenceLimit})
+	o := entry.Options{ID: "entry-0", CacheSecret: []byte("cache secret"), SilenceLimit: silenceLimit, MaxBodyBytes: 1 << 16,
+		Config: p.config, Members: members, Pool: pool, Routing: leastload.Policy{}, Seed: routingSeed, Metrics: p.figures, CallerTimeout: silenceLimit}
+	for _, c := range change {
+		c(&o)
+	}
+	p.entry = entry.New(o)
 	h, err := p.entry.Handler()
 	require.NoError(t, err)
 	s := httptest.NewUnstartedServer(h)
