--- a/entry/follower.go
+++ b/entry/follower.go
@@ -20,7 +20,7 @@
 const (
 	maxStreamResumes = 6
 	maxSilentInRow   = 2
-	cancelTimeout    = time.Second
+	cancelTimeout    = 3 * time.Second // enough to reconnect to an agent that has just restarted
 	cancelTries      = 4
 	cancelPause      = 100 * time.Millisecond // doubles with each try
 	resumePause      = 20 * time.Millisecond  // doubles with each failure in a row
@@ -253,7 +253,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
-	_, err = client.Cancel(ctx, &rpc.CancelRequest{AttemptId: f.req.AttemptId, Customer: f.r.p.customer})
+	_, err = client.Cancel(ctx, &rpc.CancelRequest{AttemptId: f.req.AttemptId, Customer: f.r.p.customer}, grpc.WaitForReady(true))
 	return err
 }
 
