--- a/agent/agent.go
+++ b/agent/agent.go
@@ -26,6 +26,7 @@
 	"github.com/galenaweir/galenaweir/protocol"
 	"github.com/galenaweir/galenaweir/rpc"
 	"github.com/galenaweir/galenaweir/rpc/dial"
+	"github.com/galenaweir/galenaweir/wait"
 )
 
 // Options sets up an agent.
@@ -288,7 +289,7 @@
 			return
 		}
 		log.Warn().Str("attempt", engineID).Int("try", n+1).Err(err).Msg("cancel at the engine failed")
-		sleep(context.Background(), cancelPause<<n)
+		wait.For(context.Background(), cancelPause<<n)
 	}
 }
 
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -15,6 +15,7 @@
 	"github.com/galenaweir/galenaweir/protocol"
 	"github.com/galenaweir/galenaweir/protocol/protocoltest"
 	"github.com/galenaweir/galenaweir/rpc"
+	"github.com/galenaweir/galenaweir/wait"
 )
 
 const silence = 2 * time.Second
@@ -37,7 +38,7 @@
 				return err
 			}
 		}
-		for err == nil && sleep(ctx, silence/4) {
+		for err == nil && wait.For(ctx, silence/4) {
 			_ = sink(protocol.Event{Kind: protocol.KeepAlive})
 		}
 		return err
@@ -103,7 +104,7 @@
 		{"silent for ever", false, nil, nil, apierr.Unknown, apierr.EndpointFailed},
 		{"foreign frames, then silent", false, streams(sends(nil, started, foreign)), nil, apierr.DidRun, apierr.DeadlineExceeded},
 		{"foreign frames only", false, streams(func(ctx context.Context, sink func(protocol.Event) error) error {
-			for sleep(ctx, silence/2) {
+			for wait.For(ctx, silence/2) {
 				_ = sink(foreign)
 			}
 			return ctx.Err()
--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/galenaweir/galenaweir/core/stream"
 	"github.com/galenaweir/galenaweir/protocol"
 	"github.com/galenaweir/galenaweir/rpc"
+	"github.com/galenaweir/galenaweir/wait"
 )
 
 // attempt is one attempt of a prompt: the frames that the engine has sent so
@@ -191,7 +192,7 @@
 		r.resumed()
 		log.Warn().Str("attempt", a.id).Str("endpoint", a.endpoint).Uint64("seq", check.Next()).Err(err).Msg("engine stream resumed")
 		resume = !errors.Is(err, protocol.ErrNotFound)
-		if !sleep(ctx, resumePause) {
+		if !wait.For(ctx, resumePause) {
 			return context.Cause(ctx)
 		}
 	}
@@ -290,17 +291,6 @@
 	return f
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // translate turns an error of an attempt into its typed kind.
 func translate(err error, endpoint string, ran apierr.Ran) error {
 	const retryAfter = 200 * time.Millisecond
--- a/agent/export.go
+++ b/agent/export.go
@@ -15,6 +15,7 @@
 	"github.com/galenaweir/galenaweir/protocol"
 	"github.com/galenaweir/galenaweir/rpc"
 	"github.com/galenaweir/galenaweir/storeclient"
+	"github.com/galenaweir/galenaweir/wait"
 )
 
 const (
@@ -177,7 +178,7 @@
 	l.background(int64(len(block)), took)
 	c.remember(storedBlock{placement.Stored{Bytes: int64(len(block)), Tier: d.Tier, Value: value, After: cand.Return.After}, p.store, p.storeAt, slot, begin})
 	c.Stats.Exported.Add(1)
-	sleep(ctx, time.Duration(float64(took)*(1/backgroundShare-1)))
+	wait.For(ctx, time.Duration(float64(took)*(1/backgroundShare-1)))
 	return nil
 }
 
--- a/agent/payment.go
+++ b/agent/payment.go
@@ -15,6 +15,7 @@
 	"github.com/galenaweir/galenaweir/core/config"
 	"github.com/galenaweir/galenaweir/node"
 	"github.com/galenaweir/galenaweir/rpc"
+	"github.com/galenaweir/galenaweir/wait"
 )
 
 // Times of claimed calls.
@@ -139,7 +140,7 @@
 				return
 			}
 			log.Warn().Str("request", p.req.RequestId).Str("attempt", p.id).Str("record", what).Err(err).Msg("record was not taken; it is sent again")
-			if !sleep(ctx, pause) {
+			if !wait.For(ctx, pause) {
 				return
 			}
 			pause = min(2*pause, maxRecordPause)
@@ -215,7 +216,7 @@
 			}
 		}
 		lost = !p.holderRuns(ctx, holder)
-		if !sleep(ctx, pause) {
+		if !wait.For(ctx, pause) {
 			return nil, apierr.Retry(apierr.DeadlineExceeded, apierr.Unknown, logRetryAfter, "an earlier request with the key is still running", "repeat with the same key to get its answer")
 		}
 		pause = min(2*pause, maxAwaitPause)
--- a/cmd/galenaweir-entry/main.go
+++ b/cmd/galenaweir-entry/main.go
@@ -22,6 +22,7 @@
 	"github.com/galenaweir/galenaweir/rpc/dial"
 	"github.com/galenaweir/galenaweir/settings"
 	"github.com/galenaweir/galenaweir/tlsconf"
+	"github.com/galenaweir/galenaweir/wait"
 )
 
 func main() {
@@ -83,7 +84,7 @@
 	e.BeginDrain()
 	log.Info().Msg("entry leaves")
 	p.Leave()
-	process.Pause(stop, time.Duration(s.DrainDelayMs)*time.Millisecond)
+	wait.For(stop, time.Duration(s.DrainDelayMs)*time.Millisecond)
 	ctx, cancel := context.WithTimeout(stop, time.Duration(s.DrainTimeoutMs)*time.Millisecond)
 	defer cancel()
 	if err := e.Drain(ctx); err != nil {
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -13,6 +13,7 @@
 	"github.com/galenaweir/galenaweir/core/apierr"
 	"github.com/galenaweir/galenaweir/core/stream"
 	"github.com/galenaweir/galenaweir/rpc"
+	"github.com/galenaweir/galenaweir/wait"
 )
 
 // Limits of the reconnections of one attempt without progress. A silent one
@@ -73,23 +74,12 @@
 		log.Warn().Str("request", f.r.p.id).Str("attempt", f.req.AttemptId).Str("endpoint", f.req.Endpoint).
 			Uint64("seq", f.check.Next()).Err(err).Msg("stream resumed on a new connection")
 		f.req.Resume, f.req.ResumeSeq = true, f.check.Next()
-		if !sleep(ctx, resumePause<<(failures-1)) {
+		if !wait.For(ctx, resumePause<<(failures-1)) {
 			return nil, f.gaveUp(ctx.Err())
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // gaveUp describes an attempt whose end is not known.
 func (f *follower) gaveUp(cause error) error {
 	ran := apierr.NotRun
@@ -241,7 +231,7 @@
 				return
 			}
 			log.Warn().Err(err).Str("attempt", f.req.AttemptId).Int("try", n+1).Msg("cancel at the agent failed")
-			sleep(context.Background(), cancelPause<<n)
+			wait.For(context.Background(), cancelPause<<n)
 		}
 	}()
 }
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -14,6 +14,7 @@
 	"github.com/galenaweir/galenaweir/core/stream"
 	"github.com/galenaweir/galenaweir/node"
 	"github.com/galenaweir/galenaweir/rpc"
+	"github.com/galenaweir/galenaweir/wait"
 )
 
 // prompt is one request of a caller for generated text.
@@ -123,7 +124,7 @@
 	}
 	r.e.m.retries.Add(1)
 	pause, ok := r.e.o.Budget.Backoff(n, time.Until(r.p.deadline))
-	return ok && sleep(ctx, pause)
+	return ok && wait.For(ctx, pause)
 }
 
 // failure describes the end of a prompt that no attempt completed.
--- a/entry/services.go
+++ b/entry/services.go
@@ -23,6 +23,7 @@
 	"github.com/galenaweir/galenaweir/core/config"
 	"github.com/galenaweir/galenaweir/node"
 	"github.com/galenaweir/galenaweir/rpc"
+	"github.com/galenaweir/galenaweir/wait"
 )
 
 // Headers of service calls.
@@ -237,7 +238,7 @@
 		} else if last = rpc.DecodeError(reply.Error); !mayTryNext(last, call.rule) {
 			break
 		}
-		if !pause(ctx, callRetryPause) {
+		if !wait.For(ctx, callRetryPause) {
 			break
 		}
 	}
@@ -300,14 +301,3 @@
 	}
 	return reply, p.Addr != nil, err
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -18,11 +18,9 @@
 
 	"github.com/jessevdk/go-flags"
 	"github.com/tailscale/hujson"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/galenaweir/galenaweir/core/config"
 	"github.com/galenaweir/galenaweir/logsvc"
-	"github.com/galenaweir/galenaweir/rpc/dial"
 )
 
 const logTimeout = 5 * time.Second
@@ -104,6 +102,7 @@
 type source struct {
 	Log   string   `long:"log" required:"true" description:"IP number and port of the log service"`
 	Peers []string `long:"peer" description:"IP number and port of a process, asked when the log no longer tells the version in force; may be repeated"`
+	credentials
 }
 
 func (s *source) client() logsvc.Log { return logsvc.New(s.Log, logTimeout) }
@@ -121,7 +120,10 @@
 	if err != nil {
 		return err
 	}
-	pool := dial.New(insecure.NewCredentials())
+	pool, err := c.pool()
+	if err != nil {
+		return err
+	}
 	defer pool.Close()
 	s, err := inForce(context.Background(), c.client(), pool, c.Peers)
 	if err != nil {
@@ -161,7 +163,10 @@
 	if err != nil {
 		return err
 	}
-	pool := dial.New(insecure.NewCredentials())
+	pool, err := c.pool()
+	if err != nil {
+		return err
+	}
 	defer pool.Close()
 	p, err := Publish(context.Background(), PublishOptions{Log: c.client(), Pool: pool, Peers: c.Peers, Document: doc, Base: c.Base, Publisher: cmp.Or(c.Publisher, userName())})
 	switch {
--- a/operator/status.go
+++ b/operator/status.go
@@ -17,12 +17,36 @@
 	"github.com/galenaweir/galenaweir/hostlist"
 	"github.com/galenaweir/galenaweir/rpc"
 	"github.com/galenaweir/galenaweir/rpc/dial"
+	"github.com/galenaweir/galenaweir/settings"
+	"github.com/galenaweir/galenaweir/tlsconf"
 )
 
 // targets names the processes to ask.
 type targets struct {
 	Peers    []string `long:"peer" description:"IP number and port of a process; may be repeated"`
 	HostList string   `long:"host-list" description:"IP number and port of the platform's host list, to ask all processes on it"`
+	credentials
+}
+
+// credentials names the certificates of the operator's connections.
+type credentials struct {
+	Settings string `long:"settings" value-name:"FILE" description:"settings of a process, whose certificates are used; plain TCP without"`
+}
+
+// pool returns the connections to the processes.
+func (c *credentials) pool() (*dial.Pool, error) {
+	if c.Settings == "" {
+		return dial.New(insecure.NewCredentials()), nil
+	}
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return nil, err
+	}
+	creds, err := tlsconf.Peers(s.TLS)
+	if err != nil {
+		return nil, err
+	}
+	return dial.New(creds), nil
 }
 
 const (
@@ -90,7 +114,10 @@
 	if err != nil {
 		return err
 	}
-	pool := dial.New(insecure.NewCredentials())
+	pool, err := c.pool()
+	if err != nil {
+		return err
+	}
 	defer pool.Close()
 	return printStatuses(stdout(c.out), Statuses(ctx, pool, as))
 }
@@ -137,7 +164,10 @@
 	if err != nil {
 		return err
 	}
-	pool := dial.New(insecure.NewCredentials())
+	pool, err := c.pool()
+	if err != nil {
+		return err
+	}
 	defer pool.Close()
 	var errs []error
 	for _, a := range as {
--- a/peer/config.go
+++ b/peer/config.go
@@ -13,6 +13,7 @@
 	"github.com/galenaweir/galenaweir/core/membership"
 	"github.com/galenaweir/galenaweir/node"
 	"github.com/galenaweir/galenaweir/rpc"
+	"github.com/galenaweir/galenaweir/wait"
 )
 
 // Current implements node.Config.
@@ -66,7 +67,7 @@
 		from := p.pollFrom
 		at := from + membership.PollDelay(polls, p.o.Interval, p.rand.Int64N)
 		p.mu.Unlock()
-		if !pause(ctx, at-now) {
+		if !wait.For(ctx, at-now) {
 			return
 		}
 		p.mu.Lock()
--- a/peer/follow.go
+++ b/peer/follow.go
@@ -89,17 +89,6 @@
 	return a.Offset, nil
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // fetchStateTimeout bounds FetchState.
 const fetchStateTimeout = 5 * time.Second
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -20,6 +20,7 @@
 	"github.com/galenaweir/galenaweir/node"
 	"github.com/galenaweir/galenaweir/rpc"
 	"github.com/galenaweir/galenaweir/rpc/dial"
+	"github.com/galenaweir/galenaweir/wait"
 )
 
 // HostList reads the platform's list of hosts.
@@ -155,7 +156,7 @@
 func (p *Peer) listLoop(ctx context.Context) {
 	first := sync.OnceFunc(func() { close(p.listRead) })
 	for {
-		wait := retryIntervals * p.o.Interval
+		next := retryIntervals * p.o.Interval
 		l, err := p.o.HostList.Hosts(ctx)
 		if err == nil {
 			hosts := make([]membership.Host, 0, len(l.Hosts))
@@ -163,12 +164,12 @@
 				hosts = append(hosts, membership.Host{ID: h.ID, Role: h.Role, Address: h.Address, FailureDomain: h.FailureDomain, Region: h.Region, Leaving: h.Leaving})
 			}
 			p.update(func(now time.Duration) []membership.Command { p.machine.HostList(now, hosts); return nil })
-			wait = listIntervals * p.o.Interval
+			next = listIntervals * p.o.Interval
 		} else if ctx.Err() == nil {
 			log.Warn().Err(err).Msg("host list is unavailable; members stay as known through gossip")
 		}
 		first()
-		if !pause(ctx, wait+p.jitter(wait/2)) {
+		if !wait.For(ctx, next+p.jitter(next/2)) {
 			return
 		}
 	}
--- a/peer/start.go
+++ b/peer/start.go
@@ -8,6 +8,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/galenaweir/galenaweir/rpc"
+	"github.com/galenaweir/galenaweir/wait"
 )
 
 // startPeers is the number of processes that a starting one asks for their
@@ -28,7 +29,7 @@
 			p.ready.Store(true)
 		}
 		p.mu.Unlock()
-		if p.ready.Load() || !pause(ctx, p.o.Interval+p.jitter(p.o.Interval)) {
+		if p.ready.Load() || !wait.For(ctx, p.o.Interval+p.jitter(p.o.Interval)) {
 			break
 		}
 	}
--- a/process/process.go
+++ b/process/process.go
@@ -169,13 +169,3 @@
 		s.Stop()
 	}
 }
-
-// Pause waits for the time, or until ctx ends.
-func Pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
