Give the agent's foreign frames a metric of their own

Cause: claimsvc's tests, which run entry and agent in one process, panicked: both named a metric foreign_frames, one as a counter and one as a gauge. Change: the agent's is engine_foreign_frames.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -100,7 +100,7 @@
 	}
 	a := &Agent{o: o, attempts: map[string]*attempt{}, calls: newCalls(), refusals: o.Metrics.CountBy("refusals"), resumes: o.Metrics.Count("engine_resumes")}
 	o.Metrics.Gauge("running", func() any { return a.active.Load() })
-	o.Metrics.Gauge("foreign_frames", func() any { return a.dropped.Load() })
+	o.Metrics.Gauge("engine_foreign_frames", func() any { return a.dropped.Load() })
 	o.Metrics.Gauge("config_version", func() any {
 		if st := o.Config.Current(); st != nil {
 			return st.Version
