Remember where the entry's own answers left their contexts

Cause: in make demo a conversation that returned within half a second was sent to another endpoint once in a few runs and recomputed: its agent's batched announcement had not reached the directory. Change: an entry keeps the locations of its last 10,000 answers for a minute and adds them to the directory's hints. TestOwnAnswersAreHints covers it. Conclusion: the directory stays the source for other entries.

--- a/entry/context.go
+++ b/entry/context.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/phuslu/log"
 
 	"github.com/galenaweir/galenaweir/core/prefix"
@@ -61,14 +63,46 @@
 	return r.Locations
 }
 
-// lookup asks for hints once for each prompt.
+// Limits of the contexts that an entry remembers from its own answers. They serve
+// until the agents' batched announcement has reached the directory, and while the
+// directory's owner can't be reached.
+const (
+	maxRecent  = 10_000
+	recentTime = time.Minute
+)
+
+// recentContexts are the locations of this entry's latest answers.
+type recentContexts = lru.Cache[prefix.Hash, *rpc.ContextLocation]
+
+func newRecentContexts() *recentContexts {
+	c, err := lru.New[prefix.Hash, *rpc.ContextLocation](maxRecent)
+	if err != nil {
+		panic(err) // only for a size that isn't positive
+	}
+	return c
+}
+
+// lookup asks for hints once for each prompt, and adds this entry's own.
 func (e *Entry) lookup(ctx context.Context, p *prompt) {
-	if e.o.Contexts == nil || p.asked {
+	if p.asked {
 		return
 	}
 	p.asked = true
-	key := prefix.DeriveCustomerKey(e.o.CacheSecret, p.customer)
-	p.hints = e.o.Contexts.Lookup(ctx, prefix.ContextKey(key, p.conversation))
+	p.context = prefix.ContextKey(prefix.DeriveCustomerKey(e.o.CacheSecret, p.customer), p.conversation)
+	if e.o.Contexts != nil {
+		p.hints = e.o.Contexts.Lookup(ctx, p.context)
+	}
+	own, ok := e.recent.Get(p.context)
+	if ok && time.Since(time.UnixMilli(own.UpdatedMs)) < recentTime && !slices.ContainsFunc(p.hints, func(h *rpc.ContextLocation) bool { return h.Endpoint == own.Endpoint }) {
+		p.hints = append(p.hints, own)
+	}
+}
+
+// remember notes where the prompt's context now lies.
+func (e *Entry) remember(p *prompt, s *rpc.Start) {
+	e.recent.Add(p.context, &rpc.ContextLocation{
+		Endpoint: s.Endpoint, EngineTokens: uint32(prefix.Tokens(p.text)), WeightVersion: s.WeightVersion, UpdatedMs: time.Now().UnixMilli(),
+	})
 }
 
 // applyHints fills in which candidates hold the prefix. A hint for another weight
--- a/entry/context_test.go
+++ b/entry/context_test.go
@@ -1,11 +1,13 @@
 package entry
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/galenaweir/galenaweir/core/routing"
+	"github.com/galenaweir/galenaweir/metrics"
 	"github.com/galenaweir/galenaweir/rpc"
 )
 
@@ -21,3 +23,24 @@
 	}, "v2", 1000)
 	require.Equal(t, []routing.Candidate{{Endpoint: "e0", StoreTokens: 256}, {Endpoint: "e1", EngineTokens: 1000, StoreTokens: 256}}, cs)
 }
+
+// Guards against a conversation that returns at once and is sent elsewhere,
+// because the directory has not heard of its context yet, and against another
+// customer's context in the hints.
+func TestOwnAnswersAreHints(t *testing.T) {
+	e := New(Options{ID: "a", Metrics: metrics.New()})
+	p := func(customer string) *prompt {
+		return &prompt{customer: customer, conversation: "c1", text: strings.Repeat("levy", 600)}
+	}
+	first := p("kutch")
+	e.lookup(t.Context(), first)
+	require.Empty(t, first.hints)
+	e.remember(first, &rpc.Start{Endpoint: "e1", WeightVersion: "v1"})
+	again, other := p("kutch"), p("rann")
+	e.lookup(t.Context(), again)
+	e.lookup(t.Context(), other)
+	require.Empty(t, other.hints)
+	cs := []routing.Candidate{{Endpoint: "e0"}, {Endpoint: "e1"}}
+	applyHints(cs, again.hints, "v1", 700)
+	require.Equal(t, []int{0, 600}, []int{cs[0].EngineTokens, cs[1].EngineTokens})
+}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/galenaweir/galenaweir/core/apierr"
+	"github.com/galenaweir/galenaweir/core/prefix"
 	"github.com/galenaweir/galenaweir/core/stream"
 	"github.com/galenaweir/galenaweir/node"
 	"github.com/galenaweir/galenaweir/rpc"
@@ -32,6 +33,7 @@
 	state        *node.ConfigState
 	charged      int  // tokens taken from the customer's limit
 	asked        bool // the directory was asked for hints
+	context      prefix.Hash
 	hints        []*rpc.ContextLocation
 }
 
@@ -77,6 +79,7 @@
 		end, endpoint, err := r.attempt(ctx)
 		if err == nil {
 			e.settle(p, end, nil)
+			e.remember(p, r.first)
 			return r.total(end), nil
 		}
 		r.note(err)
