State what entry and agent add to a token

Cause: the page gave no figure for the time that we add to a token. Change: the service time of a token at agent and entry, from the slopes. Conclusion: the wait behind other tokens remains unmeasured.

--- a/bench/capacity/derived.go
+++ b/bench/capacity/derived.go
@@ -103,6 +103,11 @@
 	return v.slope("entry_cpu").Reaches(1) / (targetTokensPerSec / targetEntries)
 }
 
+// tokenMillis returns the CPU time that agent and entry spend on a token.
+func tokenMillis(v values) float64 {
+	return millisSec * (v.slope("entry_cpu").Gradient + v.slope("agent_cpu").Gradient)
+}
+
 // lastGroup returns the claims in an append at the highest rate measured.
 func lastGroup(v values) float64 { return v.last("claim_group") }
 
--- a/bench/capacity/page.go
+++ b/bench/capacity/page.go
@@ -70,6 +70,7 @@
 		"directoryMiB":  r.derive(directoryMiB),
 		"directoryCPU":  r.derive(directoryCPU),
 		"entryShare":    r.derive(entryShare),
+		"tokenMillis":   r.derive(tokenMillis),
 		"lastGroup":     r.derive(lastGroup),
 	}
 }
