Start and drain both programs through the kernel's life cycle

A continued answer was charged for its last attempt alone. Change: process.Node holds what both share; components are started in order and drained in reverse. The charge takes the usage of all attempts.

--- a/cmd/galenaweir-entry/main.go
+++ b/cmd/galenaweir-entry/main.go
@@ -9,17 +9,13 @@
 	"time"
 
 	"github.com/phuslu/log"
-	"google.golang.org/grpc"
 
 	"github.com/galenaweir/galenaweir/claimsvc"
+	"github.com/galenaweir/galenaweir/core/kernel"
 	"github.com/galenaweir/galenaweir/entry"
-	"github.com/galenaweir/galenaweir/hostlist"
-	"github.com/galenaweir/galenaweir/logsvc"
 	"github.com/galenaweir/galenaweir/node"
-	"github.com/galenaweir/galenaweir/peer"
 	_ "github.com/galenaweir/galenaweir/plugins"
 	"github.com/galenaweir/galenaweir/process"
-	"github.com/galenaweir/galenaweir/rpc/dial"
 	"github.com/galenaweir/galenaweir/settings"
 	"github.com/galenaweir/galenaweir/tlsconf"
 	"github.com/galenaweir/galenaweir/wait"
@@ -35,60 +31,52 @@
 
 func run(s settings.Settings) error {
 	drain, stop := process.Signals()
-	timeout := time.Duration(s.LogTimeoutMs) * time.Millisecond
-	creds, err := tlsconf.Peers(s.TLS)
+	n, err := process.NewNode(s, node.RoleEntry)
 	if err != nil {
 		return err
 	}
-	callerTLS, err := tlsconf.Callers(s.TLS)
-	if err != nil {
-		return err
-	}
-	pool := dial.New(creds)
-	defer pool.Close()
-	p := peer.New(peer.Options{
-		ID: s.ID, Role: node.RoleEntry, Address: s.RPCAddress, FailureDomain: s.FailureDomain, Region: s.Region,
-		Log: logsvc.New(s.LogAddress, timeout), HostList: hostlist.New(s.HostListAddress, timeout), Contacts: s.Peers, Pool: pool,
-		Seed: rand.Uint64(), Build: process.Version, Retention: time.Duration(s.LogRetentionS) * time.Second,
-	})
-	srv, err := peer.Serve(s.RPCAddress, p, []grpc.ServerOption{grpc.Creds(creds)})
-	if err != nil {
-		return err
-	}
-	defer srv.Stop()
-	go p.Run(stop)
+	p := n.Peer
 	e := entry.New(entry.Options{
-		ID: s.ID, FailureDomain: s.FailureDomain, CacheSecret: process.Secret(s),
-		SilenceLimit: time.Duration(s.SilenceLimitMs) * time.Millisecond, MaxBodyBytes: s.MaxBodyBytes,
-		CallerTimeout: time.Duration(s.CallerTimeoutMs) * time.Millisecond,
-		Config:        p, Members: p, Pool: pool, Claims: claimsvc.NewClient(p, pool),
-		Contexts: &entry.DirectoryLookup{Region: s.Region, Members: p, Pool: pool}, Seed: rand.Uint64(),
+		ID: s.ID, FailureDomain: s.FailureDomain, CacheSecret: process.Secret(s), SilenceLimit: n.Silence(),
+		MaxBodyBytes: s.MaxBodyBytes, CallerTimeout: time.Duration(s.CallerTimeoutMs) * time.Millisecond,
+		Config: p, Members: p, Pool: n.Pool, Claims: claimsvc.NewClient(p, n.Pool),
+		Contexts: &entry.DirectoryLookup{Region: s.Region, Members: p, Pool: n.Pool}, Seed: rand.Uint64(),
 	})
-	go e.ShareUsage(stop, p)
-	h, err := e.Handler()
-	if err != nil {
-		return err
-	}
-	callers, err := process.Serve(s.CallerAddress, h, callerTLS)
-	if err != nil {
-		return err
-	}
-	defer callers.Close()
-	operators, err := process.ServeOperators(s.OperatorAddress, func() bool { return p.Ready() && e.Ready() })
-	if err != nil {
-		return err
-	}
-	defer operators.Close()
-	log.Info().Str("caller_address", s.CallerAddress).Msg("entry started")
-	<-drain.Done()
-	e.BeginDrain()
-	log.Info().Msg("entry leaves")
-	p.Leave()
-	wait.For(stop, time.Duration(s.DrainDelayMs)*time.Millisecond)
-	ctx, cancel := context.WithTimeout(stop, time.Duration(s.DrainTimeoutMs)*time.Millisecond)
-	defer cancel()
-	if err := e.Drain(ctx); err != nil {
-		return err
+	var l kernel.Lifecycle
+	l.Add("connections", n.Connections())
+	l.Add("operators", n.Operators(e.Ready))
+	l.Add("server", n.Server(nil))
+	l.Add("background", process.Background(stop, p.Run, func(ctx context.Context) { e.ShareUsage(ctx, p) }))
+	l.Add("callers", callers(s, e))
+	l.Add("entry", kernel.Hooks{OnDrain: e.Drain})
+	l.Add("balancer", kernel.Hooks{OnDrain: func(context.Context) error {
+		wait.For(stop, time.Duration(s.DrainDelayMs)*time.Millisecond)
+		return nil
+	}})
+	l.Add("membership", n.Membership())
+	l.Add("readiness", kernel.Hooks{OnDrain: func(context.Context) error {
+		e.BeginDrain()
+		return nil
+	}})
+	return n.Run(&l, drain, stop)
+}
+
+// callers serves the callers, until all answers are on the wire.
+func callers(s settings.Settings, e *entry.Entry) kernel.Hooks {
+	var srv *process.Server
+	return kernel.Hooks{
+		OnStart: func(context.Context) error {
+			h, err := e.Handler()
+			if err != nil {
+				return err
+			}
+			conf, err := tlsconf.Callers(s.TLS)
+			if err != nil {
+				return err
+			}
+			srv, err = process.Serve(s.CallerAddress, h, conf)
+			return err
+		},
+		OnDrain: func(ctx context.Context) error { return srv.Shutdown(ctx) },
 	}
-	return callers.Shutdown(ctx)
 }
--- a/core/kernel/lifecycle.go
+++ b/core/kernel/lifecycle.go
@@ -104,3 +104,34 @@
 	}
 	return errors.Join(errs...)
 }
+
+// Hooks is a component made of functions; any may be nil.
+type Hooks struct {
+	OnStart func(ctx context.Context) error
+	OnDrain func(ctx context.Context) error
+	OnClean func() error
+}
+
+// Start implements Starter.
+func (h Hooks) Start(ctx context.Context) error {
+	if h.OnStart == nil {
+		return nil
+	}
+	return h.OnStart(ctx)
+}
+
+// Drain implements Drainer.
+func (h Hooks) Drain(ctx context.Context) error {
+	if h.OnDrain == nil {
+		return nil
+	}
+	return h.OnDrain(ctx)
+}
+
+// Cleanup implements Cleaner.
+func (h Hooks) Cleanup() error {
+	if h.OnClean == nil {
+		return nil
+	}
+	return h.OnClean()
+}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -78,9 +78,10 @@
 	for n := range maxEndpointsTried {
 		end, endpoint, err := r.attempt(ctx)
 		if err == nil {
+			end = r.total(end)
 			e.settle(p, end, nil)
 			e.remember(p, r.first)
-			return r.total(end), nil
+			return end, nil
 		}
 		r.note(err)
 		if endpoint == "" && last != nil {
--- /dev/null
+++ b/process/run.go
@@ -0,0 +1,120 @@
+package process
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/phuslu/log"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+
+	"github.com/galenaweir/galenaweir/core/kernel"
+	"github.com/galenaweir/galenaweir/hostlist"
+	"github.com/galenaweir/galenaweir/logsvc"
+	"github.com/galenaweir/galenaweir/peer"
+	"github.com/galenaweir/galenaweir/rpc/dial"
+	"github.com/galenaweir/galenaweir/settings"
+	"github.com/galenaweir/galenaweir/tlsconf"
+)
+
+// Node is what both programs are built on: the connections to other processes,
+// the platform's log, and the configuration and members that the peer learns.
+type Node struct {
+	Settings settings.Settings
+	Creds    credentials.TransportCredentials
+	Pool     *dial.Pool
+	Log      logsvc.Log
+	Peer     *peer.Peer
+}
+
+// NewNode returns a node in the role; it does nothing until its server runs.
+func NewNode(s settings.Settings, role string) (*Node, error) {
+	creds, err := tlsconf.Peers(s.TLS)
+	if err != nil {
+		return nil, err
+	}
+	timeout := time.Duration(s.LogTimeoutMs) * time.Millisecond
+	n := &Node{Settings: s, Creds: creds, Pool: dial.New(creds), Log: logsvc.New(s.LogAddress, timeout)}
+	n.Peer = peer.New(peer.Options{
+		ID: s.ID, Role: role, Address: s.RPCAddress, FailureDomain: s.FailureDomain, Region: s.Region, Log: n.Log,
+		HostList: hostlist.New(s.HostListAddress, timeout), Contacts: s.Peers, Pool: n.Pool, Seed: rand.Uint64(),
+		Build: Version, Retention: time.Duration(s.LogRetentionS) * time.Second,
+	})
+	return n, nil
+}
+
+// Silence returns the silence limit of the settings.
+func (n *Node) Silence() time.Duration {
+	return time.Duration(n.Settings.SilenceLimitMs) * time.Millisecond
+}
+
+// Connections closes the connections to other processes at the end.
+func (n *Node) Connections() kernel.Hooks {
+	return kernel.Hooks{OnClean: func() error {
+		n.Pool.Close()
+		return nil
+	}}
+}
+
+// Operators serves metrics, health and readiness until everything else has ended.
+func (n *Node) Operators(ready func() bool) kernel.Hooks {
+	var s *Server
+	return kernel.Hooks{
+		OnStart: func(context.Context) (err error) {
+			s, err = ServeOperators(n.Settings.OperatorAddress, func() bool { return n.Peer.Ready() && ready() })
+			return err
+		},
+		OnDrain: func(context.Context) error {
+			s.Close()
+			return nil
+		},
+	}
+}
+
+// Server serves the other processes.
+func (n *Node) Server(opts []grpc.ServerOption, register ...func(grpc.ServiceRegistrar)) kernel.Hooks {
+	var s *grpc.Server
+	return kernel.Hooks{
+		OnStart: func(context.Context) (err error) {
+			s, err = peer.Serve(n.Settings.RPCAddress, n.Peer, append(opts, grpc.Creds(n.Creds)), register...)
+			return err
+		},
+		OnDrain: func(ctx context.Context) error {
+			StopGRPC(ctx, s)
+			return nil
+		},
+	}
+}
+
+// Background runs the loops until the end of the process.
+func Background(stop context.Context, loops ...func(context.Context)) kernel.Hooks {
+	return kernel.Hooks{OnStart: func(context.Context) error {
+		for _, f := range loops {
+			go f(stop)
+		}
+		return nil
+	}}
+}
+
+// Membership announces at the drain that this process leaves.
+func (n *Node) Membership() kernel.Hooks {
+	return kernel.Hooks{OnDrain: func(context.Context) error {
+		n.Peer.Leave()
+		return nil
+	}}
+}
+
+// Run starts the components, waits for the first signal, and drains them in
+// reverse order. The second signal, or the drain timeout, ends the drain.
+func (n *Node) Run(l *kernel.Lifecycle, drain, stop context.Context) error {
+	if err := l.Start(stop); err != nil {
+		return err
+	}
+	log.Info().Str("rpc_address", n.Settings.RPCAddress).Str("caller_address", n.Settings.CallerAddress).Msg("started")
+	<-drain.Done()
+	log.Info().Msg("leaving")
+	ctx, cancel := context.WithTimeout(stop, time.Duration(n.Settings.DrainTimeoutMs)*time.Millisecond)
+	defer cancel()
+	return l.Drain(ctx)
+}
