Close a crashed agent's listener in the entry's tests

Cause: TestRetryBudget failed again with 'address already in use', now on an address of its own: under load gRPC's Stop came before Serve, and then leaves the listener open until Serve has run. Change: the test closes the listener itself. Conclusion: ruled out: another process, since the address is the test's own.

--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -103,9 +103,10 @@
 // agentProcess is an agent that can crash and restart at its address.
 type agentProcess struct {
 	*agent.Agent
-	address string
-	server  *grpc.Server
-	dead    *atomic.Bool
+	address  string
+	server   *grpc.Server
+	listener net.Listener
+	dead     *atomic.Bool
 }
 
 // mortalEngine keeps a crashed agent from cancelling at the engine.
@@ -217,7 +218,7 @@
 	}
 	l, err := net.Listen("tcp", address)
 	require.NoError(p.t, err)
-	a.address, a.dead = l.Addr().String(), &atomic.Bool{}
+	a.address, a.dead, a.listener = l.Addr().String(), &atomic.Bool{}, l
 	a.Agent = agent.New(agent.Options{ID: fmt.Sprintf("agent-%d", i), CacheSecret: []byte("cache secret"), SilenceLimit: silenceLimit,
 		Config: p.config, Engine: mortalEngine{streaming.New(), a.dead}})
 	a.server = grpc.NewServer(agent.ServerOptions()...)
@@ -230,6 +231,7 @@
 func (p *path) crashAgent(i int) {
 	p.agents[i].dead.Store(true)
 	p.agents[i].server.Stop()
+	_ = p.agents[i].listener.Close() // Stop closes it only once Serve has been called
 }
 
 func (p *path) loseEngine(i int) {
