Choose the protocol plug-in by endpoint and check plug-in names

Cause: the configuration's protocol of an endpoint was ignored, and a misspelt policy was accepted and replaced by the default. Change: protocol.ByEndpoint; validate and publish refuse unknown plug-ins. Conclusion: processes still accept such a version, so that an older build isn't stopped by a newer plug-in.

--- a/operator/operator.go
+++ b/operator/operator.go
@@ -76,7 +76,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	if _, err := config.Decode(c); err != nil {
+	doc, err := config.Decode(c)
+	if err == nil {
+		err = checkPlugins(doc)
+	}
+	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	return c, nil
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -40,6 +41,7 @@
 		{"unknown field", `{"deploymnt": "d"}`, "deploymnt"},
 		{"invalid", `{"deployment": "d"}`, "priorities: is empty"},
 		{"not JSON", `{`, "not valid JSON"},
+		{"unknown plug-in", strings.Replace(valid, "{", `{"policies": {"routing": "routing.fastest"},`, 1), "routing.prefix_cost"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			err := (&validateCommand{file{write(t, c.text)}}).Execute(nil)
--- /dev/null
+++ b/protocol/byendpoint.go
@@ -0,0 +1,115 @@
+package protocol
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/galenaweir/galenaweir/core/kernel"
+	"github.com/galenaweir/galenaweir/core/prefix"
+)
+
+// Default is the protocol of endpoints whose configuration names none.
+const Default kernel.ID = "protocol.streaming"
+
+// ByEndpoint implements Engine with the protocol plug-in of each endpoint.
+type ByEndpoint struct {
+	// Protocol returns the plug-in ID of the endpoint at an address, empty for
+	// the default.
+	Protocol func(address string) kernel.ID
+
+	mu      sync.Mutex
+	engines map[kernel.ID]Engine
+}
+
+// engine returns the plug-in for the address. An ID that this build doesn't know
+// is ErrRefused: speaking another protocol could do harm.
+func (b *ByEndpoint) engine(address string) (Engine, error) {
+	id := b.Protocol(address)
+	if id == "" {
+		id = Default
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e, ok := b.engines[id]; ok {
+		return e, nil
+	}
+	e, err := kernel.New[Engine](id)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	if b.engines == nil {
+		b.engines = map[kernel.ID]Engine{}
+	}
+	b.engines[id] = e
+	return e, nil
+}
+
+// CloseIdle closes the idle connections of all protocols that have any.
+func (b *ByEndpoint) CloseIdle() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, e := range b.engines {
+		if c, ok := e.(interface{ CloseIdle() }); ok {
+			c.CloseIdle()
+		}
+	}
+}
+
+// with calls f with the plug-in for the address.
+func (b *ByEndpoint) with(address string, f func(Engine) error) error {
+	e, err := b.engine(address)
+	if err != nil {
+		return err
+	}
+	return f(e)
+}
+
+// Generate implements Engine.
+func (b *ByEndpoint) Generate(ctx context.Context, address string, r *Request, sink func(Event) error) error {
+	return b.with(address, func(e Engine) error { return e.Generate(ctx, address, r, sink) })
+}
+
+// Resume implements Engine.
+func (b *ByEndpoint) Resume(ctx context.Context, address, attemptID string, fromSeq uint64, sink func(Event) error) error {
+	return b.with(address, func(e Engine) error { return e.Resume(ctx, address, attemptID, fromSeq, sink) })
+}
+
+// Cancel implements Engine.
+func (b *ByEndpoint) Cancel(ctx context.Context, address, attemptID string) error {
+	return b.with(address, func(e Engine) error { return e.Cancel(ctx, address, attemptID) })
+}
+
+// Load implements Engine.
+func (b *ByEndpoint) Load(ctx context.Context, address string) (l Load, err error) {
+	err = b.with(address, func(e Engine) (err error) { l, err = e.Load(ctx, address); return err })
+	return l, err
+}
+
+// State implements Engine.
+func (b *ByEndpoint) State(ctx context.Context, address string) (s State, err error) {
+	err = b.with(address, func(e Engine) (err error) { s, err = e.State(ctx, address); return err })
+	return s, err
+}
+
+// CacheEvents implements Engine.
+func (b *ByEndpoint) CacheEvents(ctx context.Context, address string, after uint64) (es []CacheEvent, err error) {
+	err = b.with(address, func(e Engine) (err error) { es, err = e.CacheEvents(ctx, address, after); return err })
+	return es, err
+}
+
+// Export implements Engine.
+func (b *ByEndpoint) Export(ctx context.Context, address string, block prefix.Hash) (data []byte, weightVersion string, err error) {
+	err = b.with(address, func(e Engine) (err error) { data, weightVersion, err = e.Export(ctx, address, block); return err })
+	return data, weightVersion, err
+}
+
+// Import implements Engine.
+func (b *ByEndpoint) Import(ctx context.Context, address string, block prefix.Hash, weightVersion string, data []byte) error {
+	return b.with(address, func(e Engine) error { return e.Import(ctx, address, block, weightVersion, data) })
+}
+
+// Order implements Engine.
+func (b *ByEndpoint) Order(ctx context.Context, address string, o Order) error {
+	return b.with(address, func(e Engine) error { return e.Order(ctx, address, o) })
+}
