Take the other side's members after a cut

Cause: After a cut only the side with fewer members gave way in a merge, so the larger side learned the returned members one by one. A fetch that was refused was repeated from the first ring member, by all processes alike, because members were gone.

Change: A process also gives way to a list that lacks it, which comes from the other side of a cut. After a refusal the next returned member that answered is asked; without one, a random contact.

Result: `go test ./membership` in core passes. Each of the four new tests fails without its guard: the list without this process, the list with it, the repeated and spread fetches, and the end of the search.

--- a/core/membership/detect.go
+++ b/core/membership/detect.go
@@ -62,10 +62,15 @@
 const healingReprobes = 3
 
 // contact notices that this process or the sender was cut off: this one heard
-// from nobody, or it took the sender for gone. The members are fetched again.
+// from nobody, or it took the sender for gone. The members are fetched again. While
+// a fetch is due, the last sender that was taken for gone is asked, since an earlier
+// one may have refused.
 func (m *Machine) contact(now time.Duration, from string) {
 	r := m.members[from]
 	back := r != nil && r.State == Gone
+	if back {
+		m.rejoin = r.Member
+	}
 	if !m.joined || (!back && !m.isolated(now)) {
 		return
 	}
@@ -80,7 +85,6 @@
 	m.joined = false
 	m.joinAt = now + m.jitter(m.o.JoinJitter)
 	if back {
-		m.rejoin = r.Member
 		m.healing = now + healingReprobes*m.o.Reprobe
 	}
 }
--- a/core/membership/machine.go
+++ b/core/membership/machine.go
@@ -256,12 +256,14 @@
 	return time.Duration(m.rand.Int64N(int64(limit) + 1))
 }
 
-// join fetches the members from one random contact.
+// join fetches the members from a member that was taken for gone and answered, or
+// from one random contact.
 func (m *Machine) join(now time.Duration) []Command {
-	var known []Member
-	if m.rejoin.ID != "" {
-		known, m.rejoin = append(known, m.rejoin), Member{}
+	if c := m.rejoin; c.ID != "" {
+		m.rejoin = Member{}
+		return m.fetch(now, c)
 	}
+	var known []Member
 	for _, r := range m.ring {
 		if r != m.self && r.State == Live {
 			known = append(known, r.Member)
@@ -275,11 +277,11 @@
 	if len(known) == 0 {
 		return nil
 	}
+	return m.fetch(now, known[m.rand.IntN(len(known))])
+}
+
+func (m *Machine) fetch(now time.Duration, c Member) []Command {
 	m.joinAt = now + m.o.JoinJitter + m.jitter(m.o.JoinJitter)
-	c := known[0]
-	if len(m.gone) == 0 {
-		c = known[m.rand.IntN(len(known))]
-	}
 	return []Command{{Kind: FetchMembers, Target: c.ID, Address: c.Address}}
 }
 
@@ -298,15 +300,18 @@
 func (m *Machine) Joined() bool { return m.joined }
 
 // Merge takes the members of another process. They aren't passed on, since the
-// others know them. When the other process sees more members than this one, this
-// one was cut off, and its own verdicts on members that the other sees give way.
+// others know them. This process's own verdicts on members that the other one sees
+// give way when it was cut off, when the other one sees more members, and when the
+// list lacks it: then the two were on different sides of a cut, and each side knows
+// best which of its own members live.
 func (m *Machine) Merge(now time.Duration, members []Member) {
 	m.joined = true
-	minority := m.cutOff || len(members) > len(m.ring)
+	yield := m.cutOff || len(members) > len(m.ring) || !slices.ContainsFunc(members, m.isSelf)
 	m.cutOff = false
+	m.rejoin = Member{}
 	for _, u := range members {
 		r := m.members[u.ID]
-		if minority && r != nil && r != m.self && u.State == Live && r.State > Live && u.Incarnation == r.Incarnation {
+		if yield && r != nil && r != m.self && u.State == Live && r.State > Live && u.Incarnation == r.Incarnation {
 			r.sends = 0
 			m.change(now, r, u)
 		}
@@ -315,6 +320,8 @@
 	m.announce(m.self)
 }
 
+func (m *Machine) isSelf(u Member) bool { return u.ID == m.self.ID }
+
 // FetchFailed tries another contact soon.
 func (m *Machine) FetchFailed(now time.Duration) {
 	m.joinAt = min(m.joinAt, now+m.jitter(m.o.JoinJitter))
--- a/core/membership/machine_test.go
+++ b/core/membership/machine_test.go
@@ -182,3 +182,96 @@
 	assert.Equal(t, "x", answer.Updates[0].ID)
 	assert.Equal(t, membership.Live, answer.Updates[0].State)
 }
+
+// withGone returns a unit that holds m4 to m7 gone at the returned second.
+func withGone() (unit, float64) {
+	u := newUnit()
+	u.Merge(0, []membership.Member{{ID: "x", Address: "ax", State: membership.Live, Incarnation: 1}})
+	for i := 4; i < 8; i++ {
+		u.hear(0, membership.Member{ID: fmt.Sprint("m", i), State: membership.Suspect, Incarnation: 1})
+	}
+	const end = 10
+	for s := range end {
+		u.Tick(at(float64(s)))
+		u.hear(float64(s))
+	}
+	return u, end
+}
+
+// Guards against the larger side of a healed cut that keeps the members of the
+// smaller side gone until each has announced itself, and against a short list of
+// a process on the same side that revives members.
+func TestLargerSideTakesTheListOfTheSmallerOne(t *testing.T) {
+	list := []membership.Member{
+		{ID: "m4", Address: "a4", State: membership.Live, Incarnation: 1},
+		{ID: "m5", Address: "a5", State: membership.Live, Incarnation: 1},
+	}
+	for _, sameSide := range []bool{false, true} {
+		u, s := withGone()
+		require.Equal(t, membership.Gone, u.state(s, "m4"))
+		l, want := list, membership.Live
+		if sameSide {
+			l, want = append(l, membership.Member{ID: "x", Address: "ax", State: membership.Live, Incarnation: 1}), membership.Gone
+		}
+		u.Merge(at(s), l)
+		assert.Equal(t, want, u.state(s, "m4"), "same side: %t", sameSide)
+		assert.Equal(t, membership.Gone, u.state(s, "m6"), "same side: %t", sameSide)
+	}
+}
+
+// Guards against a fetch from the other side that was refused, after which the
+// members are fetched from this side only.
+func TestRefusedFetchGoesToTheNextReturnedMember(t *testing.T) {
+	u, s := withGone()
+	u.Receive(at(s), membership.Message{From: "m4", Incarnation: 1})
+	require.Equal(t, "m4", u.fetched(s))
+	u.FetchFailed(at(s + 4))
+	u.Receive(at(s+4), membership.Message{From: "m5", Incarnation: 1})
+	assert.Equal(t, "m5", u.fetched(s+4))
+}
+
+// fetched returns the member from which the unit fetches within 4 s.
+func (u unit) fetched(from float64) string {
+	for i := range 4 {
+		for _, c := range u.Tick(at(from + float64(i))) {
+			if c.Kind == membership.FetchMembers {
+				return c.Target
+			}
+		}
+		u.hear(from + float64(i))
+	}
+	return ""
+}
+
+// Guards against a later fetch from a member that answered in an earlier merge and
+// may be dead since.
+func TestMergeEndsTheSearchForReturnedMembers(t *testing.T) {
+	u, s := withGone()
+	u.Receive(at(s), membership.Message{From: "m4", Incarnation: 1})
+	require.Equal(t, "m4", u.fetched(s))
+	u.Receive(at(s+4), membership.Message{From: "m5", Incarnation: 1})
+	u.Merge(at(s+4), nil)
+	const silence = 10
+	u.hear(s + 4 + silence)
+	target := u.fetched(s + 4 + silence)
+	assert.NotEmpty(t, target)
+	assert.NotEqual(t, "m5", target)
+}
+
+// Guards against processes that hold gone members and all fetch from the same one.
+func TestFetchesWithGoneMembersAreSpread(t *testing.T) {
+	u, s := withGone()
+	u.Receive(at(s), membership.Message{From: "m4", Incarnation: 1})
+	targets := map[string]bool{}
+	for i := range 60 {
+		now := s + float64(i)
+		for _, c := range u.Tick(at(now)) {
+			if c.Kind == membership.FetchMembers {
+				targets[c.Target] = true
+				u.FetchFailed(at(now))
+			}
+		}
+		u.hear(now)
+	}
+	assert.Greater(t, len(targets), 2, "fetched from %v", targets)
+}
