Keep the deployment's ports below the ephemeral range

Cause: bench/local took free ports from the kernel, which are those of outgoing connections. While a process was down, a connection took its port, and its restart ended with "address already in use". Change: ports are drawn from 20000 to 32767, below the range that Linux uses for outgoing connections, and no port is given out twice. Conclusion: restarts of a deployment no longer depend on chance.

--- a/bench/local/local.go
+++ b/bench/local/local.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -67,13 +68,27 @@
 	return customer + "." + hex.EncodeToString(sum[:])
 }
 
+// Ports of the processes lie below those that Linux gives to outgoing connections
+// (from 32768). One of these could take the port of a process that is down, which
+// then can't listen at its restart.
+const (
+	firstPort    = 20_000
+	endPort      = 32_768
+	portAttempts = 100
+)
+
+// freeAddress returns a loopback address that nothing listens on.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var err error
+	for range portAttempts {
+		var l net.Listener
+		l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(endPort-firstPort)))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String(), nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", fmt.Errorf("find a free port: %w", err)
 }
 
 // Start starts all processes and waits until the entries are ready.
@@ -160,10 +175,16 @@
 // allocate chooses the addresses.
 func (d *Deployment) allocate() error {
 	var errs []error
+	taken := map[string]bool{}
 	next := func() string {
-		a, err := freeAddress()
-		errs = append(errs, err)
-		return a
+		for {
+			a, err := freeAddress()
+			if err != nil || !taken[a] {
+				taken[a] = true
+				errs = append(errs, err)
+				return a
+			}
+		}
 	}
 	d.LogAddress, d.HostAddress = next(), next()
 	for i := range d.o.Agents {
