Let a deployment keep the logs of its processes

Cause: bench/local removes its folder at the end, so that the logs of a failed run can't be read. Change: Options.Folder names a folder that stays.

--- a/bench/local/local.go
+++ b/bench/local/local.go
@@ -34,6 +34,9 @@
 	Customers  []string
 	Slots      int  // of each engine in the document; 0 for 16
 	Forward    bool // put a forwarder between each agent and its engine
+	// Folder holds the processes' logs and settings and is kept after Stop; when it
+	// is empty, a temporary folder is used and removed.
+	Folder string
 }
 
 // Names of the deployment, those of Sarathi's.
@@ -93,9 +96,12 @@
 
 // Start starts all processes and waits until the entries are ready.
 func Start(ctx context.Context, o Options) (*Deployment, error) {
-	dir, err := os.MkdirTemp("", "galenaweir-")
-	if err != nil {
-		return nil, err
+	dir := o.Folder
+	if dir == "" {
+		var err error
+		if dir, err = os.MkdirTemp("", "galenaweir-"); err != nil {
+			return nil, err
+		}
 	}
 	d := &Deployment{o: o, dir: dir, Processes: map[string]*Process{}, Operators: map[string]string{}, RPC: map[string]string{}}
 	if err := d.start(ctx); err != nil {
@@ -105,7 +111,7 @@
 	return d, nil
 }
 
-// Stop kills all processes and removes their files.
+// Stop kills all processes and removes their files, unless Options.Folder was set.
 func (d *Deployment) Stop() {
 	for _, p := range d.Processes {
 		p.Kill()
@@ -113,7 +119,9 @@
 	for _, f := range d.ToEngine {
 		f.Close()
 	}
-	_ = os.RemoveAll(d.dir)
+	if d.o.Folder == "" {
+		_ = os.RemoveAll(d.dir)
+	}
 }
 
 // Log returns what a process has logged so far.
