Run the whole system under seeded faults

Cause: no run has the whole system as processes under several faults at once with every answer and every payment judged. Change: bench/soak draws rounds of one or two faults from a seed, injects and heals them under the load of four customers, and judges the answers, effects, versions, deadlines, planned stops and recovery. make soak runs it.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 # netcgo links the resolver of the C library, as for any other program.
 TAGS := -tags netcgo
 
-.PHONY: build demo test unit lint tidy generate apt-tools modelcheck measure capacity load faults fuzz
+.PHONY: build demo test unit lint tidy generate apt-tools modelcheck measure capacity load faults fuzz soak
 
 build:
 	go build $(TAGS) -o bin/ ./cmd/... ./standin/cmd/... ./bench/cmd/...
@@ -22,6 +22,10 @@
 load: build
 	./bin/load
 
+# The whole system on loopback under load and faults drawn from SEED, about 60 s.
+soak: build
+	./bin/soak --seed $(or $(SEED),1)
+
 # All that CI checks.
 test: lint unit modelcheck
 	$(MAKE) demo
--- /dev/null
+++ b/bench/soak/watch.go
@@ -0,0 +1,116 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/galenaweir/galenaweir/bench/local"
+	"github.com/galenaweir/galenaweir/standin/engine"
+)
+
+const watchInterval = 200 * time.Millisecond
+
+// watcher reads the processes' metrics and the engines' states.
+type watcher struct {
+	d    *local.Deployment
+	rec  *record
+	http *http.Client
+}
+
+func newWatcher(d *local.Deployment, rec *record) *watcher {
+	return &watcher{d, rec, &http.Client{Timeout: time.Second}}
+}
+
+func (w *watcher) get(ctx context.Context, url string, v any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := w.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return json.NewDecoder(resp.Body).Decode(v)
+}
+
+// version returns the configuration in force at a process.
+func (w *watcher) version(ctx context.Context, name string) (int64, error) {
+	var vars struct {
+		Galenaweir struct {
+			ConfigVersion int64 `json:"config_version"`
+		} `json:"galenaweir"`
+	}
+	err := w.get(ctx, "http://"+w.d.Operators[name]+"/debug/vars", &vars)
+	return vars.Galenaweir.ConfigVersion, err
+}
+
+// run checks until the context ends that no version reverts and no engine takes a
+// wrong block.
+func (w *watcher) run(ctx context.Context) {
+	type seen struct {
+		pid     int
+		version int64
+	}
+	last, bad := map[string]seen{}, map[string]int{}
+	for ctx.Err() == nil {
+		for name := range w.d.Operators {
+			pid := w.d.Processes[name].PID()
+			v, err := w.version(ctx, name)
+			if err != nil || pid != w.d.Processes[name].PID() {
+				continue
+			}
+			if l := last[name]; l.pid == pid && v < l.version {
+				w.rec.violate("the configuration of %s went from version %d back to %d", name, l.version, v)
+			}
+			last[name] = seen{pid, v}
+		}
+		for i, a := range w.d.Engines {
+			var s engine.State
+			if w.get(ctx, "http://"+a+"/v1/state", &s) == nil && s.BadImports > bad[a] {
+				bad[a] = s.BadImports
+				w.rec.violate("%s counts %d bad imports", engineName(i), s.BadImports)
+			}
+		}
+		select {
+		case <-time.After(watchInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// spreadLimit is the time within which an accepted configuration is in force on
+// every process.
+const spreadLimit = 5 * time.Second
+
+// converged waits until all processes have the same version and returns it.
+func (w *watcher) converged(ctx context.Context, since time.Time) int64 {
+	for {
+		versions, equal, first := map[string]int64{}, true, int64(0)
+		for name := range w.d.Operators {
+			v, err := w.version(ctx, name)
+			if first == 0 {
+				first = v
+			}
+			versions[name] = v
+			equal = equal && err == nil && v == first && v > 0
+		}
+		took := time.Since(since)
+		if equal {
+			w.rec.mu.Lock()
+			w.rec.spread = max(w.rec.spread, took)
+			w.rec.mu.Unlock()
+			return first
+		}
+		if took > spreadLimit || ctx.Err() != nil {
+			w.rec.violate("%s after the faults were healed the processes have different configurations: %s", took.Round(time.Millisecond), fmt.Sprint(versions))
+			return 0
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+const pollInterval = 50 * time.Millisecond
