Send the soak load to ready entries only

Cause: the soak's balancer took the 204 of /readyz for a failure, so that it chose any entry, and reported refused connections of a stopped entry as cut requests. Repeats of a payment whose first attempt began under an earlier fault were counted as cut as well, though the first attempt decides their answer. Change: any status 2xx is ready; a cut payment counts from its first attempt.

--- a/bench/soak/balancer.go
+++ b/bench/soak/balancer.go
@@ -65,7 +65,7 @@
 		return false
 	}
 	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	return resp.StatusCode/100 == http.StatusOK/100
 }
 
 // choose returns a ready entry, or any when none is.
--- a/bench/soak/load.go
+++ b/bench/soak/load.go
@@ -109,7 +109,7 @@
 // cancelled at the end of the run.
 func (l *load) ask(entry int, customer, text string, tokens int) *reply {
 	x := l.c.prompt(context.Background(), entry, customer, text, tokens, promptDeadline)
-	l.rec.count("prompt", promptDeadline, x)
+	l.rec.count("prompt", promptDeadline, x, x.begun)
 	want := engine.Answer(prefix.Render([]prefix.Message{{Role: "user", Content: text}}), tokens)
 	switch {
 	case x.ok() && x.text != want:
@@ -124,7 +124,8 @@
 type payment struct {
 	service.Payment
 	customer string
-	words    []string // ran of each attempt, "answered" for the service's answer
+	first    time.Time // when its first attempt began
+	words    []string  // ran of each attempt, "answered" for the service's answer
 	answer   string
 }
 
@@ -158,7 +159,10 @@
 func (l *load) payOnce(entry int, p *payment, deadline time.Duration) *reply {
 	body, _ := json.Marshal(p.Payment) // strings and numbers always marshal
 	x := l.c.send(context.Background(), entry, p.customer, http.MethodPost, "/v1/services/"+local.Service+"/payments", deadline, p.Reference, body, nil)
-	l.rec.count("payment", deadline, x)
+	if p.first.IsZero() {
+		p.first = x.begun
+	}
+	l.rec.count("payment", deadline, x, p.first)
 	if !x.ok() {
 		word := x.ran
 		if word == "" {
@@ -193,7 +197,7 @@
 	floor := l.shown[customer]
 	l.mu.Unlock()
 	x := l.c.send(context.Background(), entry, customer, http.MethodGet, "/v1/services/"+local.Service+"/balances/"+customer, lookupDeadline, "", nil, nil)
-	l.rec.count("lookup", lookupDeadline, x)
+	l.rec.count("lookup", lookupDeadline, x, x.begun)
 	var b service.Balance
 	if !x.ok() || x.consistency == "memory" {
 		return x
--- a/bench/soak/record.go
+++ b/bench/soak/record.go
@@ -39,6 +39,7 @@
 // cut is a request that may have been interrupted.
 type cut struct {
 	what       string
+	first      time.Time // when the first attempt began
 	begun, end time.Time
 }
 
@@ -55,8 +56,10 @@
 // lateTolerance is how much longer than its deadline a request may last.
 const lateTolerance = time.Second
 
-// count notes a reply and whether a stop interrupted it.
-func (r *record) count(kind string, deadline time.Duration, x *reply) {
+// count notes a reply and whether a stop interrupted it. The first attempt of a
+// payment may have begun before this one: what a fault did to the first also
+// decides what its repeats are told.
+func (r *record) count(kind string, deadline time.Duration, x *reply, first time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.requests[kind] == nil {
@@ -64,7 +67,7 @@
 	}
 	r.requests[kind][x.outcome()]++
 	if x.err != nil || x.kind != "" && x.ran != "not_run" {
-		r.cuts = append(r.cuts, cut{fmt.Sprintf("%s through entry-%d: %s (%v)", kind, x.entry, x.outcome(), x.err), x.begun, x.ended})
+		r.cuts = append(r.cuts, cut{fmt.Sprintf("%s through entry-%d: %s (%v)", kind, x.entry, x.outcome(), x.err), first, x.begun, x.ended})
 	}
 	if took := x.ended.Sub(x.begun); took > deadline+lateTolerance && !r.wasPaused(x) {
 		r.violations = append(r.violations, fmt.Sprintf("%6.2f s: %s through entry-%d lasted %s, its deadline was %s: %s", time.Since(r.begun).Seconds(), kind, x.entry, took.Round(time.Millisecond), deadline, x.outcome()))
@@ -95,8 +98,8 @@
 func (r *record) judgePlanned() {
 	for _, s := range r.planned {
 		for _, c := range r.cuts {
-			if c.begun.After(s.clean) && (interval{s.stopped, s.to}).overlaps(c.begun, c.end) {
-				r.violate("the planned stop of %s cut a request: %s", s.name, c.what)
+			if c.first.After(s.clean) && (interval{s.stopped, s.to}).overlaps(c.begun, c.end) {
+				r.violate("the planned stop of %s cut a request that began %s after the signal and ended %s later: %s", s.name, c.begun.Sub(s.stopped).Round(time.Millisecond), c.end.Sub(c.begun).Round(time.Millisecond), c.what)
 			}
 		}
 	}
