--- a/bench/soak/load.go
+++ b/bench/soak/load.go
@@ -126,6 +126,7 @@
 	customer string
 	first    time.Time // when its first attempt began
 	words    []string  // ran of each attempt, "answered" for the service's answer
+	replies  []string  // what each attempt saw, for the report
 	answer   string
 }
 
@@ -163,6 +164,7 @@
 		p.first = x.begun
 	}
 	l.rec.count("payment", deadline, x, p.first)
+	p.replies = append(p.replies, fmt.Sprintf("entry-%d from %.2f s for %s: %s %s (%v)", entry, x.begun.Sub(l.rec.begun).Seconds(), x.ended.Sub(x.begun).Round(time.Millisecond), x.outcome(), x.body, x.err))
 	if !x.ok() {
 		word := x.ran
 		if word == "" {
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -225,7 +225,7 @@
 			return err
 		}
 		if v := verdict(p.words, n); v != "" {
-			r.rec.violate("payment %s of %s took effect %d times: %s; its caller was told %q", p.Reference, p.customer, n, v, p.words)
+			r.rec.violate("payment %s of %s took effect %d times: %s; its caller was told %q", p.Reference, p.customer, n, v, p.replies)
 		}
 	}
 	return nil
