Judge the spread of a configuration from the healing on

Cause: the soak waited for the system to serve again before it began to count the 5 s within which all processes have one configuration. Change: both are judged from the time at which the faults were healed or, when it is later, the publication ended. A test guards the ports of a deployment. Conclusion: the limit is the one of the design.

--- /dev/null
+++ b/bench/local/ports_test.go
@@ -0,0 +1,30 @@
+package local
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a port that an outgoing connection can take while its process is
+// down, and against one that two processes get.
+func TestPorts(t *testing.T) {
+	d := &Deployment{o: Options{Agents: 20, Entries: 10, Services: 10, Stores: 10}, Operators: map[string]string{}, RPC: map[string]string{}}
+	require.NoError(t, d.allocate())
+	addresses := append([]string{d.LogAddress, d.HostAddress}, d.Engines...)
+	addresses = append(append(append(addresses, d.Stores...), d.ServiceAddrs...), d.CallerAddress...)
+	for name := range d.RPC {
+		addresses = append(addresses, d.RPC[name], d.Operators[name])
+	}
+	seen := map[string]bool{}
+	for _, a := range addresses {
+		p, err := netip.ParseAddrPort(a)
+		require.NoError(t, err)
+		assert.Less(t, int(p.Port()), endPort)
+		assert.GreaterOrEqual(t, int(p.Port()), firstPort)
+		assert.False(t, seen[a], "%s was given out twice", a)
+		seen[a] = true
+	}
+}
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -128,26 +128,28 @@
 	what := strings.Join(names, " and ")
 	fmt.Fprintf(r.o.Out, "%6.2f s: round %d: %s for %s, %d publications\n", time.Since(r.rec.begun).Seconds(), i, what, x.Hold.Round(time.Millisecond), x.Publish)
 	held := time.After(x.Hold)
-	var publishing sync.WaitGroup
-	if x.Publish > 0 && base > 0 {
-		publishing.Go(func() {
+	published := make(chan time.Time, 1)
+	go func() {
+		if x.Publish > 0 && base > 0 {
 			time.Sleep(publishDelayed)
 			r.p.publish(ctx, x.Publish, base)
-		})
-	}
+		}
+		published <- time.Now()
+	}()
 	<-held
 	var errs []error
 	for _, h := range heals {
 		errs = append(errs, h())
 	}
 	healed := time.Now()
-	if err := errors.Join(errs...); err != nil {
-		return err
+	var spreading sync.WaitGroup
+	spreading.Go(func() { r.w.converged(ctx, later(healed, <-published)) })
+	err := errors.Join(errs...)
+	if err == nil {
+		r.waitServing(ctx, healed, what)
 	}
-	r.waitServing(ctx, healed, what)
-	publishing.Wait()
-	r.w.converged(ctx, later(healed, time.Now().Add(-pollInterval)))
-	return nil
+	spreading.Wait()
+	return err
 }
 
 func later(a, b time.Time) time.Time {
