--- a/bench/local/local.go
+++ b/bench/local/local.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -33,6 +34,9 @@
 	Customers  []string
 	Slots      int  // of each engine in the document; 0 for 16
 	Forward    bool // put a forwarder between each agent and its engine
+	// Folder holds the processes' logs and settings and is kept after Stop; when it
+	// is empty, a temporary folder is used and removed.
+	Folder string
 }
 
 // Names of the deployment, those of Sarathi's.
@@ -67,24 +71,45 @@
 	return customer + "." + hex.EncodeToString(sum[:])
 }
 
-// freeAddress returns a free port on a loopback address of this process's own.
-// Connections from other processes have 127.0.0.1 as their source, and so can't
-// take the port before the program that it is for.
-func freeAddress() (string, error) {
+// Ports of the processes lie below those that Linux gives to outgoing connections
+// (from 32768). One of these could take the port of a process that is down, which
+// then can't listen at its restart.
+const (
+	firstPort    = 20_000
+	endPort      = 32_768
+	portAttempts = 100
+)
+
+// ownLoopback returns a loopback address made from this process's ID, so that two
+// deployments don't choose the same ports. Connections of other processes have
+// 127.0.0.1 as their source.
+func ownLoopback() string {
 	pid := os.Getpid()
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+pid>>15&63, pid>>7&255, 1+pid&127))
-	if err != nil {
-		return "", err
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>15&63, pid>>7&255, 1+pid&127)
+}
+
+// freeAddress returns a loopback address that nothing listens on.
+func freeAddress() (string, error) {
+	var err error
+	for range portAttempts {
+		var l net.Listener
+		l, err = net.Listen("tcp", fmt.Sprintf("%s:%d", ownLoopback(), firstPort+rand.IntN(endPort-firstPort)))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String(), nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", fmt.Errorf("find a free port: %w", err)
 }
 
 // Start starts all processes and waits until the entries are ready.
 func Start(ctx context.Context, o Options) (*Deployment, error) {
-	dir, err := os.MkdirTemp("", "galenaweir-")
-	if err != nil {
-		return nil, err
+	dir := o.Folder
+	if dir == "" {
+		var err error
+		if dir, err = os.MkdirTemp("", "galenaweir-"); err != nil {
+			return nil, err
+		}
 	}
 	d := &Deployment{o: o, dir: dir, Processes: map[string]*Process{}, Operators: map[string]string{}, RPC: map[string]string{}}
 	if err := d.start(ctx); err != nil {
@@ -94,7 +119,7 @@
 	return d, nil
 }
 
-// Stop kills all processes and removes their files.
+// Stop kills all processes and removes their files, unless Options.Folder was set.
 func (d *Deployment) Stop() {
 	for _, p := range d.Processes {
 		p.Kill()
@@ -102,7 +127,9 @@
 	for _, f := range d.ToEngine {
 		f.Close()
 	}
-	_ = os.RemoveAll(d.dir)
+	if d.o.Folder == "" {
+		_ = os.RemoveAll(d.dir)
+	}
 }
 
 // Log returns what a process has logged so far.
@@ -164,10 +191,16 @@
 // allocate chooses the addresses.
 func (d *Deployment) allocate() error {
 	var errs []error
+	taken := map[string]bool{}
 	next := func() string {
-		a, err := freeAddress()
-		errs = append(errs, err)
-		return a
+		for {
+			a, err := freeAddress()
+			if err != nil || !taken[a] {
+				taken[a] = true
+				errs = append(errs, err)
+				return a
+			}
+		}
 	}
 	d.LogAddress, d.HostAddress = next(), next()
 	for i := range d.o.Agents {
