Sum shares and weights in a fixed order in admission.fair

Cause: sums over maps add floating-point numbers in a random order, so that two runs on the same input may differ in the last bit and then in a choice. Change: served tokens are summed in the order of the classes, and idle customers' weights are taken off in the order of their names.

--- a/core/admission/fair/fair.go
+++ b/core/admission/fair/fair.go
@@ -265,8 +265,8 @@
 // farthest below it first, then the others by rank.
 func (p *Policy) classOrder() []string {
 	total := 0.0
-	for _, c := range p.classes {
-		total += c.served
+	for _, id := range p.order { // a fixed order, since the sum depends on it
+		total += p.classes[id].served
 	}
 	lack := func(id string) float64 {
 		c := p.classes[id]
@@ -355,13 +355,18 @@
 // forget drops customers without requests whose state no longer matters.
 func (p *Policy) forget(now time.Time) {
 	for _, c := range p.classes {
+		var idle []string
 		for id, cu := range c.customers {
 			if cu.running+cu.waiting == 0 && now.Sub(cu.seen) >= activeWindow {
-				c.weights -= cu.weight
-				delete(c.customers, id)
-				if c.finish[id] <= c.virtual || len(c.queues) == 0 {
-					delete(c.finish, id)
-				}
+				idle = append(idle, id)
+			}
+		}
+		slices.Sort(idle) // the sum of the weights depends on the order
+		for _, id := range idle {
+			c.weights -= c.customers[id].weight
+			delete(c.customers, id)
+			if c.finish[id] <= c.virtual || len(c.queues) == 0 {
+				delete(c.finish, id)
 			}
 		}
 	}
