Replay the product's admission and limits

Cause: the replay decided admission with a local queue and had no limits, so that its figures on fairness were not the product's. Change: agents ask core/admission's plug-in (admission.fair, or admission.fifo as a baseline), configured as agent/gate.go does; entries charge core/limits and exchange its reports every 2 s. A customer's limit is its contracted share of twice the prefill rate, burst 10 s, as in the examples. The local admission and its test are gone; the policy's own tests cover fairness, classes and deadlines, and a new one compares the queue with the policy.

--- a/bench/measure/measure.go
+++ b/bench/measure/measure.go
@@ -11,6 +11,7 @@
 
 	"github.com/galenaweir/galenaweir/bench/replay"
 	"github.com/galenaweir/galenaweir/bench/trace"
+	"github.com/galenaweir/galenaweir/core/admission/fifo"
 	"github.com/galenaweir/galenaweir/core/kernel"
 	"github.com/galenaweir/galenaweir/core/routing"
 	_ "github.com/galenaweir/galenaweir/core/routing/leastload" // plug-in
@@ -30,6 +31,13 @@
 	Oracle      = "oracle"
 	MoreReports = "prefix_cost, reports every 500 ms"
 
+	// Fifo is the product's routing with first come, first served at the agents.
+	Fifo = "prefix_cost, admission.fifo"
+	// NoLimits and FifoNoLimits let customers send beyond their limits, so that
+	// admission alone protects the others.
+	NoLimits     = "prefix_cost, no limits"
+	FifoNoLimits = "prefix_cost, admission.fifo, no limits"
+
 	moreReportsGap = 500 * time.Millisecond
 )
 
@@ -61,7 +69,7 @@
 	for _, id := range kernel.IDs(prefixcost.ID.Family()) {
 		ps = append(ps, string(id))
 	}
-	return append(ps, MoreReports, Oracle)
+	return append(ps, MoreReports, Fifo, Oracle)
 }
 
 // NewPolicy returns the policy of the name. The oracle uses the product's cost
@@ -70,7 +78,8 @@
 	if name == Oracle {
 		return prefixcost.New(prefixcost.Options{NearEqual: 1}), nil
 	}
-	if name == MoreReports {
+	switch name {
+	case MoreReports, Fifo, NoLimits, FifoNoLimits:
 		name = Product
 	}
 	return kernel.New[routing.Policy](kernel.ID(name))
@@ -88,6 +97,9 @@
 		for _, p := range policies() {
 			rep.Runs = append(rep.Runs, Run{Trace: s.Name, Policy: p})
 		}
+		if s.Heavy() { // nobody exceeds a limit on the other traces
+			rep.Runs = append(rep.Runs, Run{Trace: s.Name, Policy: NoLimits}, Run{Trace: s.Name, Policy: FifoNoLimits})
+		}
 	}
 	if len(rep.Runs) == 0 {
 		return nil, fmt.Errorf("no trace matches %v; gentrace --list names them", o.Traces)
@@ -107,6 +119,10 @@
 			if r.Policy == MoreReports {
 				o.ReportGap = moreReportsGap
 			}
+			o.NoLimits = r.Policy == NoLimits || r.Policy == FifoNoLimits
+			if r.Policy == Fifo || r.Policy == FifoNoLimits {
+				o.Admission = fifo.ID
+			}
 			r.Result = replay.Run(trace.Generate(s), o)
 			return nil
 		})
--- a/bench/replay/agent.go
+++ b/bench/replay/agent.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/galenaweir/galenaweir/core/admission"
 	"github.com/galenaweir/galenaweir/core/prefix"
 	"github.com/galenaweir/galenaweir/core/routing"
 )
@@ -25,15 +26,15 @@
 	level    level // of the import on the link
 	over     bool  // the customer is above its share of the prefill
 
-	tokens   int // to prefill, by the agent's estimate
-	tag      float64
-	cached   int
-	fetching bool
-	granted  bool
-	since    time.Duration // of the slot
-	left     int
-	computed func()
-	stopped  bool
+	tokens    int // to prefill, by the agent's estimate
+	admission *admission.Request
+	cached    int
+	fetching  bool
+	granted   bool
+	since     time.Duration // of the slot
+	left      int
+	computed  func()
+	stopped   bool
 }
 
 // maxEngineBacklog is the prefill work in the engine above which the agent holds
@@ -50,7 +51,7 @@
 	id       string
 	domain   string
 	engine   engine
-	queue    admission
+	queue    *queue
 	version  int32
 	loading  bool
 	dead     bool
@@ -90,7 +91,7 @@
 			w.tokens = w.prompt - n
 		}
 	}
-	if !a.queue.offer(w, a.engine.ahead(w.class)+a.granted, a.s.c.now) {
+	if !a.queue.offer(w, a.s.weight(w.customer), a.s.c.now) {
 		w.entry.refused(w, a, false)
 		return
 	}
@@ -101,8 +102,9 @@
 	a.pump()
 }
 
-// importPays is the seam to core/placement: whether an import is faster than
-// recomputing, by the store's own state.
+// importPays tells whether an import is faster than recomputing, as agent/cache.go
+// decides it: core/placement has no part in imports. The agent knows the link's
+// queue by its own transfers; here it is the store's own.
 func importPays(st *store, w *work, tokens int, rate float64) bool {
 	if st.link.down {
 		return false
@@ -132,15 +134,12 @@
 
 func (a *agent) pump() {
 	for a.engine.ahead(batchClass)+a.granted < maxEngineBacklog {
-		w := a.queue.next(a.engine.running)
+		w := a.queue.next(a.s.c.now)
 		if w == nil {
 			return
 		}
-		if w.stopped {
-			delete(a.live, w)
-			continue
-		}
 		if a.s.c.now >= w.deadline {
+			a.queue.policy.Done(w.admission, 0, at(a.s.c.now))
 			delete(a.live, w)
 			w.entry.refused(w, a, false)
 			continue
@@ -208,6 +207,11 @@
 		a.slotTime = held
 	}
 	a.slotTime += time.Duration(slotTimeWeight * float64(held-a.slotTime))
+	used := w.prompt
+	if whole {
+		used += w.output
+	}
+	a.queue.policy.Done(w.admission, used, at(a.s.c.now))
 	if whole {
 		tokens := w.prompt + w.output
 		a.engine.cache.put(w.key, tokens)
@@ -224,7 +228,12 @@
 		return
 	}
 	w.stopped = true
-	if w.granted && w.left == 0 && !w.fetching {
+	if !w.granted {
+		a.queue.cancel(w)
+		delete(a.live, w)
+		return
+	}
+	if w.left == 0 && !w.fetching {
 		a.end(w, false)
 	}
 }
@@ -242,7 +251,7 @@
 }
 
 func (a *agent) report() routing.Report {
-	r := routing.Report{Running: a.engine.running, Waiting: a.queue.waiting(), SlotTime: a.slotTime}
+	r := routing.Report{Running: a.engine.running, Waiting: len(a.queue.work), SlotTime: a.slotTime}
 	for class := range r.AheadTokens {
 		r.AheadTokens[class] = a.queue.ahead(class) + a.engine.ahead(class) + a.granted
 	}
@@ -258,5 +267,5 @@
 		a.s.c.after(silenceLimit, func() { w.entry.silent(w, a) })
 	}
 	a.live = map[*work]bool{}
-	a.queue = a.s.newAdmission()
+	a.queue = a.s.newQueue()
 }
--- a/bench/replay/entry.go
+++ b/bench/replay/entry.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/galenaweir/galenaweir/core/limits"
 	"github.com/galenaweir/galenaweir/core/retry"
 	"github.com/galenaweir/galenaweir/core/routing"
 )
@@ -41,6 +42,7 @@
 	interval  time.Duration
 	done      bool
 	refused   bool
+	limited   bool // refused by the customer's limit
 	missed    bool
 	retries   int
 	estimated time.Duration
@@ -60,6 +62,7 @@
 	budget   *retry.Budget
 	links    []*routing.LinkView
 	shares   *routing.Shares
+	limits   *limits.Limits
 	running  map[*request]bool
 	scratch  []routing.Candidate
 	indexes  []int
@@ -79,6 +82,11 @@
 func (e *entry) submit(r *request) {
 	e.running[r], r.entry = true, e
 	e.budget.Request(e.s.c.now)
+	if !e.charge(r) {
+		r.limited = true
+		e.finish(r, true)
+		return
+	}
 	e.lookup(r)
 }
 
@@ -236,6 +244,9 @@
 	r.refused = refused && r.firstAt == 0
 	r.missed = r.missed || refused && r.firstAt != 0
 	delete(e.running, r)
+	if !r.limited {
+		e.settle(r)
+	}
 }
 
 // observe takes the links' state as their stores report it.
@@ -253,6 +264,7 @@
 // back through other entries.
 func (e *entry) lose() {
 	e.lost = true
+	e.limits = limits.New(e.limitsID())
 	for _, r := range sortedRequests(e.running) {
 		if w := r.work; w != nil {
 			a := e.s.agents[w.agentIndex()]
--- a/bench/replay/replay_test.go
+++ b/bench/replay/replay_test.go
@@ -9,6 +9,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/galenaweir/galenaweir/bench/trace"
+	"github.com/galenaweir/galenaweir/core/admission/fair"
+	"github.com/galenaweir/galenaweir/core/admission/fifo"
+	"github.com/galenaweir/galenaweir/core/kernel"
+	"github.com/galenaweir/galenaweir/core/limits"
 	"github.com/galenaweir/galenaweir/core/routing"
 	"github.com/galenaweir/galenaweir/core/routing/leastload"
 	"github.com/galenaweir/galenaweir/core/routing/prefixcost"
@@ -130,33 +134,52 @@
 	require.Equal(t, 6*time.Second, ends["background"], "a second of rest after each of its own")
 }
 
-// Guards against a fair queue that lets a customer with much work hold up others,
-// starves a class, gives reserved slots away, or accepts what can't be in time.
-func TestLocalAdmission(t *testing.T) {
-	const rate = 10_000
-	a := newFairAdmission(64, rate, time.Millisecond)
-	offer := func(customer string, class int, deadline time.Duration) bool {
-		return a.offer(&work{customer: customer, class: class, tokens: 1000, output: 1, deadline: deadline}, 0, 0)
-	}
-	for range 50 {
-		require.True(t, offer("heavy", interactiveClass, time.Hour))
-	}
-	require.False(t, offer("heavy", interactiveClass, 4*time.Second), "50 of its own are ahead: 5 s")
-	require.True(t, offer("light", interactiveClass, 4*time.Second))
-	require.True(t, offer("heavy", batchClass, time.Hour))
-	var order []string
-	for range 20 {
-		w := a.next(0)
-		order = append(order, w.customer+string(rune('0'+w.class)))
+// Guards against a queue whose tokens or works differ from the policy's, and
+// against a policy other than the one that is asked for.
+func TestQueueFollowsThePolicy(t *testing.T) {
+	tr := short(t, "guj-west-returning", time.Second)
+	for _, id := range []kernel.ID{fair.ID, fifo.ID} {
+		q := newSim(tr, Options{Admission: id}).newQueue()
+		var ws []*work
+		for i := range 2 * tr.Deployment.Slots {
+			customer := "heavy"
+			if i >= 2*tr.Deployment.Slots-2 {
+				customer = "light"
+			}
+			ws = append(ws, &work{customer: customer, class: i % classes, tokens: 1000, prompt: 2000, output: 1, deadline: time.Hour})
+			require.True(t, q.offer(ws[i], 1, 0))
+		}
+		q.cancel(ws[0])
+		light := 0
+		for w := q.next(0); w != nil; w = q.next(0) {
+			if w.customer == "light" {
+				light++
+			}
+		}
+		require.Equal(t, id == fair.ID, light == 2, id)
+		require.Equal(t, q.policy.Load().Waiting, len(q.work), id)
+		require.Equal(t, 1000*len(q.work), q.ahead(batchClass), id)
 	}
-	require.Contains(t, order[:3], "light0", "after one of the heavy customer's and the batch class's share")
-	require.Contains(t, order, "heavy2", "the batch class has a minimum share")
-	require.True(t, offer("heavy", standardClass, time.Hour))
-	for a.ahead(interactiveClass) > 0 {
-		require.Equal(t, interactiveClass, a.next(64-reservedSlots).class)
+}
+
+// Guards against entries that multiply a customer's limit or cut customers that
+// stay within theirs.
+func TestLimitsCutOnlyTheHeavyCustomer(t *testing.T) {
+	tr := short(t, "guj-west-heavy", 2*time.Minute)
+	s := simOf(tr, Options{Policy: leastload.Policy{}, Seed: seed})
+	d := tr.Deployment
+	rate := d.Shares[0] * limitHeadroom * d.PrefillRate * float64(d.Endpoints)
+	granted := 0.0
+	for _, r := range s.requests {
+		require.False(t, r.limited && r.customer != d.Customers[0], "request %d, seed %d", r.index, seed)
+		if r.customer == d.Customers[0] && !r.limited {
+			granted += float64(r.prompt + r.output)
+		}
 	}
-	require.Nil(t, a.next(64-reservedSlots))
-	require.Nil(t, a.next(64))
+	// The bound of core/limits: the reports' delay and one burst for each entry.
+	lag := 2 * (2*limits.ReportInterval + usageDelay)
+	require.Less(t, granted, rate*(2*time.Minute+lag+time.Duration(d.Entries)*limitBurst).Seconds(), "seed %d", seed)
+	require.Positive(t, s.result(2*time.Minute).Limited, "seed %d", seed)
 }
 
 // Guards against a recorded log that can be read but not replayed.
--- a/bench/replay/result.go
+++ b/bench/replay/result.go
@@ -81,6 +81,8 @@
 	Unavailable   float64              `json:"unavailable_share"` // of these, held nowhere any more
 	Links         []LinkUse            `json:"links"`
 	Refused       float64              `json:"refused_share"`
+	Limited       float64              `json:"limited_share"`         // of all, refused by the customer's limit
+	LightLimited  float64              `json:"light_limited_share"`   // of all, by a limit of another than the first customer
 	Missed        float64              `json:"deadline_missed_share"` // accepted, but not whole in time
 	Retries       float64              `json:"retries_per_request"`
 	Fault         Window               `json:"fault"`          // the requests that arrived during the faults
@@ -111,7 +113,7 @@
 	res := &Result{FirstToken: map[string]Quantiles{}, Customers: map[string]Quantiles{}}
 	first, customers := map[string][]time.Duration{}, map[string][]time.Duration{}
 	var between, errs, light []time.Duration
-	refused, missed := 0, 0
+	refused, missed, limited, lightLimited := 0, 0, 0, 0
 	for _, r := range s.requests {
 		if r.at < s.warmup {
 			continue
@@ -120,6 +122,12 @@
 		if r.refused {
 			refused++
 		}
+		if r.limited {
+			limited++
+			if r.customer != s.t.Deployment.Customers[0] {
+				lightLimited++
+			}
+		}
 		if r.missed {
 			missed++
 		}
@@ -154,6 +162,7 @@
 	res.BuiltBefore = s.count.had
 	res.Recomputed = share(s.count.recomputed, s.count.had)
 	res.Unavailable = share(s.count.unavailable, s.count.had)
+	res.Limited, res.LightLimited = share(limited, res.Requests), share(lightLimited, res.Requests)
 	res.Refused, res.Missed = share(refused, res.Requests), share(missed, res.Requests)
 	res.Retries = share(s.retries, len(s.requests))
 	for _, st := range s.stores {
--- a/bench/replay/sim.go
+++ b/bench/replay/sim.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/galenaweir/galenaweir/bench/trace"
+	"github.com/galenaweir/galenaweir/core/kernel"
+	"github.com/galenaweir/galenaweir/core/limits"
 	"github.com/galenaweir/galenaweir/core/retry"
 	"github.com/galenaweir/galenaweir/core/routing"
 )
@@ -17,10 +19,14 @@
 // Options of a replay.
 type Options struct {
 	Policy routing.Policy
+	// Admission is the policy at the agents, admission.fair if empty.
+	Admission kernel.ID
 	// Oracle gives the policy exact knowledge of caches, queues and links at the
 	// instant of each decision.
 	Oracle bool
 	Seed   uint64
+	// NoLimits lets customers send beyond their limits.
+	NoLimits bool
 	// ReportGap is the time between two load reports on one stream; zero for
 	// reports on the first and last frame only, as agents send them.
 	ReportGap time.Duration
@@ -55,16 +61,17 @@
 	perToken float64 // bytes
 	warmup   time.Duration
 
-	agents   []*agent
-	members  []member
-	entries  []*entry
-	stores   []*store
-	dir      *directory
-	version  int32
-	requests []*request
-	ids      map[string]int32
-	had      map[contextKey]int // tokens that were built before
-	req      routing.Request
+	agents     []*agent
+	members    []member
+	entries    []*entry
+	stores     []*store
+	dir        *directory
+	version    int32
+	requests   []*request
+	ids        map[string]int32
+	had        map[contextKey]int // tokens that were built before
+	req        routing.Request
+	contracted map[string]float64 // shares by customer
 
 	attempts int
 	retries  int
@@ -98,6 +105,7 @@
 		s.fault(f)
 	}
 	s.observeLinks(end)
+	s.exchangeUsage(end)
 	return end
 }
 
@@ -106,13 +114,16 @@
 	s := &sim{
 		c: &clock{}, o: o, policy: o.Policy, t: t, rng: rand.New(rand.NewPCG(o.Seed, 0)), hop: millis(d.HopMs),
 		client: millis(d.ClientMs), perToken: float64(d.KVBytesPerToken), warmup: time.Duration(d.WarmupMs) * time.Millisecond,
-		ids: map[string]int32{}, had: map[contextKey]int{},
+		ids: map[string]int32{}, had: map[contextKey]int{}, contracted: map[string]float64{},
+	}
+	for i, share := range d.Shares {
+		s.contracted[d.Customers[i]] = share
 	}
 	s.dir = &directory{s.c, rand.New(rand.NewPCG(o.Seed, 1)), map[contextKey]*hint{}}
 	for i := range d.Endpoints {
 		a := &agent{
 			s: s, index: i, id: fmt.Sprintf("%s-%02d", d.Model, i), domain: d.FailureDomains[i%len(d.FailureDomains)],
-			queue: s.newAdmission(), live: map[*work]bool{},
+			queue: s.newQueue(), live: map[*work]bool{},
 		}
 		a.engine = engine{c: s.c, slots: d.Slots, rate: d.PrefillRate, decode: millis(d.DecodeMs)}
 		a.engine.cache = newLRU(d.EngineTokens, func(k contextKey, _ int) { s.dir.evicted(k, i) })
@@ -129,6 +140,7 @@
 			breakers: make([]retry.Breaker, d.Endpoints), budget: retry.NewBudget(retry.RetryShare, retry.BudgetWindow),
 			running: map[*request]bool{}, shares: routing.NewShares(),
 		}
+		e.limits = limits.New(e.limitsID())
 		for range d.Stores {
 			e.links = append(e.links, routing.NewLinkView())
 		}
@@ -144,11 +156,6 @@
 	return s
 }
 
-func (s *sim) newAdmission() admission {
-	d := s.t.Deployment
-	return newFairAdmission(d.Slots, d.PrefillRate, millis(d.DecodeMs))
-}
-
 func (s *sim) id(conversation string) int32 {
 	id, ok := s.ids[conversation]
 	if !ok {
--- a/bench/trace/deployments.go
+++ b/bench/trace/deployments.go
@@ -178,6 +178,9 @@
 	bursts  bool
 }
 
+// Heavy tells whether one customer sends ten times its share.
+func (s Spec) Heavy() bool { return s.heavy }
+
 // brownouts are the failures that are replayed each and two at once.
 func brownouts(d Deployment) []Fault {
 	all := []Fault{
--- a/bench/trace/generate.go
+++ b/bench/trace/generate.go
@@ -12,7 +12,7 @@
 func Generate(s Spec) *Trace {
 	p := s.profile()
 	t := &Trace{Deployment: p.deployment, Faults: s.Faults}
-	t.Deployment.Trace, t.Deployment.Seed = s.Name, s.seed
+	t.Deployment.Trace, t.Deployment.Seed, t.Deployment.Shares = s.Name, s.seed, s.shares
 	for i, customer := range t.Deployment.Customers {
 		g := &generator{s: s, p: p, t: t, customer: customer, rng: rand.New(rand.NewPCG(s.seed, uint64(i)))}
 		rate := p.rate * s.shares[i]
--- a/bench/trace/trace.go
+++ b/bench/trace/trace.go
@@ -31,9 +31,12 @@
 	Endpoints      int      `json:"endpoints"`
 	Entries        int      `json:"entries"`
 	Customers      []string `json:"customers"`
-	Stores         []string `json:"stores"`
-	HopMs          float64  `json:"hop_ms"`    // one way between failure domains
-	ClientMs       float64  `json:"client_ms"` // one way between caller and entry
+	// Shares are what the customers have contracted, in the customers' order and
+	// with the sum 1; without them there are no limits.
+	Shares   []float64 `json:"shares,omitempty"`
+	Stores   []string  `json:"stores"`
+	HopMs    float64   `json:"hop_ms"`    // one way between failure domains
+	ClientMs float64   `json:"client_ms"` // one way between caller and entry
 
 	Slots           int     `json:"slots"`
 	PrefillRate     float64 `json:"prefill_tokens_per_second"`
