Replay the product's decisions on exports

Cause: the replay exported everything to the stores' memory, whatever the link's use and the chance of a return. Change: agents ask placement.value (or a baseline) with the customer's estimated returns, the use of the link by their own imports and the tiers' space, as agent/export.go does, and the fake store takes the tier. Drops and prefetches aren't replayed; core/placement has no decision on imports.

--- a/bench/measure/measure.go
+++ b/bench/measure/measure.go
@@ -13,6 +13,7 @@
 	"github.com/galenaweir/galenaweir/bench/trace"
 	"github.com/galenaweir/galenaweir/core/admission/fifo"
 	"github.com/galenaweir/galenaweir/core/kernel"
+	"github.com/galenaweir/galenaweir/core/placement/baseline"
 	"github.com/galenaweir/galenaweir/core/routing"
 	_ "github.com/galenaweir/galenaweir/core/routing/leastload" // plug-in
 	_ "github.com/galenaweir/galenaweir/core/routing/nostore"   // plug-in
@@ -33,6 +34,8 @@
 
 	// Fifo is the product's routing with first come, first served at the agents.
 	Fifo = "prefix_cost, admission.fifo"
+	// Always is the product with exports of everything.
+	Always = "prefix_cost, placement.always"
 	// NoLimits and FifoNoLimits let customers send beyond their limits, so that
 	// admission alone protects the others.
 	NoLimits     = "prefix_cost, no limits"
@@ -69,7 +72,7 @@
 	for _, id := range kernel.IDs(prefixcost.ID.Family()) {
 		ps = append(ps, string(id))
 	}
-	return append(ps, MoreReports, Fifo, Oracle)
+	return append(ps, MoreReports, Fifo, Always, Oracle)
 }
 
 // NewPolicy returns the policy of the name. The oracle uses the product's cost
@@ -79,7 +82,7 @@
 		return prefixcost.New(prefixcost.Options{NearEqual: 1}), nil
 	}
 	switch name {
-	case MoreReports, Fifo, NoLimits, FifoNoLimits:
+	case MoreReports, Fifo, Always, NoLimits, FifoNoLimits:
 		name = Product
 	}
 	return kernel.New[routing.Policy](kernel.ID(name))
@@ -120,6 +123,9 @@
 				o.ReportGap = moreReportsGap
 			}
 			o.NoLimits = r.Policy == NoLimits || r.Policy == FifoNoLimits
+			if r.Policy == Always {
+				o.Placement = baseline.AlwaysID
+			}
 			if r.Policy == Fifo || r.Policy == FifoNoLimits {
 				o.Admission = fifo.ID
 			}
--- a/bench/measure/table.go
+++ b/bench/measure/table.go
@@ -21,8 +21,8 @@
 		if run.Trace != last {
 			last = run.Trace
 			fmt.Fprintf(&b, "\n## %s\n\n", run.Trace)
-			b.WriteString("| policy | all p50 / p95 / p99 | interactive p50 / p95 / p99 | standard p95 | batch p95 | light customers p95 | between tokens p95 | recomputed | held nowhere | highest link use, mean and in one second | refused | late | retries | limited |\n")
-			b.WriteString("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n")
+			b.WriteString("| policy | all p50 / p95 / p99 | interactive p50 / p95 / p99 | standard p95 | batch p95 | light customers p95 | between tokens p95 | recomputed | held nowhere | exported | highest link use, mean and in one second | refused | late | retries | limited |\n")
+			b.WriteString("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n")
 		}
 		x := run.Result
 		a, i := x.FirstToken["all"], x.FirstToken[trace.Interactive]
@@ -30,10 +30,10 @@
 		for _, l := range x.Links {
 			mean, peak = max(mean, percent*l.Mean), max(peak, percent*l.Peak)
 		}
-		fmt.Fprintf(&b, "| %s | %.0f / %.0f / %.0f | %.0f / %.0f / %.0f | %.0f | %.0f | %.0f | %.1f | %.2f | %.2f | %.0f, %.0f | %.2f | %.2f | %.2f | %.2f, %.2f |\n",
+		fmt.Fprintf(&b, "| %s | %.0f / %.0f / %.0f | %.0f / %.0f / %.0f | %.0f | %.0f | %.0f | %.1f | %.2f | %.2f | %.0f | %.0f, %.0f | %.2f | %.2f | %.2f | %.2f, %.2f |\n",
 			strings.TrimPrefix(run.Policy, "routing."), a.P50, a.P95, a.P99, i.P50, i.P95, i.P99,
 			x.FirstToken[trace.Standard].P95, x.FirstToken[trace.Batch].P95, x.Light.P95, x.BetweenTokens.P95,
-			percent*x.Recomputed, percent*x.Unavailable, mean, peak, percent*x.Refused, percent*x.Missed, percent*x.Retries, percent*x.Limited, percent*x.LightLimited)
+			percent*x.Recomputed, percent*x.Unavailable, percent*x.Exported, mean, peak, percent*x.Refused, percent*x.Missed, percent*x.Retries, percent*x.Limited, percent*x.LightLimited)
 	}
 	r.faultTable(&b)
 	b.WriteString("\n## Stated outcomes\n\n| trace | outcome | limit | measured | | source |\n|---|---|---|---|---|---|\n")
--- a/bench/replay/agent.go
+++ b/bench/replay/agent.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/galenaweir/galenaweir/core/admission"
+	"github.com/galenaweir/galenaweir/core/placement"
 	"github.com/galenaweir/galenaweir/core/prefix"
 	"github.com/galenaweir/galenaweir/core/routing"
 )
@@ -46,19 +47,22 @@
 
 // agent is the fake of one agent with its engine.
 type agent struct {
-	s        *sim
-	index    int
-	id       string
-	domain   string
-	engine   engine
-	queue    *queue
-	version  int32
-	loading  bool
-	dead     bool
-	enRoute  int // prefill tokens sent by entries that have not arrived
-	granted  int // prefill tokens of work with a slot that waits for its import
-	slotTime time.Duration
-	live     map[*work]bool
+	s         *sim
+	index     int
+	id        string
+	domain    string
+	engine    engine
+	queue     *queue
+	version   int32
+	loading   bool
+	dead      bool
+	enRoute   int // prefill tokens sent by entries that have not arrived
+	granted   int // prefill tokens of work with a slot that waits for its import
+	slotTime  time.Duration
+	live      map[*work]bool
+	placement placement.Policy
+	returns   *placement.Returns
+	links     []linkUse // by store
 }
 
 // sortedWork gives a set of attempts an order that doesn't change between runs.
@@ -116,7 +120,10 @@
 func (a *agent) fetch(w *work, held, tokens int) {
 	w.fetching = true
 	epoch := a.engine.epoch
+	use := &a.links[a.s.storeIndex(w.key.conversation)]
+	use.add(1, a.s.c.now)
 	a.s.storeOf(w.key.conversation).fetch(w.key, tokens, w.level, func(ok bool) {
+		use.add(-1, a.s.c.now)
 		if epoch != a.engine.epoch {
 			return
 		}
@@ -216,7 +223,7 @@
 		tokens := w.prompt + w.output
 		a.engine.cache.put(w.key, tokens)
 		a.s.built(w.key, tokens)
-		a.s.announce(a, w.key, wholePieces(tokens))
+		a.export(w, wholePieces(tokens))
 	}
 	a.frame(w, func() { w.entry.end(w, whole) })
 	a.pump()
--- a/bench/replay/cache.go
+++ b/bench/replay/cache.go
@@ -35,6 +35,9 @@
 	return 0
 }
 
+// use returns the share of the capacity that is used.
+func (l *lru) use() float64 { return float64(l.used) / float64(l.capacity) }
+
 func (l *lru) touch(k contextKey) {
 	if e, ok := l.items[k]; ok {
 		l.order.MoveToFront(e)
--- a/bench/replay/replay_test.go
+++ b/bench/replay/replay_test.go
@@ -13,6 +13,8 @@
 	"github.com/galenaweir/galenaweir/core/admission/fifo"
 	"github.com/galenaweir/galenaweir/core/kernel"
 	"github.com/galenaweir/galenaweir/core/limits"
+	"github.com/galenaweir/galenaweir/core/placement/baseline"
+	"github.com/galenaweir/galenaweir/core/placement/value"
 	"github.com/galenaweir/galenaweir/core/routing"
 	"github.com/galenaweir/galenaweir/core/routing/leastload"
 	"github.com/galenaweir/galenaweir/core/routing/prefixcost"
@@ -88,6 +90,10 @@
 					require.Zero(t, a.engine.running, a.id)
 					require.Zero(t, a.engine.ahead(batchClass)+a.queue.ahead(batchClass)+a.granted+a.enRoute, a.id)
 					require.Empty(t, a.live, a.id)
+					require.Empty(t, a.queue.work, a.id)
+					for _, l := range a.links {
+						require.Zero(t, l.active, a.id)
+					}
 					require.LessOrEqual(t, a.engine.cache.used, a.engine.cache.capacity)
 				}
 				for _, st := range s.stores {
@@ -182,6 +188,22 @@
 	require.Positive(t, s.result(2*time.Minute).Limited, "seed %d", seed)
 }
 
+// Guards against exports that the placement policy didn't decide, and against a
+// tier that isn't the decision's.
+func TestExportsFollowThePolicy(t *testing.T) {
+	tr := short(t, "guj-west-returning", 30*time.Second)
+	tr.Contexts = nil
+	for _, c := range []struct {
+		id           kernel.ID
+		memory, disk bool
+	}{{baseline.NoneID, false, false}, {baseline.AlwaysID, true, true}, {value.ID, false, true}} { // an hour's memory costs value more than a slower fetch
+		s := simOf(tr, Options{Policy: prefixcost.New(prefixcost.Options{}), Placement: c.id, Seed: seed})
+		st := s.stores[0]
+		require.Equal(t, []bool{c.memory, c.disk}, []bool{st.memory.used > 0, st.disk.used > 0}, "%s, seed %d", c.id, seed)
+		require.Equal(t, c.disk, s.count.exported > 0, "%s, seed %d", c.id, seed)
+	}
+}
+
 // Guards against a recorded log that can be read but not replayed.
 func TestReplayOfARecordedLog(t *testing.T) {
 	f, err := os.Open("../trace/recorded/small.jsonl")
--- a/bench/replay/result.go
+++ b/bench/replay/result.go
@@ -78,6 +78,7 @@
 	BetweenTokens Quantiles            `json:"between_tokens"` // all classes
 	BuiltBefore   int                  `json:"built_before_tokens"`
 	Recomputed    float64              `json:"recomputed_share"`  // of the tokens that had been built before
+	Exported      float64              `json:"exported_share"`    // of the contexts with new pieces at an answer's end, whole trace
 	Unavailable   float64              `json:"unavailable_share"` // of these, held nowhere any more
 	Links         []LinkUse            `json:"links"`
 	Refused       float64              `json:"refused_share"`
@@ -161,6 +162,7 @@
 	res.Fault = s.window(end)
 	res.BuiltBefore = s.count.had
 	res.Recomputed = share(s.count.recomputed, s.count.had)
+	res.Exported = share(s.count.exported, s.count.exported+s.count.kept)
 	res.Unavailable = share(s.count.unavailable, s.count.had)
 	res.Limited, res.LightLimited = share(limited, res.Requests), share(lightLimited, res.Requests)
 	res.Refused, res.Missed = share(refused, res.Requests), share(missed, res.Requests)
--- a/bench/replay/sim.go
+++ b/bench/replay/sim.go
@@ -12,6 +12,7 @@
 	"github.com/galenaweir/galenaweir/bench/trace"
 	"github.com/galenaweir/galenaweir/core/kernel"
 	"github.com/galenaweir/galenaweir/core/limits"
+	"github.com/galenaweir/galenaweir/core/placement"
 	"github.com/galenaweir/galenaweir/core/retry"
 	"github.com/galenaweir/galenaweir/core/routing"
 )
@@ -21,6 +22,8 @@
 	Policy routing.Policy
 	// Admission is the policy at the agents, admission.fair if empty.
 	Admission kernel.ID
+	// Placement is the policy of exports, placement.value if empty.
+	Placement kernel.ID
 	// Oracle gives the policy exact knowledge of caches, queues and links at the
 	// instant of each decision.
 	Oracle bool
@@ -80,9 +83,10 @@
 
 // buildCount counts prefill tokens of the measured part.
 type buildCount struct {
-	had         int // of the prompts, tokens that had been built before
-	recomputed  int // of these, computed again
-	unavailable int // of these, held by no engine and no store when the prefill began
+	had            int // of the prompts, tokens that had been built before
+	recomputed     int // of these, computed again
+	exported, kept int // contexts whose new pieces were exported or not
+	unavailable    int // of these, held by no engine and no store when the prefill began
 }
 
 // Run replays the trace.
@@ -124,6 +128,7 @@
 		a := &agent{
 			s: s, index: i, id: fmt.Sprintf("%s-%02d", d.Model, i), domain: d.FailureDomains[i%len(d.FailureDomains)],
 			queue: s.newQueue(), live: map[*work]bool{},
+			placement: s.newPlacement(), returns: placement.NewReturns(maxContexts), links: make([]linkUse, len(d.Stores)),
 		}
 		a.engine = engine{c: s.c, slots: d.Slots, rate: d.PrefillRate, decode: millis(d.DecodeMs)}
 		a.engine.cache = newLRU(d.EngineTokens, func(k contextKey, _ int) { s.dir.evicted(k, i) })
@@ -235,16 +240,6 @@
 	s.count.unavailable += max(0, had-available)
 }
 
-// announce tells the directory what an engine holds and exports it.
-func (s *sim) announce(a *agent, k contextKey, tokens int) {
-	s.dir.engineHas(k, a.index, tokens)
-	s.storeOf(k.conversation).export(k, tokens, func(ok bool) {
-		if ok {
-			s.dir.storeHas(k, tokens)
-		}
-	})
-}
-
 func (s *sim) observeLinks(end time.Duration) {
 	for _, e := range s.entries {
 		e.observe()
--- a/bench/replay/store.go
+++ b/bench/replay/store.go
@@ -1,6 +1,10 @@
 package replay
 
-import "time"
+import (
+	"time"
+
+	"github.com/galenaweir/galenaweir/core/placement"
+)
 
 // store keeps contexts in memory and on disk behind one link.
 type store struct {
@@ -46,14 +50,17 @@
 	return w
 }
 
-// export writes the new tokens of a context in the background.
-func (s *store) export(k contextKey, tokens int, done func(ok bool)) {
+// export writes the new tokens of a context to the tier in the background.
+func (s *store) export(k contextKey, tokens int, tier placement.Tier, done func(ok bool)) {
 	missing := tokens - s.tokens(k)
 	if missing <= 0 {
 		return
 	}
 	s.link.send(&transfer{bytes: float64(missing) * s.perToken, level: background, done: func(ok bool) {
-		if ok {
+		if ok && tier == placement.Disk {
+			s.memory.remove(k) // one tier holds the whole context
+			s.disk.put(k, tokens)
+		} else if ok {
 			s.memory.put(k, tokens)
 		}
 		done(ok)
