Fill the slots when more customers wait than there are slots

Cause: with more customers than slots an even share is below one slot, so that every customer with an old backlog counted as heavy even if it ran nothing, and the free slots were kept for light customers that weren't there. Change: by its backlog a customer counts as heavy only if it runs at least one request.

--- a/core/admission/fair/fair.go
+++ b/core/admission/fair/fair.go
@@ -184,7 +184,9 @@
 // heavy reports whether the customer takes more than its share of the slots, by
 // the weights of the customers active in the class: it runs many more than that,
 // or has a backlog while it runs about that many. Tokens served in a window tell
-// it too late, and count light customers as heavy by chance.
+// it too late, and count light customers as heavy by chance. A customer that runs
+// nothing is never heavy: with more customers than slots all of them may wait, and
+// the free slots would be kept for nobody.
 func (p *Policy) heavy(c *class, id string) bool {
 	cu := c.customers[id]
 	if cu == nil || len(c.customers) < 2 {
@@ -194,7 +196,7 @@
 	if float64(cu.running) > slots+staffing*math.Sqrt(slots) {
 		return true // a burst shows here long before it shows in the tokens
 	}
-	if q := c.queues[id]; len(q) > 0 && float64(cu.running) >= slots-1 && p.decayed.Sub(q[0].Queued()) > p.service(q[0]) {
+	if q := c.queues[id]; len(q) > 0 && float64(cu.running) >= max(1, slots-1) && p.decayed.Sub(q[0].Queued()) > p.service(q[0]) {
 		return true // light customers don't wait that long
 	}
 	return false
--- a/core/admission/fair/fair_test.go
+++ b/core/admission/fair/fair_test.go
@@ -262,3 +262,21 @@
 		}
 	}
 }
+
+// Guards against slots that stay empty while requests wait: with more customers
+// than slots, an even share is less than one slot, and a customer that runs
+// nothing must not count as heavy for its backlog.
+func TestManyWaitingCustomersFillTheSlots(t *testing.T) {
+	const customers = 10 * slots
+	p := New()
+	p.Configure(options())
+	now := time.Unix(0, 0)
+	for i := range 2 * customers {
+		r := &admission.Request{Customer: fmt.Sprint(i % customers), Weight: 1, Class: "interactive", Tokens: tokens}
+		require.Equal(t, admission.Wait, p.Offer(r, now).Verdict)
+	}
+	now = now.Add(2 * service)
+	for p.Next(now) != nil {
+	}
+	require.Equal(t, slots, p.Load().Running)
+}
