Replay load reports on running streams by default

Cause: agents are about to put their load on running streams every 500 ms; the replay had it as a variant only. Change: all policies get these reports; reports with the first and last frame only are the variant.

--- a/bench/measure/measure.go
+++ b/bench/measure/measure.go
@@ -25,12 +25,12 @@
 )
 
 // Product is the policy under measurement; Oracle is the name of the replay with
-// exact knowledge; MoreReports is the product's policy when agents also send
-// their load with a running stream's frames every moreReportsGap.
+// exact knowledge; FewReports is the product's policy when agents send their load
+// with a stream's first and last frame only, and not every reportGap.
 const (
-	Product     = string(prefixcost.ID)
-	Oracle      = "oracle"
-	MoreReports = "prefix_cost, reports every 500 ms"
+	Product    = string(prefixcost.ID)
+	Oracle     = "oracle"
+	FewReports = "prefix_cost, reports with first and last frame only"
 
 	// Fifo is the product's routing with first come, first served at the agents.
 	Fifo = "prefix_cost, admission.fifo"
@@ -41,7 +41,7 @@
 	NoLimits     = "prefix_cost, no limits"
 	FifoNoLimits = "prefix_cost, admission.fifo, no limits"
 
-	moreReportsGap = 500 * time.Millisecond
+	reportGap = 500 * time.Millisecond
 )
 
 // seed of the replays' random choices.
@@ -72,7 +72,7 @@
 	for _, id := range kernel.IDs(prefixcost.ID.Family()) {
 		ps = append(ps, string(id))
 	}
-	return append(ps, MoreReports, Fifo, Always, Oracle)
+	return append(ps, FewReports, Fifo, Always, Oracle)
 }
 
 // NewPolicy returns the policy of the name. The oracle uses the product's cost
@@ -82,7 +82,7 @@
 		return prefixcost.New(prefixcost.Options{NearEqual: 1}), nil
 	}
 	switch name {
-	case MoreReports, Fifo, Always, NoLimits, FifoNoLimits:
+	case FewReports, Fifo, Always, NoLimits, FifoNoLimits:
 		name = Product
 	}
 	return kernel.New[routing.Policy](kernel.ID(name))
@@ -118,9 +118,9 @@
 			if err != nil {
 				return fmt.Errorf("policy %s: %w", r.Policy, err)
 			}
-			o := replay.Options{Policy: p, Oracle: r.Policy == Oracle, Seed: seed}
-			if r.Policy == MoreReports {
-				o.ReportGap = moreReportsGap
+			o := replay.Options{Policy: p, Oracle: r.Policy == Oracle, Seed: seed, ReportGap: reportGap}
+			if r.Policy == FewReports {
+				o.ReportGap = 0
 			}
 			o.NoLimits = r.Policy == NoLimits || r.Policy == FifoNoLimits
 			if r.Policy == Always {
--- a/bench/replay/sim.go
+++ b/bench/replay/sim.go
@@ -31,7 +31,7 @@
 	// NoLimits lets customers send beyond their limits.
 	NoLimits bool
 	// ReportGap is the time between two load reports on one stream; zero for
-	// reports on the first and last frame only, as agents send them.
+	// reports on the first and last frame only.
 	ReportGap time.Duration
 	// Decisions takes a line for each decision, if set.
 	Decisions func(Decision)
