Measure admission and placement baselines without faults only

Change: admission.fifo and placement.always are replayed on the traces without faults. Conclusion: the fault traces judge the product against routing baselines.

--- a/bench/measure/measure.go
+++ b/bench/measure/measure.go
@@ -72,7 +72,7 @@
 	for _, id := range kernel.IDs(prefixcost.ID.Family()) {
 		ps = append(ps, string(id))
 	}
-	return append(ps, FewReports, Fifo, Always, Oracle)
+	return append(ps, FewReports, Oracle)
 }
 
 // NewPolicy returns the policy of the name. The oracle uses the product's cost
@@ -100,6 +100,9 @@
 		for _, p := range policies() {
 			rep.Runs = append(rep.Runs, Run{Trace: s.Name, Policy: p})
 		}
+		if len(s.Faults) == 0 {
+			rep.Runs = append(rep.Runs, Run{Trace: s.Name, Policy: Fifo}, Run{Trace: s.Name, Policy: Always})
+		}
 		if s.Heavy() { // nobody exceeds a limit on the other traces
 			rep.Runs = append(rep.Runs, Run{Trace: s.Name, Policy: NoLimits}, Run{Trace: s.Name, Policy: FifoNoLimits})
 		}
