--- a/bench/measure/measure.go
+++ b/bench/measure/measure.go
@@ -11,7 +11,9 @@
 
 	"github.com/galenaweir/galenaweir/bench/replay"
 	"github.com/galenaweir/galenaweir/bench/trace"
+	"github.com/galenaweir/galenaweir/core/admission/fifo"
 	"github.com/galenaweir/galenaweir/core/kernel"
+	"github.com/galenaweir/galenaweir/core/placement/baseline"
 	"github.com/galenaweir/galenaweir/core/routing"
 	_ "github.com/galenaweir/galenaweir/core/routing/leastload" // plug-in
 	_ "github.com/galenaweir/galenaweir/core/routing/nostore"   // plug-in
@@ -23,14 +25,23 @@
 )
 
 // Product is the policy under measurement; Oracle is the name of the replay with
-// exact knowledge; MoreReports is the product's policy when agents also send
-// their load with a running stream's frames every moreReportsGap.
+// exact knowledge; FewReports is the product's policy when agents send their load
+// with a stream's first and last frame only, and not every reportGap.
 const (
-	Product     = string(prefixcost.ID)
-	Oracle      = "oracle"
-	MoreReports = "prefix_cost, reports every 500 ms"
+	Product    = string(prefixcost.ID)
+	Oracle     = "oracle"
+	FewReports = "prefix_cost, reports with first and last frame only"
 
-	moreReportsGap = 500 * time.Millisecond
+	// Fifo is the product's routing with first come, first served at the agents.
+	Fifo = "prefix_cost, admission.fifo"
+	// Always is the product with exports of everything.
+	Always = "prefix_cost, placement.always"
+	// NoLimits and FifoNoLimits let customers send beyond their limits, so that
+	// admission alone protects the others.
+	NoLimits     = "prefix_cost, no limits"
+	FifoNoLimits = "prefix_cost, admission.fifo, no limits"
+
+	reportGap = 500 * time.Millisecond
 )
 
 // seed of the replays' random choices.
@@ -61,7 +72,7 @@
 	for _, id := range kernel.IDs(prefixcost.ID.Family()) {
 		ps = append(ps, string(id))
 	}
-	return append(ps, MoreReports, Oracle)
+	return append(ps, FewReports, Oracle)
 }
 
 // NewPolicy returns the policy of the name. The oracle uses the product's cost
@@ -70,7 +81,8 @@
 	if name == Oracle {
 		return prefixcost.New(prefixcost.Options{NearEqual: 1}), nil
 	}
-	if name == MoreReports {
+	switch name {
+	case FewReports, Fifo, Always, NoLimits, FifoNoLimits:
 		name = Product
 	}
 	return kernel.New[routing.Policy](kernel.ID(name))
@@ -88,6 +100,12 @@
 		for _, p := range policies() {
 			rep.Runs = append(rep.Runs, Run{Trace: s.Name, Policy: p})
 		}
+		if len(s.Faults) == 0 {
+			rep.Runs = append(rep.Runs, Run{Trace: s.Name, Policy: Fifo}, Run{Trace: s.Name, Policy: Always})
+		}
+		if s.Heavy() { // nobody exceeds a limit on the other traces
+			rep.Runs = append(rep.Runs, Run{Trace: s.Name, Policy: NoLimits}, Run{Trace: s.Name, Policy: FifoNoLimits})
+		}
 	}
 	if len(rep.Runs) == 0 {
 		return nil, fmt.Errorf("no trace matches %v; gentrace --list names them", o.Traces)
@@ -103,9 +121,16 @@
 			if err != nil {
 				return fmt.Errorf("policy %s: %w", r.Policy, err)
 			}
-			o := replay.Options{Policy: p, Oracle: r.Policy == Oracle, Seed: seed}
-			if r.Policy == MoreReports {
-				o.ReportGap = moreReportsGap
+			o := replay.Options{Policy: p, Oracle: r.Policy == Oracle, Seed: seed, ReportGap: reportGap}
+			if r.Policy == FewReports {
+				o.ReportGap = 0
+			}
+			o.NoLimits = r.Policy == NoLimits || r.Policy == FifoNoLimits
+			if r.Policy == Always {
+				o.Placement = baseline.AlwaysID
+			}
+			if r.Policy == Fifo || r.Policy == FifoNoLimits {
+				o.Admission = fifo.ID
 			}
 			r.Result = replay.Run(trace.Generate(s), o)
 			return nil
--- a/bench/replay/agent.go
+++ b/bench/replay/agent.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/galenaweir/galenaweir/core/admission"
+	"github.com/galenaweir/galenaweir/core/placement"
 	"github.com/galenaweir/galenaweir/core/prefix"
 	"github.com/galenaweir/galenaweir/core/routing"
 )
@@ -25,15 +27,15 @@
 	level    level // of the import on the link
 	over     bool  // the customer is above its share of the prefill
 
-	tokens   int // to prefill, by the agent's estimate
-	tag      float64
-	cached   int
-	fetching bool
-	granted  bool
-	since    time.Duration // of the slot
-	left     int
-	computed func()
-	stopped  bool
+	tokens    int // to prefill, by the agent's estimate
+	admission *admission.Request
+	cached    int
+	fetching  bool
+	granted   bool
+	since     time.Duration // of the slot
+	left      int
+	computed  func()
+	stopped   bool
 }
 
 // maxEngineBacklog is the prefill work in the engine above which the agent holds
@@ -45,19 +47,22 @@
 
 // agent is the fake of one agent with its engine.
 type agent struct {
-	s        *sim
-	index    int
-	id       string
-	domain   string
-	engine   engine
-	queue    admission
-	version  int32
-	loading  bool
-	dead     bool
-	enRoute  int // prefill tokens sent by entries that have not arrived
-	granted  int // prefill tokens of work with a slot that waits for its import
-	slotTime time.Duration
-	live     map[*work]bool
+	s         *sim
+	index     int
+	id        string
+	domain    string
+	engine    engine
+	queue     *queue
+	version   int32
+	loading   bool
+	dead      bool
+	enRoute   int // prefill tokens sent by entries that have not arrived
+	granted   int // prefill tokens of work with a slot that waits for its import
+	slotTime  time.Duration
+	live      map[*work]bool
+	placement placement.Policy
+	returns   *placement.Returns
+	links     []linkUse // by store
 }
 
 // sortedWork gives a set of attempts an order that doesn't change between runs.
@@ -90,7 +95,7 @@
 			w.tokens = w.prompt - n
 		}
 	}
-	if !a.queue.offer(w, a.engine.ahead(w.class)+a.granted, a.s.c.now) {
+	if !a.queue.offer(w, a.s.weight(w.customer), a.s.c.now) {
 		w.entry.refused(w, a, false)
 		return
 	}
@@ -101,8 +106,9 @@
 	a.pump()
 }
 
-// importPays is the seam to core/placement: whether an import is faster than
-// recomputing, by the store's own state.
+// importPays tells whether an import is faster than recomputing, as agent/cache.go
+// decides it: core/placement has no part in imports. The agent knows the link's
+// queue by its own transfers; here it is the store's own.
 func importPays(st *store, w *work, tokens int, rate float64) bool {
 	if st.link.down {
 		return false
@@ -114,7 +120,10 @@
 func (a *agent) fetch(w *work, held, tokens int) {
 	w.fetching = true
 	epoch := a.engine.epoch
+	use := &a.links[a.s.storeIndex(w.key.conversation)]
+	use.add(1, a.s.c.now)
 	a.s.storeOf(w.key.conversation).fetch(w.key, tokens, w.level, func(ok bool) {
+		use.add(-1, a.s.c.now)
 		if epoch != a.engine.epoch {
 			return
 		}
@@ -132,15 +141,12 @@
 
 func (a *agent) pump() {
 	for a.engine.ahead(batchClass)+a.granted < maxEngineBacklog {
-		w := a.queue.next(a.engine.running)
+		w := a.queue.next(a.s.c.now)
 		if w == nil {
 			return
 		}
-		if w.stopped {
-			delete(a.live, w)
-			continue
-		}
 		if a.s.c.now >= w.deadline {
+			a.queue.policy.Done(w.admission, 0, at(a.s.c.now))
 			delete(a.live, w)
 			w.entry.refused(w, a, false)
 			continue
@@ -208,11 +214,16 @@
 		a.slotTime = held
 	}
 	a.slotTime += time.Duration(slotTimeWeight * float64(held-a.slotTime))
+	used := w.prompt
+	if whole {
+		used += w.output
+	}
+	a.queue.policy.Done(w.admission, used, at(a.s.c.now))
 	if whole {
 		tokens := w.prompt + w.output
 		a.engine.cache.put(w.key, tokens)
 		a.s.built(w.key, tokens)
-		a.s.announce(a, w.key, wholePieces(tokens))
+		a.export(w, wholePieces(tokens))
 	}
 	a.frame(w, func() { w.entry.end(w, whole) })
 	a.pump()
@@ -224,7 +235,12 @@
 		return
 	}
 	w.stopped = true
-	if w.granted && w.left == 0 && !w.fetching {
+	if !w.granted {
+		a.queue.cancel(w)
+		delete(a.live, w)
+		return
+	}
+	if w.left == 0 && !w.fetching {
 		a.end(w, false)
 	}
 }
@@ -242,7 +258,7 @@
 }
 
 func (a *agent) report() routing.Report {
-	r := routing.Report{Running: a.engine.running, Waiting: a.queue.waiting(), SlotTime: a.slotTime}
+	r := routing.Report{Running: a.engine.running, Waiting: len(a.queue.work), SlotTime: a.slotTime}
 	for class := range r.AheadTokens {
 		r.AheadTokens[class] = a.queue.ahead(class) + a.engine.ahead(class) + a.granted
 	}
@@ -258,5 +274,5 @@
 		a.s.c.after(silenceLimit, func() { w.entry.silent(w, a) })
 	}
 	a.live = map[*work]bool{}
-	a.queue = a.s.newAdmission()
+	a.queue = a.s.newQueue()
 }
--- a/core/admission/fair/fair.go
+++ b/core/admission/fair/fair.go
@@ -184,7 +184,9 @@
 // heavy reports whether the customer takes more than its share of the slots, by
 // the weights of the customers active in the class: it runs many more than that,
 // or has a backlog while it runs about that many. Tokens served in a window tell
-// it too late, and count light customers as heavy by chance.
+// it too late, and count light customers as heavy by chance. A customer that runs
+// nothing is never heavy: with more customers than slots all of them may wait, and
+// the free slots would be kept for nobody.
 func (p *Policy) heavy(c *class, id string) bool {
 	cu := c.customers[id]
 	if cu == nil || len(c.customers) < 2 {
@@ -194,7 +196,7 @@
 	if float64(cu.running) > slots+staffing*math.Sqrt(slots) {
 		return true // a burst shows here long before it shows in the tokens
 	}
-	if q := c.queues[id]; len(q) > 0 && float64(cu.running) >= slots-1 && p.decayed.Sub(q[0].Queued()) > p.service(q[0]) {
+	if q := c.queues[id]; len(q) > 0 && float64(cu.running) >= max(1, slots-1) && p.decayed.Sub(q[0].Queued()) > p.service(q[0]) {
 		return true // light customers don't wait that long
 	}
 	return false
@@ -265,8 +267,8 @@
 // farthest below it first, then the others by rank.
 func (p *Policy) classOrder() []string {
 	total := 0.0
-	for _, c := range p.classes {
-		total += c.served
+	for _, id := range p.order { // a fixed order, since the sum depends on it
+		total += p.classes[id].served
 	}
 	lack := func(id string) float64 {
 		c := p.classes[id]
@@ -355,13 +357,18 @@
 // forget drops customers without requests whose state no longer matters.
 func (p *Policy) forget(now time.Time) {
 	for _, c := range p.classes {
+		var idle []string
 		for id, cu := range c.customers {
 			if cu.running+cu.waiting == 0 && now.Sub(cu.seen) >= activeWindow {
-				c.weights -= cu.weight
-				delete(c.customers, id)
-				if c.finish[id] <= c.virtual || len(c.queues) == 0 {
-					delete(c.finish, id)
-				}
+				idle = append(idle, id)
+			}
+		}
+		slices.Sort(idle) // the sum of the weights depends on the order
+		for _, id := range idle {
+			c.weights -= c.customers[id].weight
+			delete(c.customers, id)
+			if c.finish[id] <= c.virtual || len(c.queues) == 0 {
+				delete(c.finish, id)
 			}
 		}
 	}
