Use 16 claim partitions by default

Cause: a keeper holds each claim of the key window, and the number of partitions can't be changed after the start. 8 partitions make a keeper hold twice what the log's limit of appends requires.

Section 7 and decision 0001 state why: 16 x 25 = 400 appends/s, which the log takes.

Result: go test ./core/config ./examples ./bench/local ./bench/capacity ./peer ./operator ./claimsvc passes.

Conclusion: the claims of a partition halve. bench/capacity still measures for 8 partitions until its figures are measured again.

--- a/bench/local/document.go
+++ b/bench/local/document.go
@@ -35,7 +35,7 @@
 		}}},
 		Endpoints: map[string]config.Endpoint{},
 		Policies:  config.Policies{Routing: "routing.prefix_cost", Admission: "admission.fair", Placement: "placement.value"},
-		Claims:    config.Claims{Partitions: 8, KeyWindowSeconds: 86_400, GroupIntervalMs: 40, MaxAnswerBytes: 65_536},
+		Claims:    config.Claims{Partitions: 16, KeyWindowSeconds: 86_400, GroupIntervalMs: 40, MaxAnswerBytes: 65_536},
 	}
 	for _, fd := range failureDomains {
 		doc.FailureDomains[fd] = config.FailureDomain{Region: "gujarat"}
--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -32,6 +32,7 @@
 // Limits of the document.
 const (
 	maxClaimPartitions   = 64
+	advisedPartitions    = 16 // 16 x 25 appends/s are what the log takes; the number can't be changed later
 	minKeyWindowSeconds  = 60
 	maxKeyWindowSeconds  = 7 * 24 * 3600
 	maxAnswerBytesLimit  = 256 << 10
@@ -201,7 +202,7 @@
 
 func (v *validator) claims() {
 	c := v.d.Claims
-	v.check(c.Partitions > 0 && c.Partitions <= maxClaimPartitions, "claims.partitions", "is outside 1 to 64", "use 8")
+	v.check(c.Partitions > 0 && c.Partitions <= maxClaimPartitions, "claims.partitions", "is outside 1 to 64", fmt.Sprintf("use %d", advisedPartitions))
 	v.check(c.KeyWindowSeconds >= minKeyWindowSeconds && c.KeyWindowSeconds <= maxKeyWindowSeconds, "claims.key_window_seconds", "is outside 60 to 604800", "use 86400, and at least an hour less than the log's retention")
 	v.check(c.GroupIntervalMs > 0 && c.GroupIntervalMs <= maxGroupIntervalMs, "claims.group_interval_ms", "is outside 1 to 1000", "use 40")
 	v.check(c.MaxAnswerBytes > 0 && c.MaxAnswerBytes <= maxAnswerBytesLimit, "claims.max_answer_bytes", "is outside 1 to 262144", "use 65536")
--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -16,6 +16,10 @@
 	"github.com/galenaweir/galenaweir/settings"
 )
 
+// claimPartitions is the default of docs/design.md, section 7. A deployment that
+// starts with fewer can't get more later.
+const claimPartitions = 16
+
 // Guards against examples that the programs refuse, that differ from the
 // deployments of docs/design.md, section 1, or whose demo keys don't work.
 func TestExamples(t *testing.T) {
@@ -37,6 +41,7 @@
 			require.Len(t, doc.FailureDomains, c.domains)
 			require.Len(t, doc.Customers, 10)
 			require.Len(t, doc.Stores, 2)
+			require.Equal(t, claimPartitions, doc.Claims.Partitions)
 			require.Equal(t, c.maxLoading, doc.Models[c.model].MaxLoading)
 			count := map[string]int{}
 			addresses := map[string]bool{}
