Keep the answers of settled claims in the log

Change: a kept claim is a struct of 120 bytes without pointers, in chunks. It has the offset and index of its outcome's record, a binary attempt ID and the numbers of executor and incarnation strings, which are counted and dropped with their last use. A repeat is a command to the edge to read the record again, one read for all that wait. While that fails, or after 1 s, the repeat gets log_unavailable, ran, retryable. A trimmed outcome counts as an answer that was not kept. The fault test also fails and delays these reads, and requires an outcome in the log behind each reply that says ran. TestRules reads the outcome's body by its place, as a repeat does.

The refusal in await of agent/payment.go has no test of its own.

Conclusion: an idempotent call whose answer is recorded runs unclaimed while the log is unavailable; before, the keeper's memory answered it.

--- a/agent/payment.go
+++ b/agent/payment.go
@@ -86,6 +86,11 @@
 		p.close()
 		return nil, refusedNotRun(ctx, ctx.Err())
 	case rpc.ClaimReply_RESULT_UNAVAILABLE:
+		if reply.State.GetOutcome() != nil {
+			p.attempt.Close()
+			p.a.calls.drop(p.id) // an outcome keeps the key for good: nothing to release
+			return nil, p.unreadable(reply.State, reply.Error)
+		}
 		p.close()
 		if reply.State.GetAttemptId() != "" && reply.State.AttemptId != p.id {
 			return nil, unknownOutcome("an earlier request with the key has no recorded outcome, and the log is unavailable")
@@ -202,6 +207,9 @@
 	pause, lost := firstAwaitPause, false
 	for {
 		reply, err := p.a.o.ClaimClient.Lookup(ctx, p.partition, p.key)
+		if err == nil && reply.Error != nil && reply.State.GetOutcome() != nil {
+			return nil, p.unreadable(reply.State, reply.Error)
+		}
 		if err == nil && reply.Error == nil {
 			switch {
 			case !reply.Found || reply.State.AttemptId != holder.AttemptId && reply.State.Outcome == nil:
@@ -223,6 +231,15 @@
 	}
 }
 
+// unreadable is the refusal while the answer of an earlier run can't be read from
+// the log.
+func (p *payment) unreadable(s *rpc.ClaimState, cause *rpc.Error) error {
+	if hashDiffers(s.BodyHash, p.body) {
+		return keyReused(s)
+	}
+	return rpc.DecodeError(cause)
+}
+
 func hashDiffers(b []byte, h claims.Hash) bool { return string(b) != string(h[:]) }
 
 // holderRuns reports whether the executor may still record the attempt's
--- a/claimsvc/partition.go
+++ b/claimsvc/partition.go
@@ -93,6 +93,9 @@
 	if c.Read != nil {
 		go p.read(ctx, c.Read)
 	}
+	for _, at := range c.Outcomes {
+		go p.readOutcome(ctx, at)
+	}
 }
 
 func (p *partition) append(ctx context.Context, a *claims.Append) {
@@ -126,3 +129,26 @@
 		return k.ReadDone(now, r.Seq, pageOf(p.stream, page))
 	})
 }
+
+// outcomeTimeout bounds the read of an outcome. It is shorter than keeperTimeout, so
+// that the repeat still learns from the keeper that the request ran.
+const outcomeTimeout = time.Second
+
+// readOutcome reads an outcome's entry again for a repeat.
+func (p *partition) readOutcome(ctx context.Context, at claims.Position) {
+	one, cancel := context.WithTimeout(ctx, outcomeTimeout)
+	defer cancel()
+	page, err := p.log.Read(one, p.stream, at.Offset, 0)
+	if err != nil {
+		log.Warn().Str("stream", p.stream).Int64("offset", at.Offset).Err(err).Msg("read of an outcome failed")
+	}
+	if len(page.Records) > 1 {
+		page.Records = page.Records[:1] // spares the decoding of what follows
+	}
+	_ = p.post(ctx, func(k *claims.Keeper, now time.Time) claims.Commands { // fails only at the end
+		if err != nil {
+			return k.OutcomeFailed(now, at)
+		}
+		return k.OutcomeRead(now, at, pageOf(p.stream, page))
+	})
+}
--- a/claimsvc/payment_test.go
+++ b/claimsvc/payment_test.go
@@ -140,12 +140,23 @@
 	}
 }
 
-// TestLogUnavailable guards against payments without a claim, and against
-// lookups that stop while the log is unavailable.
+// TestLogUnavailable guards against payments without a claim, against repeats that
+// are not told that the request ran, and against lookups that stop while the log is
+// unavailable.
 func TestLogUnavailable(t *testing.T) {
 	d := newDeployment(t, 3)
-	require.Equal(t, 200, d.send(request{key: newKey(t), body: payment("before")}).status)
+	before := request{key: newKey(t), body: payment("before")}
+	first := d.send(before)
+	require.Equal(t, 200, first.status)
+	require.Equal(t, first.body, d.send(before).body, "the outcome is recorded")
 	d.log.SetFaults(standinlog.Faults{Outage: true})
+	for _, r := range []request{before, {method: "GET", path: "/v1/outcomes/" + before.key}} {
+		a := d.send(r)
+		require.Equal(t, []string{"log_unavailable", "ran"}, []string{a.err.Type, a.err.Ran}, a.body)
+		require.True(t, a.err.Retryable)
+	}
+	reused := d.send(request{key: before.key, body: payment("other")})
+	require.Equal(t, []string{"key_reused", "ran"}, []string{reused.err.Type, reused.err.Ran}, reused.body)
 	key := newKey(t)
 	for range 5 {
 		a := d.send(request{key: key, body: payment("p")})
@@ -159,6 +170,7 @@
 	d.log.SetFaults(standinlog.Faults{})
 	require.Equal(t, 200, d.payUntil(request{key: key, body: payment("p")}).status)
 	require.Equal(t, 1, d.ledger.Effects("p"))
+	require.Equal(t, 1, d.ledger.Effects("before"))
 }
 
 // TestServiceFaults guards against a second dispatch when the service takes
--- a/claimsvc/service.go
+++ b/claimsvc/service.go
@@ -132,9 +132,14 @@
 	return p, nil
 }
 
-// unavailable is the error of a request that the log did not take.
-func unavailable(cause error) *apierr.Error {
-	return apierr.Retry(apierr.LogUnavailable, apierr.Unknown, logRetryAfter, "the platform's log is unavailable", "retry with the same key; a new key could run the request twice").WithCause(cause)
+// unavailable is the error of a request that the log did not take, or of a repeat
+// whose outcome could not be read again.
+func unavailable(cause error, h claims.Holding) *apierr.Error {
+	ran := apierr.Unknown
+	if h.Settled {
+		ran = apierr.DidRun
+	}
+	return apierr.Retry(apierr.LogUnavailable, ran, logRetryAfter, "the platform's log is unavailable", "retry with the same key; a new key could run the request twice").WithCause(cause)
 }
 
 // Claim implements the call of rpc.AgentServer.
@@ -149,12 +154,12 @@
 	}
 	r, err := p.ask(ctx, func(k *claims.Keeper, now time.Time, id claims.ReqID) claims.Commands { return k.Claim(now, id, c) })
 	if err != nil {
-		return &rpc.ClaimReply{Result: rpc.ClaimReply_RESULT_UNAVAILABLE, Error: rpc.EncodeError(unavailable(err))}, nil
+		return &rpc.ClaimReply{Result: rpc.ClaimReply_RESULT_UNAVAILABLE, Error: rpc.EncodeError(unavailable(err, r.Holding))}, nil
 	}
 	reply := &rpc.ClaimReply{Result: claimResults[r.Result], State: stateOf(r.Holding)}
 	switch r.Result {
 	case claims.ResultUnavailable:
-		reply.Error = rpc.EncodeError(unavailable(nil))
+		reply.Error = rpc.EncodeError(unavailable(nil, r.Holding))
 	case claims.ResultExpired:
 		reply.Error = rpc.EncodeError(apierr.New(apierr.KeyExpired, apierr.NotRun, "the key is outside its window", "check with the service before using a new key"))
 	}
@@ -181,7 +186,7 @@
 	}
 	r, err := p.ask(ctx, func(k *claims.Keeper, now time.Time, id claims.ReqID) claims.Commands { return k.Record(now, id, rec) })
 	if err != nil || r.Result != claims.ResultDone {
-		return &rpc.RecordOutcomeReply{Error: rpc.EncodeError(unavailable(err))}, nil
+		return &rpc.RecordOutcomeReply{Error: rpc.EncodeError(unavailable(err, r.Holding))}, nil
 	}
 	return &rpc.RecordOutcomeReply{}, nil
 }
@@ -195,7 +200,7 @@
 	key := hashOf(req.KeyHash)
 	r, err := p.ask(ctx, func(k *claims.Keeper, now time.Time, id claims.ReqID) claims.Commands { return k.Lookup(now, id, key) })
 	if err != nil || r.Result == claims.ResultUnavailable {
-		return &rpc.LookupOutcomeReply{State: stateOf(r.Holding), Error: rpc.EncodeError(unavailable(err))}, nil
+		return &rpc.LookupOutcomeReply{State: stateOf(r.Holding), Error: rpc.EncodeError(unavailable(err, r.Holding))}, nil
 	}
 	return &rpc.LookupOutcomeReply{Found: r.Result != claims.ResultNone, State: stateOf(r.Holding)}, nil
 }
@@ -211,7 +216,7 @@
 		return k.Observe(now, id, resource, req.Version)
 	})
 	if err != nil {
-		return &rpc.ObserveVersionReply{Error: rpc.EncodeError(unavailable(err))}, nil
+		return &rpc.ObserveVersionReply{Error: rpc.EncodeError(unavailable(err, r.Holding))}, nil
 	}
 	return &rpc.ObserveVersionReply{Result: observeResults[r.Result], Floor: r.Floor}, nil
 }
--- a/claimsvc/wire.go
+++ b/claimsvc/wire.go
@@ -110,8 +110,11 @@
 	s := &rpc.ClaimState{
 		AttemptId: h.Claim.Attempt, Executor: h.Claim.Executor, ExecutorIncarnation: h.Claim.Incarnation, BodyHash: h.Claim.Body[:],
 	}
-	if h.Outcome != nil {
+	switch {
+	case h.Outcome != nil:
 		s.Outcome = encodeOutcome(*h.Outcome)
+	case h.Settled:
+		s.Outcome = &rpc.Outcome{} // tells that the request ran; it was not read again
 	}
 	return s
 }
--- a/core/claims/faults_test.go
+++ b/core/claims/faults_test.go
@@ -43,7 +43,7 @@
 			"settle": w.settle, "close": w.close, "lookup": w.lookup, "observe": w.observe,
 			"reply": w.reply, "reply2": w.reply, "reply3": w.reply, "crash executor": w.crashExecutor, "crash keeper": w.crashKeeper, "land": w.land,
 			"append": w.appendEnds, "append2": w.appendEnds, "append3": w.appendEnds, "read": w.readEnds, "read2": w.readEnds, "read3": w.readEnds, "read4": w.readEnds,
-			"tick": w.tick, "age": w.age,
+			"tick": w.tick, "age": w.age, "outcome": w.outcomeEnds, "outcome2": w.outcomeEnds,
 		})
 		if w.trims {
 			return
--- a/core/claims/keeper.go
+++ b/core/claims/keeper.go
@@ -49,9 +49,10 @@
 
 // Commands are what an input leads to. The edge carries all of them out.
 type Commands struct {
-	Append  *Append
-	Read    *Read
-	Replies []Reply
+	Append   *Append
+	Read     *Read
+	Outcomes []Position // outcomes to read again; OutcomeRead or OutcomeFailed follows for each
+	Replies  []Reply
 }
 
 // AppendResult tells how an append ended.
@@ -130,13 +131,14 @@
 	claims   []*claimWait
 	lookups  []lookupWait
 	observes []*observeWait
-	memory   map[Hash]uint64 // floors that the log has not taken
+	repeats  map[Position][]Reply // wait for their outcome to be read again
+	memory   map[Hash]uint64      // floors that the log has not taken
 	out      Commands
 }
 
 // NewKeeper returns a keeper that has read nothing.
 func NewKeeper(o Options) *Keeper {
-	return &Keeper{o: o, st: NewState(), memory: map[Hash]uint64{}}
+	return &Keeper{o: o, st: NewState(), repeats: map[Position][]Reply{}, memory: map[Hash]uint64{}}
 }
 
 // State returns what the keeper knows of the partition, for reading only.
@@ -145,7 +147,14 @@
 // Ready reports whether the keeper's last read reached the tail of the log.
 func (k *Keeper) Ready() bool { return k.readAll && !k.down }
 
-func (k *Keeper) reply(r Reply) { k.out.Replies = append(k.out.Replies, r) }
+// reply queues the reply. One with an outcome waits until the outcome was read.
+func (k *Keeper) reply(r Reply) {
+	if r.Result == ResultSettled && r.Holding.Outcome == nil {
+		k.readOutcome(r)
+		return
+	}
+	k.out.Replies = append(k.out.Replies, r)
+}
 
 // flush starts what is due and returns all commands.
 func (k *Keeper) flush(now time.Time) Commands {
@@ -203,7 +212,7 @@
 func (k *Keeper) Claim(now time.Time, req ReqID, c Claim) Commands {
 	h, held := k.st.Holding(c.Key)
 	switch {
-	case held && h.Outcome != nil:
+	case held && h.Settled:
 		k.reply(k.describe(req, c, h))
 	case CheckWindow(time.UnixMilli(c.KeyTimeMs), now, k.o.Window) != nil:
 		k.reply(Reply{Req: req, Result: ResultExpired})
@@ -242,7 +251,7 @@
 	switch {
 	case h.Claim.Body != c.Body:
 		return Reply{Req: req, Result: ResultKeyReused, Holding: h}
-	case h.Outcome != nil:
+	case h.Settled:
 		return Reply{Req: req, Result: ResultSettled, Holding: h}
 	}
 	return Reply{Req: req, Result: ResultPending, Holding: h}
@@ -256,7 +265,7 @@
 
 // Lookup takes a request for what is known of a key.
 func (k *Keeper) Lookup(now time.Time, req ReqID, key Hash) Commands {
-	if h, ok := k.st.Holding(key); ok && h.Outcome != nil {
+	if h, ok := k.st.Holding(key); ok && h.Settled {
 		k.reply(Reply{Req: req, Result: ResultSettled, Holding: h})
 	} else if k.down {
 		k.reply(Reply{Req: req, Result: ResultUnavailable, Holding: h})
--- a/core/claims/progress.go
+++ b/core/claims/progress.go
@@ -242,7 +242,7 @@
 	switch {
 	case s == Valid && !k.st.Covers(w.claim.KeyTimeMs):
 		return Reply{Result: ResultUnavailable}
-	case s == Valid && h.Outcome == nil:
+	case s == Valid && !h.Settled:
 		return Reply{Result: ResultGranted}
 	case held:
 		return k.describe(0, w.claim, h)
@@ -259,7 +259,7 @@
 			rest = append(rest, w)
 		case !held:
 			k.reply(Reply{Req: w.req, Result: ResultNone})
-		case h.Outcome != nil:
+		case h.Settled:
 			k.reply(Reply{Req: w.req, Result: ResultSettled, Holding: h})
 		default:
 			k.reply(Reply{Req: w.req, Result: ResultPending, Holding: h})
--- a/core/claims/state.go
+++ b/core/claims/state.go
@@ -1,12 +1,12 @@
 package claims
 
 import (
-	"container/heap"
+	"math"
 	"time"
 )
 
 // Standing tells how the log has judged an attempt.
-type Standing int
+type Standing uint8
 
 // The standings. All but Unseen are final, except that Valid may become Released.
 const (
@@ -20,13 +20,15 @@
 // Holding is the valid claim of a key that is in effect.
 type Holding struct {
 	Claim   Claim
-	Outcome *Outcome // nil until it is recorded
+	Settled bool     // its outcome is recorded
+	At      Position // of the outcome's record, when Settled
+	Outcome *Outcome // read again from the log for ResultSettled, else nil
 }
 
-// judged is the standing of one attempt.
-type judged struct {
-	standing Standing
-	key      Hash
+// Position is the place of a record in the log.
+type Position struct {
+	Offset int64 // of its entry
+	Index  int   // in its entry
 }
 
 // maxKeyWindow is the longest key window that a configuration may set.
@@ -36,7 +38,7 @@
 // be forgotten.
 type voidMark struct {
 	offset, stampMs int64
-	attempt         string
+	attempt         attemptID
 }
 
 type floorMark struct {
@@ -52,26 +54,30 @@
 // State is what one reader knows of a claim partition. Every reader that has
 // applied the same entries has judged every claim alike.
 type State struct {
-	began    bool  // a page was read, if only an empty one
-	next     int64 // offset of the next entry to apply
-	start    int64 // offset of the first entry applied
-	startMs  int64 // its stamp, zero before it is known
-	logMs    int64 // the latest stamp
-	holdings map[Hash]*Holding
-	attempts map[string]judged
+	began    bool                 // a page was read, if only an empty one
+	next     int64                // offset of the next entry to apply
+	start    int64                // offset of the first entry applied
+	startMs  int64                // its stamp, zero before it is known
+	logMs    int64                // the latest stamp
+	holdings map[Hash]uint32      // numbers of kept claims
+	attempts map[attemptID]uint32 // numbers of kept claims, or voided
+	kept     arena
+	names    names
 	floors   map[Hash]floor
 	voids    []voidMark
 	shown    []floorMark
-	expiry   expiryHeap
 	// forgottenMs is the latest key time among the forgotten holdings. Claims of
 	// keys up to it are invalid, so that a longer key window in a later
 	// configuration can't revive a key that was forgotten under a shorter one.
 	forgottenMs int64
 }
 
+// voided stands for an attempt whose void or release came before its claim.
+const voided = math.MaxUint32
+
 // NewState returns a state that has read nothing.
 func NewState() *State {
-	return &State{holdings: map[Hash]*Holding{}, attempts: map[string]judged{}, floors: map[Hash]floor{}}
+	return &State{holdings: map[Hash]uint32{}, attempts: map[attemptID]uint32{}, names: newNames(), floors: map[Hash]floor{}}
 }
 
 // Next returns the offset of the next entry to apply.
@@ -82,15 +88,43 @@
 
 // Holding returns the claim that holds the key.
 func (s *State) Holding(key Hash) (Holding, bool) {
-	h, ok := s.holdings[key]
+	i, ok := s.holdings[key]
 	if !ok {
 		return Holding{}, false
 	}
-	return *h, true
+	k := s.kept.at(i)
+	h := Holding{Settled: k.settled, Claim: Claim{
+		Key: k.key, Body: k.body, Attempt: s.names.attemptText(k.attempt), Executor: s.names.list[k.executor].text,
+		Incarnation: s.names.list[k.incarnation].text, KeyTimeMs: k.keyTimeMs, ExpiresMs: k.expiresMs,
+	}}
+	if k.settled {
+		h.At = Position{k.outcomeOffset, int(k.outcomeIndex)}
+	}
+	return h, true
 }
 
 // Standing returns how the log has judged the attempt.
-func (s *State) Standing(attempt string) Standing { return s.attempts[attempt].standing }
+func (s *State) Standing(attempt string) Standing {
+	_, standing := s.judged(attempt)
+	return standing
+}
+
+// judged returns the attempt's claim, nil when it has none, and its standing.
+func (s *State) judged(attempt string) (*kept, Standing) {
+	id, ok := s.names.findAttempt(attempt)
+	if !ok {
+		return nil, Unseen
+	}
+	i, ok := s.attempts[id]
+	switch {
+	case !ok:
+		return nil, Unseen
+	case i == voided:
+		return nil, Voided
+	}
+	k := s.kept.at(i)
+	return k, k.standing
+}
 
 // Floor returns the resource's floor, zero when there is none.
 func (s *State) Floor(resource Hash) uint64 { return s.floors[resource].version }
@@ -134,7 +168,7 @@
 	}
 	s.logMs = max(s.logMs, e.TimeMs)
 	s.expire()
-	for _, r := range e.Records {
+	for i, r := range e.Records {
 		switch r.Kind {
 		case KindClaim:
 			s.claim(r.Claim, e.TimeMs)
@@ -143,7 +177,7 @@
 		case KindRelease:
 			s.release(r.Attempt, e)
 		case KindOutcome:
-			s.outcome(r.Attempt, r.Outcome)
+			s.outcome(r.Attempt, Position{e.Offset, i})
 		case KindFloor:
 			if r.Version > s.floors[r.Resource].version {
 				s.floors[r.Resource] = floor{r.Version, e.Offset}
@@ -157,60 +191,68 @@
 // changes nothing.
 func (s *State) claim(c Claim, stampMs int64) {
 	switch {
-	case s.attempts[c.Attempt].standing != Unseen:
+	case s.Standing(c.Attempt) != Unseen:
 		return
 	case stampMs > c.ExpiresMs, c.KeyTimeMs <= s.forgottenMs, c.KeyTimeMs > stampMs+FutureLimit.Milliseconds():
 		return // outside the window by the log's own clock
 	}
-	standing := Valid
-	if _, held := s.holdings[c.Key]; held {
-		standing = Invalid
-	} else {
-		s.holdings[c.Key] = &Holding{Claim: c}
+	_, held := s.holdings[c.Key]
+	k := kept{
+		key: c.Key, body: c.Body, attempt: s.names.addAttempt(c.Attempt), keyTimeMs: c.KeyTimeMs, expiresMs: c.ExpiresMs,
+		executor: s.names.add(c.Executor), incarnation: s.names.add(c.Incarnation), standing: Valid,
+	}
+	if held {
+		k.standing = Invalid
+	}
+	i := s.kept.add(k)
+	s.attempts[k.attempt] = i
+	if !held {
+		s.holdings[c.Key] = i
 	}
-	s.attempts[c.Attempt] = judged{standing, c.Key}
-	heap.Push(&s.expiry, expiry{c.ExpiresMs, c.Attempt})
 }
 
 func (s *State) void(attempt string, e Entry) {
-	if s.attempts[attempt].standing == Unseen {
-		s.attempts[attempt] = judged{standing: Voided}
-		s.voids = append(s.voids, voidMark{e.Offset, e.TimeMs, attempt})
+	if s.Standing(attempt) == Unseen {
+		id := s.names.addAttempt(attempt)
+		s.attempts[id] = voided
+		s.voids = append(s.voids, voidMark{e.Offset, e.TimeMs, id})
 	}
 }
 
 func (s *State) release(attempt string, e Entry) {
-	j := s.attempts[attempt]
-	if j.standing == Unseen {
+	k, standing := s.judged(attempt)
+	if standing == Unseen {
 		s.void(attempt, e)
 		return
 	}
-	h, ok := s.holdings[j.key]
-	if j.standing != Valid || !ok || h.Outcome != nil {
+	if standing != Valid || k.settled {
 		return // an outcome proves that the attempt ran
 	}
-	delete(s.holdings, j.key)
-	s.attempts[attempt] = judged{Released, j.key}
+	delete(s.holdings, k.key)
+	k.standing = Released
 }
 
-func (s *State) outcome(attempt string, o Outcome) {
-	j := s.attempts[attempt]
-	if h, ok := s.holdings[j.key]; ok && j.standing == Valid && h.Outcome == nil {
-		h.Outcome = &o
+func (s *State) outcome(attempt string, at Position) {
+	if k, standing := s.judged(attempt); standing == Valid && !k.settled {
+		k.settled, k.outcomeOffset, k.outcomeIndex = true, at.Offset, uint32(at.Index)
 	}
 }
 
 // expire forgets the claims that no later entry can repeat validly.
 func (s *State) expire() {
-	for len(s.expiry) > 0 && s.expiry[0].expiresMs < s.logMs {
-		e := heap.Pop(&s.expiry).(expiry)
-		j := s.attempts[e.attempt]
-		delete(s.attempts, e.attempt)
-		if j.standing != Valid {
-			continue
+	for {
+		k, ok := s.kept.expired(s.logMs)
+		if !ok {
+			return
+		}
+		delete(s.attempts, k.attempt)
+		s.names.dropAttempt(k.attempt)
+		s.names.drop(k.executor)
+		s.names.drop(k.incarnation)
+		if k.standing == Valid {
+			s.forgottenMs = max(s.forgottenMs, k.keyTimeMs)
+			delete(s.holdings, k.key)
 		}
-		s.forgottenMs = max(s.forgottenMs, s.holdings[j.key].Claim.KeyTimeMs)
-		delete(s.holdings, j.key)
 	}
 }
 
@@ -227,27 +269,8 @@
 	s.shown = s.shown[n:]
 	old := s.logMs - (maxKeyWindow + FutureLimit).Milliseconds()
 	for n = 0; n < len(s.voids) && s.voids[n].offset < first && s.voids[n].stampMs < old; n++ {
-		if a := s.voids[n].attempt; s.attempts[a].standing == Voided {
-			delete(s.attempts, a)
-		}
+		delete(s.attempts, s.voids[n].attempt)
+		s.names.dropAttempt(s.voids[n].attempt)
 	}
 	s.voids = s.voids[n:]
 }
-
-type expiry struct {
-	expiresMs int64
-	attempt   string
-}
-
-type expiryHeap []expiry
-
-func (h expiryHeap) Len() int           { return len(h) }
-func (h expiryHeap) Less(i, j int) bool { return h[i].expiresMs < h[j].expiresMs }
-func (h expiryHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *expiryHeap) Push(x any)        { *h = append(*h, x.(expiry)) }
-func (h *expiryHeap) Pop() any {
-	old := *h
-	x := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return x
-}
--- a/core/claims/state_test.go
+++ b/core/claims/state_test.go
@@ -59,9 +59,11 @@
 			h, held := s.Holding(KeyHash("c", "k"))
 			require.Equal(t, c.holder, h.Claim.Attempt)
 			require.Equal(t, c.holder != "", held)
-			require.Equal(t, c.body != "", h.Outcome != nil)
+			require.Equal(t, c.body != "", h.Settled)
 			if c.body != "" {
-				require.Equal(t, c.body, string(h.Outcome.Body))
+				o, ok := p.outcome(h.At, c.holder)
+				require.True(t, ok)
+				require.Equal(t, c.body, string(o.Body))
 			}
 		})
 	}
--- a/core/claims/world_test.go
+++ b/core/claims/world_test.go
@@ -26,7 +26,8 @@
 	*Keeper
 	append *Append
 	read   *Read
-	early  Page // what the read would have seen when it began
+	asked  []Position // outcomes to read again
+	early  Page       // what the read would have seen when it began
 }
 
 // world is a log, two keepers and their executors. Every step is drawn.
@@ -79,7 +80,11 @@
 	if c.Read != nil {
 		k.read, k.early = c.Read, w.page(c.Read.From)
 	}
+	k.asked = append(k.asked, c.Outcomes...)
 	for _, r := range c.Replies {
+		if h := r.Holding; h.Settled && !(w.firstValid(h.Claim.Attempt) && w.recorded(h.Claim.Attempt)) {
+			w.t.Fatalf("told to have run without an outcome in the log: %+v", h)
+		}
 		if r.Result == ResultGranted && !w.firstValid(w.asked[r.Req].Input.(input).claim.Attempt) {
 			w.t.Fatalf("granted without the first valid claim: %+v", w.asked[r.Req].Input)
 		}
@@ -131,6 +136,33 @@
 	return false
 }
 
+func (w *world) recorded(attempt string) bool {
+	for _, e := range w.log {
+		for _, r := range e.Records {
+			if r.Kind == KindOutcome && r.Attempt == attempt {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// outcomeEnds ends one read of an outcome.
+func (w *world) outcomeEnds(t *rapid.T) {
+	k := w.keeper()
+	if len(k.asked) == 0 {
+		t.Skip("no read of an outcome")
+	}
+	i := w.draw("outcome", len(k.asked))
+	at := k.asked[i]
+	k.asked = append(k.asked[:i:i], k.asked[i+1:]...)
+	if w.draw("end", 4) == 0 {
+		w.do(k, k.OutcomeFailed(w.now, at))
+		return
+	}
+	w.do(k, k.OutcomeRead(w.now, at, w.page(at.Offset)))
+}
+
 // ask sends a request and notes it in the history.
 func (w *world) ask(k *simKeeper, in input) {
 	req := ReqID(len(w.asked) + 1)
--- a/entry/outcomes.go
+++ b/entry/outcomes.go
@@ -45,9 +45,13 @@
 	if err == nil {
 		err = rpc.DecodeError(reply.Error)
 	}
+	ran := apierr.Unknown
+	if reply.GetState().GetOutcome() != nil {
+		ran = apierr.DidRun
+	}
 	switch {
 	case err != nil:
-		e.fail(c, apierr.Retry(apierr.LogUnavailable, apierr.Unknown, lookupRetryAfter, "the outcome could not be looked up", "retry the lookup").WithCause(err))
+		e.fail(c, apierr.Retry(apierr.LogUnavailable, ran, lookupRetryAfter, "the outcome could not be looked up", "retry the lookup").WithCause(err))
 	case !reply.Found:
 		e.fail(c, apierr.New(apierr.NotFound, apierr.Unknown, "no request with this key is on record; one may still be on its way", "repeat the request with the same key"))
 	default:
