Measure kept claims as decoded from the log

Cause: the measurement shared strings between the claims, so that it gave less than a keeper holds.

Change: bench/cmd/claims encodes and decodes the records.

--- a/bench/cmd/claims/main.go
+++ b/bench/cmd/claims/main.go
@@ -75,7 +75,12 @@
 			os.Exit(1)
 		}
 	}
-	fmt.Printf("memory for each kept claim with an answer of %d bytes: %d bytes\n", answerBytes, memory(o.Kept))
+	each, err := memory(o.Kept)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "memory:", err)
+		os.Exit(1)
+	}
+	fmt.Printf("memory for each of %d kept claims with an answer of %d bytes: %d bytes\n", o.Kept, answerBytes, each)
 }
 
 // result is what the payments of one rate came to.
@@ -166,22 +171,28 @@
 	return float64(d) / float64(time.Millisecond)
 }
 
-// memory returns the heap bytes of one kept claim.
-func memory(kept int) uint64 {
+// memory returns the heap bytes of one kept claim. The records are encoded and
+// decoded as from the log, so that no two claims share a string by chance.
+func memory(kept int) (uint64, error) {
 	const group = claims.MaxGroup / 2
+	const uuidForm = "018cc251-f400-7000-8000-%012x"
 	s, before := claims.NewState(), heap()
 	for o := range kept / group {
-		e := claims.Entry{Offset: int64(o), TimeMs: 1}
+		var rs []claims.Record
 		for i := range group {
-			id := fmt.Sprintf("%036d", o*group+i) // the length of a UUID
-			c := claims.Claim{Key: claims.KeyHash("customer", id), Attempt: id, Executor: agentID, Incarnation: id[1:], KeyTimeMs: 1, ExpiresMs: 2}
-			e.Records = append(e.Records, claims.Record{Kind: claims.KindClaim, Attempt: id, Claim: c},
-				claims.Record{Kind: claims.KindOutcome, Attempt: id, Outcome: claims.Outcome{Status: 200, Body: make([]byte, answerBytes), BodyKept: true}})
+			id := fmt.Sprintf(uuidForm, o*group+i)
+			c := claims.Claim{Key: claims.KeyHash("customer", id), Attempt: id, Executor: agentID, Incarnation: fmt.Sprintf(uuidForm, 0), KeyTimeMs: 1, ExpiresMs: 2}
+			rs = append(rs, claims.Record{Kind: claims.KindClaim, Attempt: id, Claim: c},
+				claims.Record{Kind: claims.KindOutcome, Attempt: id, Outcome: claims.Outcome{Status: 200, ContentType: "application/json", Body: make([]byte, answerBytes), BodyKept: true}})
+		}
+		data, err := claimsvc.GroupData(rs, agentID)
+		if err != nil {
+			return 0, err
 		}
-		s.Read(claims.Page{Next: int64(o) + 1, Entries: []claims.Entry{e}})
+		s.Read(claimsvc.DecodePage(claimsvc.Stream(0), logsvc.Page{Next: int64(o) + 1, Records: []logsvc.Record{{Offset: int64(o), TimeMs: 1, Data: data}}}))
 	}
 	used := heap() - before
-	return used / uint64(s.Size())
+	return used / uint64(s.Size()), nil
 }
 
 func heap() uint64 {
