--- a/bench/capacity/derived.go
+++ b/bench/capacity/derived.go
@@ -138,7 +138,7 @@
 	"region_merge_time":      "section 5 says within seconds, read here as a minute. A process finds the other side by probing one gone member every 10 s, and then fetches its list of members.",
 	"region_merge_most_time": "as for the time until all agree.",
 	"routing_cpu":            "the policy passes over every candidate. An entry only offers the endpoints of the request's model, a fifth of them at the target, which stays under the limit; the limit of section 14 is stated for all of them. The machine was shared while it was measured.",
-	"claim_memory":           "the keeper holds every claim of the key window of 24 h with its recorded answer, and so does its standby. Keeping only the offset of an outcome and reading it from the log for a repeat would leave about the claim itself; more partitions (up to 64) divide it; a shorter key window lowers it in proportion.",
+	"claim_memory":           "the keeper holds every claim of the key window of 24 h, and so does its standby; the answers stay in the log. More partitions (up to 64) divide it; a shorter key window lowers it in proportion.",
 	"claim_cpu":              "the coding of claims grows with their number; more partitions divide it.",
 	"config_fan_out":         "the change waits for the polls and for the exchanges on the ring.",
 	"directory_bytes":        "the index of the shard is a hash map, which holds up to twice its entries after it has grown.",
