Answer unknown to a repeat whose key was dispatched

Change: an agent remembers the keys that it has dispatched, and an entry those whose last answer was unknown; both answer unknown in place of not_run. Result: TestRepeatWhileKeepersForgot fails without either guard and passes with both; go test -race ./claimsvc ./entry ./agent passes.

--- a/agent/call.go
+++ b/agent/call.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	lru "github.com/hashicorp/golang-lru/v2"
 
 	"github.com/galenaweir/galenaweir/core/apierr"
 	"github.com/galenaweir/galenaweir/core/claims"
@@ -42,14 +43,25 @@
 
 	mu   sync.Mutex
 	held map[string]bool // attempts whose outcome or release is not recorded yet
+
+	// dispatched are the keys that this incarnation has sent to a service, so
+	// that a repeat isn't told not_run while the log can't tell what became of
+	// them. The least recent ones are forgotten first.
+	dispatched *lru.Cache[claims.Hash, struct{}]
 }
 
+const maxDispatchedKeys = 50_000
+
 // newCalls returns an incarnation without attempts. Without keep-alive every
 // request has a connection of its own: net/http repeats a request by itself only
 // on a connection that was used before.
 func newCalls() *calls {
+	dispatched, err := lru.New[claims.Hash, struct{}](maxDispatchedKeys)
+	if err != nil {
+		panic(err) // only for a size that isn't positive
+	}
 	return &calls{
-		incarnation: uuid.NewString(), held: map[string]bool{},
+		incarnation: uuid.NewString(), held: map[string]bool{}, dispatched: dispatched,
 		transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true},
 	}
 }
--- a/agent/payment.go
+++ b/agent/payment.go
@@ -76,7 +76,7 @@
 	reply, err := p.claim(ctx)
 	if err != nil {
 		p.close()
-		return nil, refusedNotRun(ctx, err)
+		return nil, p.refused(ctx, err)
 	}
 	switch reply.Result {
 	case rpc.ClaimReply_RESULT_GRANTED:
@@ -84,7 +84,7 @@
 			return p.dispatch(ctx)
 		}
 		p.close()
-		return nil, refusedNotRun(ctx, ctx.Err())
+		return nil, p.refused(ctx, ctx.Err())
 	case rpc.ClaimReply_RESULT_UNAVAILABLE:
 		if reply.State.GetOutcome() != nil {
 			p.attempt.Close()
@@ -95,7 +95,7 @@
 		if reply.State.GetAttemptId() != "" && reply.State.AttemptId != p.id {
 			return nil, unknownOutcome("an earlier request with the key has no recorded outcome, and the log is unavailable")
 		}
-		return nil, refusedNotRun(ctx, rpc.DecodeError(reply.Error))
+		return nil, p.refused(ctx, rpc.DecodeError(reply.Error))
 	}
 	p.attempt.Close()
 	p.a.calls.drop(p.id) // the claim can't be valid: nothing to release
@@ -158,10 +158,12 @@
 func (p *payment) dispatch(ctx context.Context) (*rpc.CallReply, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), serviceTimeout(p.rule))
 	defer cancel()
+	p.a.calls.dispatched.Add(p.key, struct{}{})
 	s, err := p.a.calls.exchange(ctx, p.e, p.req)
 	p.attempt.Settle()
 	switch {
 	case errors.Is(err, errNotReached):
+		p.a.calls.dispatched.Remove(p.key)
 		p.release()
 		return nil, notReached(p.req.Endpoint, err)
 	case errors.Is(err, errAnswerTooLarge):
@@ -175,6 +177,7 @@
 	reply := s.reply()
 	if p.rule.Idempotent && p.rule.Lookup {
 		if err := p.a.observe(ctx, p.doc, p.req, reply); err != nil {
+			p.a.calls.dispatched.Remove(p.key)
 			p.release() // a stale answer must not become the answer of all repeats
 			return nil, err
 		}
@@ -288,6 +291,15 @@
 	return apierr.New(apierr.OutcomeUnknown, apierr.Unknown, message, "check with the service whether it took effect; don't send it again with a new key before")
 }
 
+// refused is the refusal of an attempt that was closed undispatched. An earlier
+// attempt of the key that this agent has dispatched makes the outcome unknown.
+func (p *payment) refused(ctx context.Context, cause error) error {
+	if p.a.calls.dispatched.Contains(p.key) {
+		return unknownOutcome("an earlier request with the key was dispatched, and its outcome can't be read now")
+	}
+	return refusedNotRun(ctx, cause)
+}
+
 // refusedNotRun is the refusal of an attempt that was closed undispatched.
 func refusedNotRun(ctx context.Context, cause error) error {
 	if ctx.Err() != nil {
--- a/claimsvc/payment_test.go
+++ b/claimsvc/payment_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -376,3 +378,39 @@
 	}
 	require.Equal(t, 1, d.ledger.Effects("p"))
 }
+
+// TestRepeatWhileKeepersForgot guards against a repeat that is told not_run,
+// although its key took effect, while no keeper can tell what became of it: once
+// by the executor's memory, through another entry, and once by the entry's, after
+// the executor has been replaced too.
+func TestRepeatWhileKeepersForgot(t *testing.T) {
+	d := newDeployment(t, 3)
+	for _, r := range d.replicas {
+		r.SetFaults(service.Faults{CutAfter: true})
+	}
+	doc := d.fixed.Current().Doc
+	key, executor := "", ""
+	for executor == "" { // the executor must not be a keeper, which would remember by itself
+		key = newKey(t)
+		first := claimsvc.Rank("vadodara "+key, slices.Sorted(maps.Keys(doc.Endpoints)), 1)[0]
+		keepers := claimsvc.Keepers(d.fixed, claimsvc.PartitionOf(claims.KeyHash("vadodara", key), doc))
+		if a := doc.Endpoints[first].Agent; keepers[0].ID != a && keepers[1].ID != a {
+			executor = a
+		}
+	}
+	require.Equal(t, "unknown", d.send(request{key: key, body: payment("p")}).err.Ran)
+	d.log.SetFaults(standinlog.Faults{Outage: true})
+	restart := func(which func(id string) bool) {
+		for i := range d.agents {
+			if which(agentID(i)) {
+				d.agents[i].server.Stop()
+				d.startAgent(i)
+			}
+		}
+	}
+	restart(func(id string) bool { return id != executor })
+	require.Equal(t, "unknown", d.send(request{entry: 1, key: key, body: payment("p")}).err.Ran, "the executor remembers")
+	restart(func(id string) bool { return id == executor })
+	require.Equal(t, "unknown", d.send(request{entry: 0, key: key, body: payment("p")}).err.Ran, "the entry remembers")
+	require.Equal(t, 1, d.ledger.Effects("p"))
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -57,6 +57,7 @@
 	policies policies
 	hedges   hedges
 	recent   *recentContexts
+	openKeys *openKeys
 
 	rngMu sync.Mutex
 	rng   *rand.Rand
@@ -81,7 +82,7 @@
 	if o.CallerTimeout <= 0 {
 		o.CallerTimeout = defaultCallerTimeout
 	}
-	e := &Entry{o: o, view: newView(o.Seed), hedges: newHedges(), recent: newRecentContexts(), limits: customerLimits{l: limits.New(o.ID)}, rng: rand.New(rand.NewPCG(o.Seed, 0)), m: newFigures(o.Metrics), requests: map[string]bool{}}
+	e := &Entry{o: o, view: newView(o.Seed), hedges: newHedges(), recent: newRecentContexts(), openKeys: newOpenKeys(), limits: customerLimits{l: limits.New(o.ID)}, rng: rand.New(rand.NewPCG(o.Seed, 0)), m: newFigures(o.Metrics), requests: map[string]bool{}}
 	o.Metrics.Gauge("running", func() any { return e.work.Count() })
 	o.Metrics.Gauge("config_version", func() any {
 		if st := o.Config.Current(); st != nil {
--- a/entry/services.go
+++ b/entry/services.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/kataras/iris/v12"
 	"github.com/phuslu/log"
 	"google.golang.org/grpc"
@@ -225,11 +226,14 @@
 	if !call.rule.Idempotent {
 		tries = min(tries, maxExecutors)
 	}
-	uncertain := false // an executor may still run the call
+	key := claims.KeyHash(call.req.Customer, call.req.IdempotencyKey)
+	// An executor may still run the call, or may have run an earlier one.
+	_, uncertain := e.openKeys.Get(key)
 	var last error
 	for i, x := range call.executors[:tries] {
 		reply, sent, err := e.callOnce(ctx, call, x, i)
 		if err == nil && reply.Error == nil {
+			e.openKeys.Remove(key)
 			return reply, x.endpoint, nil
 		}
 		if err != nil {
@@ -242,7 +246,11 @@
 			break
 		}
 	}
-	return nil, "", settleRan(ctx, last, uncertain && !call.rule.Idempotent)
+	last = settleRan(ctx, last, uncertain && !call.rule.Idempotent)
+	if !call.rule.Idempotent && apierr.From(last).Ran == apierr.Unknown {
+		e.openKeys.Add(key, struct{}{})
+	}
+	return nil, "", last
 }
 
 // mayTryNext reports whether another executor can do better.
@@ -259,7 +267,7 @@
 func settleRan(ctx context.Context, err error, uncertain bool) error {
 	ae := apierr.From(err)
 	if uncertain && ae.Ran == apierr.NotRun {
-		return apierr.New(apierr.OutcomeUnknown, apierr.Unknown, "the executor was lost while it had the request", "repeat with the same key, or check with the service; don't send it again with a new key").WithCause(err)
+		return apierr.New(apierr.OutcomeUnknown, apierr.Unknown, "an executor was lost while it had this request or an earlier one with the key", "repeat with the same key, or check with the service; don't send it again with a new key").WithCause(err)
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) && ae.Kind != apierr.DeadlineExceeded {
 		return apierr.Retry(apierr.DeadlineExceeded, ae.Ran, callRetryPause, "the deadline passed", "repeat with the same key and allow more time with "+headerDeadline).WithCause(err)
@@ -301,3 +309,18 @@
 	}
 	return reply, p.Addr != nil, err
 }
+
+// openKeys are the keys whose last answer was unknown. A later refusal of the same
+// key isn't told as not_run, since an earlier request may have run. Another entry
+// doesn't know them; docs/callers.md says what not_run speaks of.
+type openKeys = lru.Cache[claims.Hash, struct{}]
+
+const maxOpenKeys = 10_000
+
+func newOpenKeys() *openKeys {
+	c, err := lru.New[claims.Hash, struct{}](maxOpenKeys)
+	if err != nil {
+		panic(err) // only for a size that isn't positive
+	}
+	return c
+}
