Leave endpoints that load weights out of the candidates

Change: the entry avoids endpoints whose agent has announced the loading, as long as there are others.

--- a/entry/follower_test.go
+++ b/entry/follower_test.go
@@ -11,6 +11,8 @@
 	"google.golang.org/grpc"
 
 	"github.com/galenaweir/galenaweir/core/config"
+	"github.com/galenaweir/galenaweir/core/membership"
+	"github.com/galenaweir/galenaweir/core/rollout"
 	"github.com/galenaweir/galenaweir/core/stream"
 	"github.com/galenaweir/galenaweir/metrics"
 	"github.com/galenaweir/galenaweir/node"
@@ -100,5 +102,7 @@
 		require.Equal(t, "ab", ids(candidateQuery{}), "the breaker is open")
 		time.Sleep(time.Second)
 		require.Equal(t, "abc", ids(candidateQuery{}), "a probe is due")
+		members["b"] = node.Member{ID: "b", State: node.Live, Endpoints: []membership.Endpoint{{ID: "b", Stage: uint32(rollout.Loading)}}}
+		require.Equal(t, "ac", ids(candidateQuery{}), "b loads weights")
 	})
 }
--- a/entry/view.go
+++ b/entry/view.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/galenaweir/galenaweir/core/retry"
+	"github.com/galenaweir/galenaweir/core/rollout"
 	"github.com/galenaweir/galenaweir/core/routing"
 	"github.com/galenaweir/galenaweir/node"
 	"github.com/galenaweir/galenaweir/rpc"
@@ -140,6 +141,18 @@
 	prefillRate float64
 }
 
+// loading reports whether the agent has announced that the endpoint loads weights.
+// Such an endpoint reports little load, and would attract requests that its
+// engine refuses.
+func loading(m node.Member, endpoint string) bool {
+	for _, e := range m.Endpoints {
+		if e.ID == endpoint {
+			return e.Stage == uint32(rollout.Loading)
+		}
+	}
+	return false
+}
+
 // candidates returns the endpoints that may be chosen, in the order of their IDs.
 // Endpoints to avoid, or whose agent said that it leaves, are left out unless
 // there are no others: the agent may have restarted, and else refuses by itself.
@@ -170,7 +183,7 @@
 			WeightVersion: e.version, Suspect: m.State == node.Suspect, FetchWait: wait, FetchRate: rate,
 		}
 		e.load.Fill(&c, min(max(q.class, 0), routing.Classes-1), q.prefillRate, now)
-		if now < e.avoid || e.breaker.Open(now) || e.leaving && now-e.at < leavingHold {
+		if now < e.avoid || e.breaker.Open(now) || e.leaving && now-e.at < leavingHold || loading(m, p.id) {
 			avoided = append(avoided, c)
 		} else {
 			cs = append(cs, c)
