Keep limits out of the load and capacity measurements

Cause: make capacity ended with 1013 of 2000 streams failed: since the gate and the customers' limits were merged, the local deployment's limit of 1e6 tokens/s and 16 slots refused them. Change: the deployment's customers have 1e9 tokens/s; the capacity streams use 4096 slots in the document.

--- a/bench/capacity/streams.go
+++ b/bench/capacity/streams.go
@@ -28,7 +28,8 @@
 	streamTime     = 4 * time.Second
 	decodeInterval = "32ms" // targetBetweenTokens
 	manySlots      = "4096"
-	clockTicks     = 100 // of /proc, per second
+	documentSlots  = 4096 // so that the agent's gate holds nothing back
+	clockTicks     = 100  // of /proc, per second
 	kibibyte       = 1024
 )
 
@@ -158,7 +159,7 @@
 }
 
 func measureStreams(ctx context.Context, bin string, n int, slots string) (r streamRun, err error) {
-	d, err := local.Start(ctx, local.Options{Bin: bin, Agents: streamAgents, Entries: 1, Customers: []string{streamCustomer},
+	d, err := local.Start(ctx, local.Options{Bin: bin, Agents: streamAgents, Entries: 1, Customers: []string{streamCustomer}, Slots: documentSlots,
 		EngineArgs: []string{"--slots", slots, "--decode", decodeInterval, "--prefill", "10000000"}})
 	if err != nil {
 		return r, err
--- a/bench/local/document.go
+++ b/bench/local/document.go
@@ -75,7 +75,7 @@
 	sum := sha256.Sum256(append(salt, secret...))
 	return config.Customer{
 		Keys:   map[string]config.Key{"first": {Salt: hex.EncodeToString(salt), SHA256: hex.EncodeToString(sum[:])}},
-		Weight: 1, TokensPerSecond: 1e6, BurstTokens: 1e6, Models: []string{Model}, Services: []string{Service},
+		Weight: 1, TokensPerSecond: 1e9, BurstTokens: 1e9, Models: []string{Model}, Services: []string{Service},
 		MaxPriority: "interactive",
 	}
 }
