Test that chains of two weight versions differ

Cause: docs/promises.md named a test for the version in the chain's key that passed when the version was removed. Result: the test fails without the version and passes with it.

--- /dev/null
+++ b/core/prefix/version_test.go
@@ -0,0 +1,20 @@
+package prefix
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// P3: the chain of a prompt differs with the engine's salt and weight version, so
+// that no block of another version or customer can match.
+func TestChainsOfVersionsDiffer(t *testing.T) {
+	prompt := strings.Repeat("x", PieceBytes)
+	seen := map[Hash]string{}
+	for _, k := range [][2]string{{"s", "v1"}, {"s", "v2"}, {"r", "v1"}, {"sv", "1"}} {
+		h := Chain(EngineKey(k[0], k[1]), prompt)[0]
+		require.Empty(t, seen[h], k)
+		seen[h] = k[0] + "/" + k[1]
+	}
+}
