Forward requests on the users' platform through an adapter

Cause: the program could not start on the users' machines: there was no deploy file, no translation of their names, and the product had no byte-exact forwarding, no list of endpoints from the log, no rollout by a single holder.

Change: core/forward decides (routes, freshness, endpoints, placement, leadership, rollout), gateway holds the sockets, platform/ translates names and formats, 'galenaweir-entry forward' runs them.

--- a/cmd/galenaweir-entry/main.go
+++ b/cmd/galenaweir-entry/main.go
@@ -22,7 +22,7 @@
 )
 
 func main() {
-	s := process.Parse("galenaweir-entry")
+	s := process.Parse("galenaweir-entry", addForward)
 	if err := run(s); err != nil {
 		log.Error().Err(err).Msg("entry ended")
 		os.Exit(1)
--- /dev/null
+++ b/core/forward/load.go
@@ -0,0 +1,110 @@
+package forward
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Work is one request that an endpoint has not finished.
+type Work struct {
+	Prefill int  // prompt tokens expected to be read, not cached
+	Memory  int  // tokens of memory held until the end
+	Started bool // the first event has come
+}
+
+// Load is the work of this process on one endpoint.
+type Load struct {
+	Active  int // requests without an end
+	Waiting int // requests without a first event
+	Prefill int // tokens to be read by the waiting ones
+	Memory  int // tokens of all active ones
+}
+
+// Add counts a request that was sent.
+func (l *Load) Add(w Work) {
+	l.Active++
+	l.Memory += w.Memory
+	if !w.Started {
+		l.Waiting++
+		l.Prefill += w.Prefill
+	}
+}
+
+// Start counts the first event of a request.
+func (l *Load) Start(w *Work) {
+	if !w.Started {
+		w.Started = true
+		l.Waiting--
+		l.Prefill -= w.Prefill
+	}
+}
+
+// Remove counts the end of a request.
+func (l *Load) Remove(w *Work) {
+	l.Start(w)
+	l.Active--
+	l.Memory -= w.Memory
+}
+
+// Plus returns the sum of two loads.
+func (l Load) Plus(o Load) Load {
+	return Load{l.Active + o.Active, l.Waiting + o.Waiting, l.Prefill + o.Prefill, l.Memory + o.Memory}
+}
+
+// PartKey identifies a cached part under the salt that it is kept by.
+func PartKey(salt, id string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(salt) // never fails
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(id)
+	return d.Sum64()
+}
+
+// Residency estimates which parts an endpoint has in memory: those that were sent
+// to it last, as far as its memory reaches.
+type Residency struct {
+	parts map[uint64]*resident
+	total int
+}
+
+type resident struct {
+	tokens int
+	used   time.Duration
+}
+
+// Use records that a request with the part was sent at the time.
+func (r *Residency) Use(key uint64, tokens, capacity int, now time.Duration) {
+	if r.parts == nil {
+		r.parts = map[uint64]*resident{}
+	}
+	if p := r.parts[key]; p != nil {
+		p.used = max(p.used, now)
+		return
+	}
+	r.parts[key] = &resident{tokens, now}
+	r.total += tokens
+	for r.total > capacity && len(r.parts) > 1 {
+		r.evict()
+	}
+}
+
+func (r *Residency) evict() {
+	var oldest uint64
+	at := time.Duration(math.MaxInt64)
+	for k, p := range r.parts {
+		if p.used < at || p.used == at && k < oldest {
+			oldest, at = k, p.used
+		}
+	}
+	r.total -= r.parts[oldest].tokens
+	delete(r.parts, oldest)
+}
+
+// Has tells whether the part is believed to be in memory.
+func (r *Residency) Has(key uint64) bool { return r.parts[key] != nil }
+
+// Clear forgets all parts, as after a restart or a change of weights.
+func (r *Residency) Clear() { r.parts, r.total = nil, 0 }
--- /dev/null
+++ b/core/forward/rollout.go
@@ -0,0 +1,172 @@
+package forward
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Figures of a rollout.
+const (
+	loadShare   = 3                      // one in so many endpoints of a service loads at a time
+	orderExpiry = 2 * time.Second        // an order without effect is repeated after this
+	reportPause = 300 * time.Millisecond // between two reports of an endpoint that loads
+)
+
+// Rollout brings endpoints to the named weight versions. Each endpoint is asked
+// for its report first, so that an order is conditional on the number of orders
+// that the endpoint has accepted: a late one can't follow a newer one.
+type Rollout struct {
+	targets map[string]target
+	orders  map[string]*ordering
+}
+
+type target struct {
+	version int64
+	named   time.Duration
+}
+
+type ordering struct {
+	asked   time.Duration
+	ordered time.Duration
+	sent    bool
+	report  Report
+	have    bool
+}
+
+// Report is what an endpoint says of itself.
+type Report struct {
+	Models []ModelState
+	Busy   bool
+	Seq    int64
+}
+
+// Step is one thing to do for an endpoint: ask for its report, or give it an order.
+type Step struct {
+	Endpoint Endpoint
+	Order    bool
+	Model    string
+	Version  int64
+	Seq      int64 // the order is valid while the endpoint has accepted so many
+}
+
+// NewRollout returns a rollout without targets.
+func NewRollout() *Rollout {
+	return &Rollout{targets: map[string]target{}, orders: map[string]*ordering{}}
+}
+
+// Name records that a version was named. Versions only rise.
+func (r *Rollout) Name(w WeightVersion, now time.Duration) bool {
+	if t, ok := r.targets[w.Model]; ok && t.version >= w.Version {
+		return false
+	}
+	r.targets[w.Model] = target{w.Version, now}
+	return true
+}
+
+// Behind tells whether the endpoint has an older version of the model than the
+// named one, and since when that was named.
+func (r *Rollout) Behind(models []ModelState, model string) (time.Duration, bool) {
+	t, ok := r.targets[model]
+	if !ok {
+		return 0, false
+	}
+	for _, m := range models {
+		if m.Name == model {
+			return t.named, m.Version < t.version
+		}
+	}
+	return 0, false
+}
+
+func (r *Rollout) needed(models []ModelState) (string, int64, bool) {
+	for _, m := range models {
+		if t, ok := r.targets[m.Name]; ok && m.Version < t.version {
+			return m.Name, t.version, true
+		}
+	}
+	return "", 0, false
+}
+
+// Loading tells whether the endpoint is about to be changed by this process.
+func (r *Rollout) Loading(id string) bool {
+	o := r.orders[id]
+	return o != nil
+}
+
+// Reported takes an endpoint's report. It returns true when the endpoint has all
+// named versions.
+func (r *Rollout) Reported(id string, rep Report, now time.Duration) bool {
+	o := r.orders[id]
+	if o == nil {
+		return false
+	}
+	if _, _, behind := r.needed(rep.Models); !behind {
+		delete(r.orders, id)
+		return true
+	}
+	o.report, o.have = rep, true
+	return false
+}
+
+// Sent records that an order was sent.
+func (r *Rollout) Sent(id string, now time.Duration) {
+	if o := r.orders[id]; o != nil {
+		o.sent, o.ordered, o.have = true, now, false
+	}
+}
+
+// Forget drops what is known of orders, when the role passes on.
+func (r *Rollout) Forget() { clear(r.orders) }
+
+// Next returns what to do now for the endpoints. At most one in loadShare of a
+// service's endpoints load at a time; those that were changed last come last.
+func (r *Rollout) Next(endpoints []Endpoint, now time.Duration) []Step {
+	slices.SortFunc(endpoints, func(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	total, loading := map[string]int{}, map[string]int{}
+	alive := map[string]bool{}
+	for _, e := range endpoints {
+		total[e.Service]++
+		alive[e.ID] = true
+		if r.Loading(e.ID) {
+			loading[e.Service]++
+		}
+	}
+	for id := range r.orders {
+		if !alive[id] {
+			delete(r.orders, id)
+		}
+	}
+	var steps []Step
+	for _, e := range endpoints {
+		if s, ok := r.step(e, now, total, loading); ok {
+			steps = append(steps, s)
+		}
+	}
+	return steps
+}
+
+func (r *Rollout) step(e Endpoint, now time.Duration, total, loading map[string]int) (Step, bool) {
+	model, version, behind := r.needed(e.Models)
+	o := r.orders[e.ID]
+	if o == nil {
+		if !behind || loading[e.Service] >= max(1, (total[e.Service]+loadShare-1)/loadShare) {
+			return Step{}, false
+		}
+		loading[e.Service]++
+		r.orders[e.ID] = &ordering{asked: now}
+		return Step{Endpoint: e}, true
+	}
+	if o.have && !o.report.Busy && (!o.sent || now >= o.ordered+orderExpiry) {
+		if m, v, ok := r.needed(o.report.Models); ok {
+			model, version = m, v
+		}
+		o.have = false
+		return Step{Endpoint: e, Order: true, Model: model, Version: version, Seq: o.report.Seq}, true
+	}
+	if now >= o.asked+reportPause {
+		o.asked = now
+		return Step{Endpoint: e}, true
+	}
+	return Step{}, false
+}
--- /dev/null
+++ b/core/forward/routes.go
@@ -0,0 +1,80 @@
+package forward
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// Table is a Config arranged for look-ups.
+type Table struct {
+	Config   *Config
+	byHost   map[string][]*Route // longest prefix first
+	byKey    map[string]*Customer
+	services map[string]*Service
+}
+
+// NewTable arranges c, which must not change afterwards.
+func NewTable(c *Config) *Table {
+	t := &Table{Config: c, byHost: map[string][]*Route{}, byKey: map[string]*Customer{}, services: map[string]*Service{}}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+	}
+	for _, rs := range t.byHost {
+		slices.SortStableFunc(rs, func(a, b *Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
+	}
+	for i := range c.Customers {
+		for _, k := range c.Customers[i].Keys {
+			t.byKey[k] = &c.Customers[i]
+		}
+	}
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &c.Services[i]
+	}
+	return t
+}
+
+// Route returns the route of the host with the longest prefix of the path, nil
+// when there is none.
+func (t *Table) Route(host, path string) *Route {
+	for _, r := range t.byHost[host] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Customer returns the owner of a key, nil when no customer has it.
+func (t *Table) Customer(key string) *Customer { return t.byKey[key] }
+
+// Service returns a service by name, nil when there is none.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Target returns the service for the request, by the weights of the route's
+// targets. The draw is a random number from 0 up to 1.
+func (r *Route) Target(draw float64) string {
+	total := 0
+	for _, t := range r.Targets {
+		total += max(t.Weight, 0)
+	}
+	at := draw * float64(total)
+	for _, t := range r.Targets {
+		if at -= float64(max(t.Weight, 0)); at < 0 {
+			return t.Service
+		}
+	}
+	if len(r.Targets) == 0 {
+		return ""
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// EffectivePriority is the customer's priority where it has one, else the route's.
+func EffectivePriority(r *Route, c *Customer) int {
+	if c != nil && c.HasPriority {
+		return c.Priority
+	}
+	return r.Priority
+}
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -61,3 +61,12 @@
 	current.spent++
 	return true
 }
+
+// Allows tells whether an extra attempt could be spent now, without spending it.
+func (b *Budget) Allows(now time.Duration) bool {
+	if !b.Spend(now) {
+		return false
+	}
+	b.at(now).spent--
+	return true
+}
--- /dev/null
+++ b/gateway/peers.go
@@ -0,0 +1,218 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/phuslu/log"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/galenaweir/galenaweir/core/forward"
+	"github.com/galenaweir/galenaweir/wait"
+)
+
+// The exchange of loads between entries.
+const (
+	gossipPause    = 100 * time.Millisecond // one report to each peer; loads change within a prompt's reading
+	gossipPerPeer  = 10 * time.Millisecond  // longer pauses in large groups, to bound the datagrams
+	peerExpiry     = time.Second            // a report counts so long
+	maxDatagram    = 8192
+	maxUses        = 64 // cached parts in one report; more only makes the estimate poorer
+	gossipProtocol = "galenaweir-load-1"
+)
+
+// endpointHash names an endpoint in a report.
+func endpointHash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
+type reportLoad struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Endpoint uint32
+	Active   int
+	Waiting  int
+	Prefill  int
+	Memory   int
+}
+
+type reportUse struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Endpoint uint32
+	Part     uint64
+	Tokens   int
+}
+
+// loadReport is what an entry tells its peers.
+type loadReport struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Protocol string
+	Member   string
+	Seq      int64
+	Loads    []reportLoad
+	Uses     []reportUse // parts that were sent to endpoints since the last report
+	Loading  []uint32    // endpoints that are being changed by an order
+}
+
+type peerReport struct {
+	at    time.Duration
+	seq   int64
+	loads map[uint32]forward.Load
+}
+
+// peerLoads holds the newest report of each peer. The state's mutex guards it.
+type peerLoads struct {
+	reports map[string]*peerReport
+	uses    []reportUse // of this process, not yet reported
+	members []string
+}
+
+func newPeerLoads() peerLoads { return peerLoads{reports: map[string]*peerReport{}} }
+
+// load is the load of all peers on an endpoint.
+func (p *peerLoads) load(id string, now time.Duration) forward.Load {
+	var sum forward.Load
+	h := endpointHash(id)
+	for _, r := range p.reports {
+		if now-r.at < peerExpiry {
+			sum = sum.Plus(r.loads[h])
+		}
+	}
+	return sum
+}
+
+// count is the number of peers that report.
+func (p *peerLoads) count(now time.Duration) int {
+	n := 0
+	for _, r := range p.reports {
+		if now-r.at < peerExpiry {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *peerLoads) used(id string, part uint64, tokens int) {
+	if len(p.uses) < maxUses {
+		p.uses = append(p.uses, reportUse{Endpoint: endpointHash(id), Part: part, Tokens: tokens})
+	}
+}
+
+// gossip exchanges reports with the peers until ctx ends.
+func (g *Gateway) gossip(ctx context.Context) {
+	go g.receiveReports()
+	seq := int64(g.clock())
+	for wait.For(ctx, g.gossipPause()) {
+		seq++
+		report, members := g.report(seq)
+		data, err := msgpack.Marshal(&report)
+		if err != nil {
+			log.Error().Str("event", "report_failed").Err(err).Msg("encode the load report")
+			continue
+		}
+		for _, m := range members {
+			to, err := netip.ParseAddrPort(m)
+			if err != nil {
+				continue // a member of another kind
+			}
+			_, _ = g.peerConn.WriteToUDPAddrPort(data, to) // the next report replaces one that is lost
+		}
+	}
+}
+
+func (g *Gateway) gossipPause() time.Duration {
+	s := g.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(gossipPause, time.Duration(len(s.peers.members))*gossipPerPeer)
+}
+
+func (g *Gateway) report(seq int64) (loadReport, []string) {
+	s := g.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := loadReport{Protocol: gossipProtocol, Member: g.member, Seq: seq, Uses: s.peers.uses}
+	s.peers.uses = nil
+	for id, e := range s.endpoints {
+		if l := e.load; l.Active > 0 {
+			r.Loads = append(r.Loads, reportLoad{Endpoint: endpointHash(id), Active: l.Active, Waiting: l.Waiting, Prefill: l.Prefill, Memory: l.Memory})
+		}
+		if s.rollout.Loading(id) {
+			r.Loading = append(r.Loading, endpointHash(id))
+		}
+	}
+	members := slices.Clone(s.peers.members)
+	for m, p := range s.peers.reports { // those that hold no partition are known by their reports
+		if s.clock()-p.at < peerExpiry && !slices.Contains(members, m) {
+			members = append(members, m)
+		}
+	}
+	return r, slices.DeleteFunc(members, func(m string) bool { return m == g.member })
+}
+
+// receiveReports reads reports until the socket is closed.
+func (g *Gateway) receiveReports() {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, _, err := g.peerConn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			if ne, ok := err.(net.Error); ok && ne.Timeout() {
+				continue
+			}
+			return
+		}
+		var r loadReport
+		if msgpack.Unmarshal(buf[:n], &r) != nil || r.Protocol != gossipProtocol || r.Member == g.member {
+			g.strayReports.Add(1)
+			continue
+		}
+		g.takeReport(&r)
+	}
+}
+
+func (g *Gateway) takeReport(r *loadReport) {
+	s := g.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	old := s.peers.reports[r.Member]
+	if old != nil && r.Seq <= old.seq && now-old.at < peerExpiry {
+		return // overtaken on the way
+	}
+	p := &peerReport{at: now, seq: r.Seq, loads: map[uint32]forward.Load{}}
+	for _, l := range r.Loads {
+		p.loads[l.Endpoint] = forward.Load{Active: l.Active, Waiting: l.Waiting, Prefill: l.Prefill, Memory: l.Memory}
+	}
+	s.peers.reports[r.Member] = p
+	if len(r.Uses) == 0 && len(r.Loading) == 0 {
+		return
+	}
+	byHash := map[uint32]string{}
+	for id := range s.endpoints {
+		byHash[endpointHash(id)] = id
+	}
+	for _, h := range r.Loading {
+		if id, ok := byHash[h]; ok {
+			s.endpoint(id).loading = now + peerExpiry/2
+		}
+	}
+	for _, u := range r.Uses {
+		if id, ok := byHash[u.Endpoint]; ok {
+			s.endpoint(id).cached.Use(u.Part, u.Tokens, s.capacity(id, now), now)
+		}
+	}
+}
+
+// capacity is the memory for cached parts of an endpoint, in tokens.
+func (s *state) capacity(id string, now time.Duration) int {
+	e, ok := s.list.Get(id, now)
+	if !ok || s.table == nil {
+		return 0
+	}
+	sv := s.table.Service(e.Service)
+	if sv == nil || sv.Engine == nil {
+		return 0
+	}
+	return int(residentShare * float64(sv.Engine.CapacityTokens))
+}
--- /dev/null
+++ b/gateway/place.go
@@ -0,0 +1,110 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/galenaweir/galenaweir/core/apierr"
+	"github.com/galenaweir/galenaweir/core/forward"
+)
+
+// Times after which a refused caller should come back.
+const (
+	startRetry      = 300 * time.Millisecond // a process reads its configuration within a second
+	otherEntryRetry = 50 * time.Millisecond  // another entry takes the request at once
+	overloadRetry   = 250 * time.Millisecond // about one answer of an endpoint
+	maxRetryAfter   = 2 * time.Second
+)
+
+// placement is one request on one endpoint.
+type placement struct {
+	endpoint forward.Endpoint
+	work     forward.Work
+	limit    int // connections that this process may have to the endpoint
+	choice   forward.Choice
+	began    time.Duration
+}
+
+// place chooses an endpoint and counts the request there.
+func (q *request) place() (*placement, *apierr.Error) {
+	s := q.g.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	if q.customer != nil && !q.route.Public && !s.fresh.KeysValid(now) {
+		return nil, q.unplaced(stale("a key may have been taken away since the configuration was read"))
+	}
+	left := remaining(q.deadline, now)
+	if left < minUsefulBudget {
+		return nil, q.unplaced(apierr.Retry(apierr.DeadlineUnmet, apierr.NotRun, overloadRetry, "no time is left", "send the request with a longer deadline"))
+	}
+	cs := s.candidates(q.service.Name, q.call.Prompt, q.tried, now)
+	c := forward.Choose(forward.Task{
+		Prompt: q.call.Prompt, Salt: q.salt, FailureDomain: s.settings.FailureDomain, Engine: q.service.Engine,
+	}, cs)
+	if c.Index < 0 {
+		return nil, q.unplaced(apierr.Retry(apierr.NoEndpoint, apierr.NotRun, q.retryAfter(0), "no endpoint of the service can take the request", "send the request again"))
+	}
+	if c.Wait > left {
+		return nil, q.unplaced(apierr.Retry(apierr.DeadlineUnmet, apierr.NotRun, q.retryAfter(c.Wait-left), "the expected wait is longer than the deadline", "send the request again later"))
+	}
+	p := &placement{endpoint: cs[c.Index].Endpoint, work: c.Work, choice: c, began: now, limit: s.connLimit(q.service)}
+	st := s.endpoint(p.endpoint.ID)
+	st.health.Claim(now)
+	st.load.Add(p.work)
+	if pr := q.call.Prompt; pr != nil {
+		capacity := int(residentShare * float64(q.service.Engine.CapacityTokens))
+		for _, part := range pr.Shared() {
+			key := forward.PartKey(q.salt, part.ID)
+			st.cached.Use(key, part.Tokens, capacity, now)
+			s.peers.used(p.endpoint.ID, key, part.Tokens)
+		}
+	}
+	q.tried[p.endpoint.ID] = true
+	return p, nil
+}
+
+// unplaced is the refusal of a request that can't be placed: once it was sent
+// somewhere, whether it ran may be unknown.
+func (q *request) unplaced(err *apierr.Error) *apierr.Error {
+	if q.sends == 0 || q.line.onlyRefused {
+		return err
+	}
+	return apierr.New(apierr.OutcomeUnknown, apierr.Unknown, err.Message, "find out whether it took effect before sending it again")
+}
+
+// connLimit is this process's share of an endpoint's connections; a spare share
+// covers processes that are not known yet.
+func (s *state) connLimit(sv *forward.Service) int {
+	if sv.MaxConns <= 0 {
+		return 64 // no limit is stated
+	}
+	return max(sv.MaxConns/(s.peers.count(s.clock())+2), 4)
+}
+
+// retryAfter is the time after which a refused caller may find room.
+func (q *request) retryAfter(excess time.Duration) time.Duration {
+	return min(max(excess, overloadRetry), maxRetryAfter)
+}
+
+// done takes a placed request off the endpoint and judges the endpoint by it.
+func (q *request) done(p *placement, x *exchangeError) {
+	s := q.g.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	st := s.endpoint(p.endpoint.ID)
+	st.load.Remove(&p.work)
+	q.line.attempts = append(q.line.attempts, attemptLine{p, x, now - p.began})
+	if x == nil || q.r.Context().Err() != nil {
+		return
+	}
+	switch {
+	case x.notRun:
+		st.health.Refusing(now + refusingFor)
+	case !x.sent && x.err != errConnLimit:
+		st.health.Refusing(now + unreachedFor)
+		st.health.Broken(now, s.rng)
+	case x.sent && remaining(q.deadline, now) > 0:
+		st.health.Broken(now, s.rng)
+	}
+}
--- /dev/null
+++ b/gateway/state.go
@@ -0,0 +1,142 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/galenaweir/galenaweir/core/forward"
+	"github.com/galenaweir/galenaweir/core/retry"
+)
+
+// Margins within the platform's bounds.
+const (
+	revokeMargin  = 500 * time.Millisecond  // for requests on their way to an endpoint
+	versionMargin = 1500 * time.Millisecond // for requests that wait at an endpoint
+	staleConfig   = 2500 * time.Millisecond // age from which a route or key may be newer than what is known
+	refusingFor   = 250 * time.Millisecond  // an endpoint that refused gets no work for this long
+	unreachedFor  = time.Second             // one that could not be reached
+	residentShare = 0.7                     // of an engine's memory, the rest holds running requests
+)
+
+// endpointState is what this process knows of one endpoint beside its entry.
+type endpointState struct {
+	load    forward.Load
+	health  forward.Health
+	cached  forward.Residency
+	models  map[string]int64 // weight versions seen in answers
+	started int64
+	loading time.Duration // being changed by an order until then
+}
+
+// state is all that decides about requests. mu guards it.
+type state struct {
+	mu        sync.Mutex
+	clock     Clock
+	rng       *rand.Rand
+	table     *forward.Table
+	fresh     forward.Freshness
+	list      *forward.Endpoints
+	listKnown bool
+	endpoints map[string]*endpointState
+	rollout   *forward.Rollout
+	budgets   map[string]*retry.Budget
+	peers     peerLoads
+	settings  Settings
+}
+
+func newState(s Settings, clock Clock, rng *rand.Rand) *state {
+	return &state{
+		clock: clock, rng: rng, list: forward.NewEndpoints(), endpoints: map[string]*endpointState{}, rollout: forward.NewRollout(),
+		budgets: map[string]*retry.Budget{}, peers: newPeerLoads(), settings: s,
+		fresh: forward.Freshness{KeyLimit: ms(s.RevokeMs) - revokeMargin},
+	}
+}
+
+func (s *state) endpoint(id string) *endpointState {
+	e := s.endpoints[id]
+	if e == nil {
+		e = &endpointState{models: map[string]int64{}}
+		s.endpoints[id] = e
+	}
+	return e
+}
+
+func (s *state) budget(service string) *retry.Budget {
+	b := s.budgets[service]
+	if b == nil {
+		// Half of the allowed share: callers' bursts and the windows of several
+		// processes don't line up.
+		b = retry.NewBudget(s.settings.BudgetRatio/2, seconds(s.settings.BudgetWindowS))
+		s.budgets[service] = b
+	}
+	return b
+}
+
+// usableEndpoints returns the entries that may take work.
+func (s *state) usableEndpoints(now time.Duration) []forward.Endpoint {
+	var out []forward.Endpoint
+	s.list.Each(now, func(e forward.Endpoint) {
+		st := s.endpoint(e.ID)
+		if e.Started != st.started {
+			if st.started != 0 {
+				st.cached.Clear()
+				st.health = forward.Health{}
+				clear(st.models)
+			}
+			st.started = e.Started
+		}
+		models := make([]forward.ModelState, len(e.Models))
+		for i, m := range e.Models {
+			models[i] = forward.ModelState{Name: m.Name, Version: max(m.Version, st.models[m.Name])}
+		}
+		e.Models = models
+		out = append(out, e)
+	})
+	return out
+}
+
+// candidates returns the endpoints of a service as the placement sees them.
+func (s *state) candidates(service string, p *forward.Prompt, tried map[string]bool, now time.Duration) []forward.Candidate {
+	var cs []forward.Candidate
+	for _, e := range s.usableEndpoints(now) {
+		if e.Service != service {
+			continue
+		}
+		st := s.endpoint(e.ID)
+		c := forward.Candidate{
+			Endpoint: e, Load: st.load.Plus(s.peers.load(e.ID, now)), Cached: &st.cached,
+			Usable: st.health.Usable(now) && now >= st.loading, Excluded: tried[e.ID],
+		}
+		if p != nil {
+			since, behind := s.rollout.Behind(e.Models, p.Model)
+			c.Outdated = behind
+			c.Excluded = c.Excluded || behind && now >= since+ms(s.settings.VersionMs)-versionMargin
+		}
+		cs = append(cs, c)
+	}
+	return cs
+}
+
+// observeVersion records the weight version that an answer was made with.
+func (s *state) observeVersion(id, model string, version int64) {
+	st := s.endpoint(id)
+	if version > st.models[model] {
+		if st.models[model] != 0 {
+			st.cached.Clear()
+		}
+		st.models[model] = version
+	}
+}
+
+// forget drops the state of endpoints that are gone and idle.
+func (s *state) forget(now time.Duration) map[string]bool {
+	alive := map[string]bool{}
+	s.list.Each(now, func(e forward.Endpoint) { alive[e.ID] = true })
+	for id, st := range s.endpoints {
+		if !alive[id] && st.load.Active == 0 {
+			delete(s.endpoints, id)
+		}
+	}
+	return alive
+}
