Share the endpoints that get orders among the entries

(2) One holder of all orders moved with each change of the group and then waited a lease and the pause between holders each time. Change: judge by the first newer version; each endpoint has one owner by rendezvous hashing over the members of a confirmed generation; loads begin one by one. Tests: named versions, rollout of a fleet, owners under cuts.

--- a/core/forward/rollout.go
+++ b/core/forward/rollout.go
@@ -8,17 +8,20 @@
 
 // Figures of a rollout.
 const (
-	loadShare   = 3                      // one in so many endpoints of a service loads at a time
-	orderExpiry = 2 * time.Second        // an order without effect is repeated after this
-	reportPause = 300 * time.Millisecond // between two reports of an endpoint that loads
+	loadShare   = 0.45                    // of a service's endpoints may be out of use at a time
+	sweepTime   = 4500 * time.Millisecond // the loads of all endpoints begin within this: more at once slow each other
+	keptTargets = 8                       // versions of a model that are remembered
+	orderExpiry = 2 * time.Second         // an order without effect is repeated after this
+	reportPause = 300 * time.Millisecond  // between two reports of an endpoint that loads
 )
 
 // Rollout brings endpoints to the named weight versions. Each endpoint is asked
 // for its report first, so that an order is conditional on the number of orders
 // that the endpoint has accepted: a late one can't follow a newer one.
 type Rollout struct {
-	targets map[string]target
+	targets map[string][]target // by rising version
 	orders  map[string]*ordering
+	started time.Duration // the last rollout on an endpoint began
 }
 
 type target struct {
@@ -52,28 +55,34 @@
 
 // NewRollout returns a rollout without targets.
 func NewRollout() *Rollout {
-	return &Rollout{targets: map[string]target{}, orders: map[string]*ordering{}}
+	return &Rollout{targets: map[string][]target{}, orders: map[string]*ordering{}}
 }
 
 // Name records that a version was named. Versions only rise.
 func (r *Rollout) Name(w WeightVersion, now time.Duration) bool {
-	if t, ok := r.targets[w.Model]; ok && t.version >= w.Version {
+	ts := r.targets[w.Model]
+	if len(ts) > 0 && ts[len(ts)-1].version >= w.Version {
 		return false
 	}
-	r.targets[w.Model] = target{w.Version, now}
+	if len(ts) == keptTargets {
+		ts = ts[1:]
+	}
+	r.targets[w.Model] = append(ts, target{w.Version, now})
 	return true
 }
 
-// Behind tells whether the endpoint has an older version of the model than the
-// named one, and since when that was named.
+// Behind tells whether the endpoint has an older version of the model than a named
+// one, and since when the first such version is named: each version is to be in
+// place within a bound of its own, also when another is named meanwhile.
 func (r *Rollout) Behind(models []ModelState, model string) (time.Duration, bool) {
-	t, ok := r.targets[model]
-	if !ok {
-		return 0, false
-	}
 	for _, m := range models {
-		if m.Name == model {
-			return t.named, m.Version < t.version
+		if m.Name != model {
+			continue
+		}
+		for _, t := range r.targets[model] {
+			if t.version > m.Version {
+				return t.named, true
+			}
 		}
 	}
 	return 0, false
@@ -81,8 +90,9 @@
 
 func (r *Rollout) needed(models []ModelState) (string, int64, bool) {
 	for _, m := range models {
-		if t, ok := r.targets[m.Name]; ok && m.Version < t.version {
-			return m.Name, t.version, true
+		ts := r.targets[m.Name]
+		if len(ts) > 0 && m.Version < ts[len(ts)-1].version {
+			return m.Name, ts[len(ts)-1].version, true
 		}
 	}
 	return "", 0, false
@@ -119,8 +129,8 @@
 // Forget drops what is known of orders, when the role passes on.
 func (r *Rollout) Forget() { clear(r.orders) }
 
-// Next returns what to do now for the endpoints. At most one in loadShare of a
-// service's endpoints load at a time; those that were changed last come last.
+// Next returns what to do now for the endpoints. At most a share of a
+// service's endpoints is out of use at a time, and their loads begin one by one.
 func (r *Rollout) Next(endpoints []Endpoint, now time.Duration) []Step {
 	slices.SortFunc(endpoints, func(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) })
 	total, loading := map[string]int{}, map[string]int{}
@@ -150,10 +160,12 @@
 	model, version, behind := r.needed(e.Models)
 	o := r.orders[e.ID]
 	if o == nil {
-		if !behind || loading[e.Service] >= max(1, (total[e.Service]+loadShare-1)/loadShare) {
+		n := total[e.Service]
+		if !behind || loading[e.Service] >= max(1, int(loadShare*float64(n))) || now < r.started+sweepTime/time.Duration(n) {
 			return Step{}, false
 		}
 		loading[e.Service]++
+		r.started = now
 		r.orders[e.ID] = &ordering{asked: now}
 		return Step{Endpoint: e}, true
 	}
--- /dev/null
+++ b/core/forward/rollout_test.go
@@ -0,0 +1,134 @@
+package forward
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against requests on weights that are too old because a newer version,
+// named just then, restarted their time.
+func TestEachNamedVersionKeepsItsOwnTime(t *testing.T) {
+	r := NewRollout()
+	old := []ModelState{{"m", 1}}
+	require.True(t, r.Name(WeightVersion{"m", 2}, 10*time.Second))
+	require.True(t, r.Name(WeightVersion{"m", 3}, 19*time.Second))
+	since, behind := r.Behind(old, "m")
+	require.True(t, behind)
+	require.Equal(t, 10*time.Second, since)
+	since, behind = r.Behind([]ModelState{{"m", 2}}, "m")
+	require.True(t, behind)
+	require.Equal(t, 19*time.Second, since)
+	require.False(t, r.Name(WeightVersion{"m", 2}, 20*time.Second), "versions never fall")
+}
+
+func fleetOf(n int, version int64) []Endpoint {
+	var es []Endpoint
+	for i := range n {
+		es = append(es, Endpoint{ID: fmt.Sprintf("e%02d", i), Service: "s", Models: []ModelState{{"m", version}}})
+	}
+	return es
+}
+
+// Guards against a rollout that takes most of a service out of use, that never
+// ends, or that repeats an order which was carried out late.
+func TestRolloutOfAFleet(t *testing.T) {
+	const n = 12
+	es := fleetOf(n, 1)
+	r := NewRollout()
+	r.Name(WeightVersion{"m", 2}, 0)
+	seq, until := map[string]int64{}, map[string]time.Duration{}
+	lost := map[string]bool{"e03": true} // its first order gets no answer and no effect
+	var now time.Duration
+	for ; now < 15*time.Second; now += 50 * time.Millisecond {
+		out := 0
+		for i := range es {
+			e := &es[i]
+			if u, ok := until[e.ID]; ok && now >= u {
+				e.Models[0].Version = 2
+			}
+			if r.Loading(e.ID) {
+				out++
+			}
+		}
+		require.LessOrEqual(t, out, n/2, "at %v", now)
+		for _, s := range r.Next(es, now) {
+			id := s.Endpoint.ID
+			if !s.Order {
+				_, busy := until[id]
+				r.Reported(id, Report{Models: s.Endpoint.Models, Busy: busy && now < until[id], Seq: seq[id]}, now)
+				continue
+			}
+			require.Equal(t, seq[id], s.Seq)
+			r.Sent(id, now)
+			if lost[id] {
+				delete(lost, id)
+				continue
+			}
+			seq[id]++
+			until[id] = now + 2*time.Second
+		}
+	}
+	for _, e := range es {
+		require.EqualValues(t, 2, e.Models[0].Version, e.ID)
+		require.EqualValues(t, 1, seq[e.ID], e.ID)
+	}
+}
+
+// Guards against two processes whose orders to an endpoint take turns: one that
+// lost its lease without hearing of it and the one that follows, over changes of
+// the group and a suspend.
+func TestOwnersOfAnEndpointDontTakeTurns(t *testing.T) {
+	const handover, lease = 3 * time.Second, 700 * time.Millisecond
+	const step = 50 * time.Millisecond
+	names := []string{"a", "b", "c", "d", "e"}
+	cut := map[string][2]time.Duration{"b": {10 * time.Second, 16 * time.Second}, "d": {13 * time.Second, 15 * time.Second}}
+	owners := map[string]*Ownership{}
+	for _, n := range names {
+		owners[n] = &Ownership{Self: n, Lease: lease, Handover: handover}
+	}
+	generation, members := int64(1), names
+	lastOrder, lastOwner, lastFence := map[string]time.Duration{}, map[string]string{}, map[string]int64{}
+	orders := 0
+	for now := time.Duration(0); now < 40*time.Second; now += step {
+		var alive []string
+		for _, n := range names { // the log drops a member a second after its last join
+			if c, ok := cut[n]; !ok || now < c[0]+time.Second || now >= c[1] {
+				alive = append(alive, n)
+			}
+		}
+		if len(alive) != len(members) {
+			generation, members = generation+1, alive
+		}
+		for i, n := range names {
+			c, isCut := cut[n]
+			out := isCut && now >= c[0] && now < c[1]
+			if !out && now%(5*step) == time.Duration(i)*step {
+				o := owners[n]
+				o.Joined(generation, now)
+				if !o.Current(generation) {
+					o.Listed(generation, members)
+				}
+			}
+			for e := range 12 {
+				id := fmt.Sprint("endpoint", e)
+				if !owners[n].Owns(id, now) {
+					continue
+				}
+				orders++
+				if who, ok := lastOwner[id]; ok && who != n {
+					require.GreaterOrEqual(t, now-lastOrder[id], handover, "%s after %s for %s at %v", n, who, id, now)
+					require.Greater(t, owners[n].Generation(), lastFence[id])
+				}
+				require.GreaterOrEqual(t, owners[n].Generation(), lastFence[id])
+				lastOrder[id], lastOwner[id], lastFence[id] = now, n, owners[n].Generation()
+			}
+		}
+	}
+	require.Greater(t, orders, 1000)
+	for e := range 12 {
+		require.Greater(t, lastOrder[fmt.Sprint("endpoint", e)], 39*time.Second, "every endpoint has an owner in the end")
+	}
+}
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -64,7 +64,6 @@
 // Membership is the answer to a join.
 type Membership struct {
 	Generation int64 // rises with each change of the group
-	Leader     bool
 }
 
 // Group is a group of processes kept by the platform's log.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,18 +51,18 @@
 
 // Gateway forwards requests.
 type Gateway struct {
-	settings   Settings
-	clock      Clock
-	dialect    Dialect
-	operators  Feed[forward.OperatorChange]
-	endpoints  Feed[forward.EndpointChange]
-	groups     Group
-	orders     Orders
-	state      *state
-	pool       *connPool
-	leadership forward.Leadership // guarded by the state's mutex
-	member     string
-	peerConn   *net.UDPConn
+	settings  Settings
+	clock     Clock
+	dialect   Dialect
+	operators Feed[forward.OperatorChange]
+	endpoints Feed[forward.EndpointChange]
+	groups    Group
+	orders    Orders
+	state     *state
+	pool      *connPool
+	ownership forward.Ownership // guarded by the state's mutex
+	member    string
+	peerConn  *net.UDPConn
 
 	draining    atomic.Bool
 	inFlight    atomic.Int64
@@ -78,11 +78,12 @@
 // New returns a gateway that has not started.
 func New(o Options) *Gateway {
 	s := o.Settings
+	member := netip.AddrPortFrom(netip.MustParseAddr(s.Host), uint16(s.PeerPorts[0])).String()
 	return &Gateway{
 		settings: s, clock: o.Clock, dialect: o.Dialect, operators: o.Operators, endpoints: o.Endpoints, groups: o.Groups, orders: o.Orders,
 		state: newState(s, o.Clock, rand.New(rand.NewPCG(o.Seed, o.Seed))), pool: newConnPool(o.Clock),
-		leadership:   forward.Leadership{Lease: orderLease, Handover: ms(s.OrderHandoverMs)},
-		member:       netip.AddrPortFrom(netip.MustParseAddr(s.Host), uint16(s.PeerPorts[0])).String(),
+		ownership:    forward.Ownership{Self: member, Lease: orderLease, Handover: ms(s.OrderHandoverMs) + orderTransit},
+		member:       member,
 		requests:     metrics.Default.Count("forwarded_requests"),
 		refusals:     metrics.Default.CountBy("forward_refusals"),
 		strayReports: metrics.Default.Count("stray_load_reports"),
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/phuslu/log"
@@ -11,7 +12,7 @@
 	"github.com/galenaweir/galenaweir/wait"
 )
 
-// The group of entries. Its first partition makes the holder of the orders.
+// The group of entries, which share the endpoints that get orders.
 const (
 	groupName    = "galenaweir-entries"
 	joinPause    = 400 * time.Millisecond
@@ -20,72 +21,65 @@
 	joinTimeout  = 700 * time.Millisecond
 	rolloutPause = 100 * time.Millisecond
 	orderTimeout = 800 * time.Millisecond
-	membersPause = 10 * time.Second // also without a change, as answers may be lost
+	orderTransit = 200 * time.Millisecond // from the decision to the order's arrival
+	membersPause = 10 * time.Second       // also without a change, as answers may be lost
 )
 
 // group keeps this process in the group of entries until ctx ends.
 func (g *Gateway) group(ctx context.Context) {
-	var generation, membersOf int64 = 0, -1
-	var membersAt time.Duration
 	for ctx.Err() == nil {
 		sent := g.clock()
-		m, err := g.join(ctx, generation)
-		if err == nil {
-			generation = max(generation, m.Generation)
-			g.joined(m, sent)
-			if generation != membersOf || g.clock()-membersAt > membersPause {
-				if g.readMembers(ctx) {
-					membersOf, membersAt = generation, g.clock()
-				}
-			}
+		if m, err := g.join(ctx); err == nil && g.joined(m, sent) {
+			g.readMembers(ctx, m.Generation)
 		}
 		wait.For(ctx, joinPause)
 	}
 }
 
-func (g *Gateway) join(ctx context.Context, generation int64) (Membership, error) {
+func (g *Gateway) join(ctx context.Context) (Membership, error) {
+	g.state.mu.Lock()
+	generation := g.ownership.Generation()
+	g.state.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	return g.groups.Join(ctx, groupName, g.member, generation, memberLease)
 }
 
-func (g *Gateway) joined(m Membership, sent time.Duration) {
+// joined returns true when the members of the new generation are to be read.
+func (g *Gateway) joined(m Membership, sent time.Duration) bool {
 	s := g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if g.leadership.Joined(m.Leader, m.Generation, sent) {
-		if !m.Leader {
-			s.rollout.Forget()
-		}
-		log.Info().Str("event", "order_holder").Bool("holder", m.Leader).Int64("generation", m.Generation).Msg("the role of giving orders changed")
+	if g.ownership.Joined(m.Generation, sent) {
+		s.peers.members = g.ownership.Members()
+		log.Info().Str("event", "members").Int64("generation", m.Generation).Int("count", len(s.peers.members)).Msg("entries of this deployment")
 	}
+	return !g.ownership.Current(m.Generation)
 }
 
-func (g *Gateway) readMembers(ctx context.Context) bool {
+func (g *Gateway) readMembers(ctx context.Context, generation int64) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	members, err := g.groups.Members(ctx, groupName)
 	if err != nil {
-		log.Warn().Str("event", "members_unread").Err(err).Msg("the former list of entries is kept")
-		return false
+		log.Warn().Str("event", "members_unread").Err(err).Msg("read again after the next join")
+		return
 	}
-	s := g.state
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.peers.members = members
-	log.Info().Str("event", "members").Int("count", len(members)).Msg("entries of this deployment")
-	return true
+	g.state.mu.Lock()
+	defer g.state.mu.Unlock()
+	g.ownership.Listed(generation, members)
 }
 
-// roll brings named weight versions to the endpoints while this process holds the role.
+// roll brings named weight versions to the endpoints that this process owns.
 func (g *Gateway) roll(ctx context.Context) {
 	for wait.For(ctx, rolloutPause) {
 		s := g.state
 		s.mu.Lock()
 		now := s.clock()
 		var steps []forward.Step
-		if g.leadership.MayOrder(now) && !g.draining.Load() {
-			steps = s.rollout.Next(s.usableEndpoints(now), now)
+		if !g.draining.Load() {
+			owned := slices.DeleteFunc(s.usableEndpoints(now), func(e forward.Endpoint) bool { return !g.ownership.Owns(e.ID, now) })
+			steps = s.rollout.Next(owned, now)
 		}
 		s.mu.Unlock()
 		for _, st := range steps {
@@ -120,7 +114,7 @@
 func (g *Gateway) order(ctx context.Context, st forward.Step) {
 	s := g.state
 	s.mu.Lock()
-	may, fence := g.leadership.MayOrder(s.clock()), g.leadership.Fence()
+	may, fence := g.ownership.Owns(st.Endpoint.ID, s.clock()), g.ownership.Generation()
 	if may {
 		s.rollout.Sent(st.Endpoint.ID, s.clock())
 	}
