Take a version read at the start as named long ago

Change: a version counts from the last read that did not show it; one found by the first read has no time left.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -92,12 +92,20 @@
 	return nil
 }
 
+// unknownNaming is the time of versions that were named before this process read
+// any: their time may be over.
+const unknownNaming = -time.Hour
+
 // applyOperators takes records of the operators.
 func (g *Gateway) applyOperators(records []forward.OperatorChange, started time.Duration, _ bool) {
 	s := g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
+	named := unknownNaming
+	if age, known := s.fresh.Age(now); known {
+		named = now - age // at the earliest: after the last read that showed nothing newer
+	}
 	for _, r := range records {
 		switch {
 		case r.Err != nil:
@@ -105,7 +113,7 @@
 		case r.Config != nil:
 			g.applyConfig(r.Config, now-started)
 		case r.Weights != nil:
-			if s.rollout.Name(*r.Weights, now) {
+			if s.rollout.Name(*r.Weights, named) {
 				log.Info().Str("event", "weights_named").Str("model", r.Weights.Model).Int64("version", r.Weights.Version).Msg("a weight version was named")
 			}
 		}
