Keep shared parts of prompts in the managed stores

Change: salts name the sharing group and the weights; the entries follow the stores' events, save each part to one store by weighted hashing, fetch parts that are whole, and free those of retired weights. Requests name the weights that may answer.

--- a/cmd/galenaweir-entry/forward.go
+++ b/cmd/galenaweir-entry/forward.go
@@ -48,7 +48,7 @@
 	drain, _ := process.Signals()
 	err = gateway.New(gateway.Options{
 		Settings: s, Clock: gateway.Boottime, Seed: rand.Uint64(), Dialect: platform.Headers{},
-		Operators: store.Operators(), Endpoints: store.Endpoints(), Groups: store, Orders: engines,
+		Operators: store.Operators(), Endpoints: store.Endpoints(), Groups: store, Orders: engines, Stores: engines,
 	}).Run(drain)
 	return errors.Join(err, flush())
 }
--- a/core/forward/choose.go
+++ b/core/forward/choose.go
@@ -14,6 +14,8 @@
 	slotStep       = 0.1                     // ms that one more running request adds to each step
 	stepsPerPrompt = 4                       // steps that a prompt of usual length waits for
 	overMemory     = 1500 * time.Millisecond // wait for memory that is not there, for a whole memory
+	fetchPerMs     = 180.0                   // tokens fetched from a store in a ms, by its link
+	fetchFirst     = 8.0                     // ms until a fetch begins
 	tieSpread      = 4.0                     // ms between the first and the last in the order by hash
 	otherDomain    = 3.0                     // ms that a connection to another failure domain costs
 	coldPenalty    = 50.0                    // ms for an endpoint that is still slow after its start
@@ -35,9 +37,12 @@
 // Task is what is to be placed.
 type Task struct {
 	Prompt        *Prompt // nil for plain services
-	Salt          string
-	FailureDomain string // of this process
+	FailureDomain string  // of this process
 	Engine        *Engine
+	Group         string       // customers that may share cached prompts
+	Stores        []*StoreView // nil when fetching is not allowed now
+	Now           time.Duration
+	Fetchable     func(model string, version int64) bool
 }
 
 // Choice is the endpoint that takes the request.
@@ -45,7 +50,11 @@
 	Index   int // -1 when none can take it
 	Wait    time.Duration
 	Work    Work
-	Cached  int  // prompt tokens expected in memory
+	Salt    string // of the endpoint's weights
+	Version int64  // of the endpoint's weights, 0 when unknown
+	Cached  int    // prompt tokens expected in memory
+	Fetched int    // prompt tokens expected from stores
+	Plan    StorePlan
 	Suspect bool // only a suspect endpoint was left
 }
 
@@ -55,12 +64,13 @@
 // costs more than reading them again.
 func Choose(t Task, cs []Candidate) Choice {
 	best, bestCost := Choice{Index: -1}, math.Inf(1)
+	plans := map[string]StorePlan{}
 	for i := range cs {
 		c := &cs[i]
 		if c.Excluded {
 			continue
 		}
-		cost, choice := t.cost(c)
+		cost, choice := t.cost(c, plans)
 		if !c.Usable {
 			cost += suspectPenalty
 		}
@@ -75,7 +85,7 @@
 	return best
 }
 
-func (t *Task) cost(c *Candidate) (float64, Choice) {
+func (t *Task) cost(c *Candidate, plans map[string]StorePlan) (float64, Choice) {
 	cost := 0.0
 	if c.Endpoint.FailureDomain != t.FailureDomain {
 		cost += otherDomain
@@ -89,15 +99,37 @@
 		return cost + plainCost*float64(c.Load.Active)/slots + wait,
 			Choice{Wait: time.Duration(wait * float64(time.Millisecond))}
 	}
-	cached := t.cached(c)
-	read := max(t.Prompt.Tokens-cached, 0)
-	w := Work{Prefill: read, Memory: t.Prompt.Tokens + outputEstimate(t.Prompt)}
+	ch := Choice{Version: c.version(t.Prompt.Model)}
+	ch.Salt = Salt(t.Group, t.Prompt.Model, ch.Version)
+	plan, ok := plans[ch.Salt]
+	if !ok && ch.Version > 0 && t.Stores != nil && t.Fetchable(t.Prompt.Model, ch.Version) {
+		plan = PlanStores(t.Stores, t.Prompt, ch.Salt, t.Now)
+		plans[ch.Salt] = plan
+	}
+	ch.Plan = plan
+	ch.Cached, ch.Fetched = t.prefix(c, &ch)
+	read := max(t.Prompt.Tokens-ch.Cached-ch.Fetched, 0)
+	ch.Work = Work{Prefill: read, Memory: t.Prompt.Tokens + outputEstimate(t.Prompt)}
 	wait := float64(c.Load.Prefill+read)/prefillPerMs + slotStep*stepsPerPrompt*float64(c.Load.Active)
-	if over := c.Load.Memory + w.Memory - t.Engine.CapacityTokens; over > 0 {
+	if ch.Fetched > 0 {
+		wait += fetchFirst + float64(ch.Fetched)/fetchPerMs
+	}
+	if over := c.Load.Memory + ch.Work.Memory - t.Engine.CapacityTokens; over > 0 {
 		wait += float64(over) / float64(t.Engine.CapacityTokens) * float64(overMemory/time.Millisecond)
 	}
-	cost += wait + evictionShare*float64(read)/prefillPerMs + tieSpread*t.order(c.Endpoint.ID)
-	return cost, Choice{Wait: time.Duration(wait * float64(time.Millisecond)), Work: w, Cached: cached}
+	ch.Wait = time.Duration(wait * float64(time.Millisecond))
+	cost += wait + evictionShare*float64(read+ch.Fetched)/prefillPerMs + tieSpread*t.order(c.Endpoint.ID)
+	return cost, ch
+}
+
+// version returns the weights that the endpoint has of a model, 0 when unknown.
+func (c *Candidate) version(model string) int64 {
+	for _, m := range c.Endpoint.Models {
+		if m.Name == model {
+			return m.Version
+		}
+	}
+	return 0
 }
 
 // outputEstimate is the expected number of output tokens.
@@ -108,16 +140,20 @@
 	return p.MaxOutput
 }
 
-// cached returns how many tokens at the start of the prompt are in memory.
-func (t *Task) cached(c *Candidate) int {
-	n := 0
-	for _, p := range t.Prompt.Shared() {
-		if c.Cached == nil || !c.Cached.Has(PartKey(t.Salt, p.ID)) {
-			break
+// prefix returns how many tokens at the start of the prompt are in memory and how
+// many can be fetched.
+func (t *Task) prefix(c *Candidate, ch *Choice) (cached, fetched int) {
+	for i, p := range t.Prompt.Shared() {
+		switch {
+		case c.Cached != nil && c.Cached.Has(PartKey(ch.Salt, p.ID)):
+			cached += p.Tokens
+		case i < len(ch.Plan.Fetch) && ch.Plan.Fetch[i] != nil:
+			fetched += p.Tokens
+		default:
+			return cached, fetched
 		}
-		n += p.Tokens
 	}
-	return n
+	return cached, fetched
 }
 
 // order is the place of the endpoint among all for the prompt's longest shared
@@ -127,6 +163,6 @@
 	if len(shared) == 0 {
 		return 0
 	}
-	h := xxhash.Sum64String(t.Salt + "\x00" + shared[len(shared)-1].ID + "\x00" + id)
+	h := xxhash.Sum64String(t.Group + "\x00" + shared[len(shared)-1].ID + "\x00" + id)
 	return float64(h) / math.MaxUint64
 }
--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -60,6 +60,7 @@
 	StoreAddress   string
 	FailureDomain  string
 	CapacityTokens int
+	Managed        bool // the store drops nothing by itself
 }
 
 // Customer owns keys. A dedicated customer shares no cached prompt with others.
--- a/core/forward/rollout.go
+++ b/core/forward/rollout.go
@@ -26,7 +26,8 @@
 
 type target struct {
 	version int64
-	named   time.Duration
+	named   time.Duration // at the earliest
+	learned time.Duration // by this process, not earlier than it was named
 }
 
 type ordering struct {
@@ -58,8 +59,9 @@
 	return &Rollout{targets: map[string][]target{}, orders: map[string]*ordering{}}
 }
 
-// Name records that a version was named. Versions only rise.
-func (r *Rollout) Name(w WeightVersion, now time.Duration) bool {
+// Name records at now that a version was named, at the earliest at the time named.
+// Versions only rise.
+func (r *Rollout) Name(w WeightVersion, named, now time.Duration) bool {
 	ts := r.targets[w.Model]
 	if len(ts) > 0 && ts[len(ts)-1].version >= w.Version {
 		return false
@@ -67,7 +69,7 @@
 	if len(ts) == keptTargets {
 		ts = ts[1:]
 	}
-	r.targets[w.Model] = append(ts, target{w.Version, now})
+	r.targets[w.Model] = append(ts, target{w.Version, named, now})
 	return true
 }
 
--- a/core/forward/rollout_test.go
+++ b/core/forward/rollout_test.go
@@ -13,15 +13,15 @@
 func TestEachNamedVersionKeepsItsOwnTime(t *testing.T) {
 	r := NewRollout()
 	old := []ModelState{{"m", 1}}
-	require.True(t, r.Name(WeightVersion{"m", 2}, 10*time.Second))
-	require.True(t, r.Name(WeightVersion{"m", 3}, 19*time.Second))
+	require.True(t, r.Name(WeightVersion{"m", 2}, 10*time.Second, 10*time.Second))
+	require.True(t, r.Name(WeightVersion{"m", 3}, 19*time.Second, 19*time.Second))
 	since, behind := r.Behind(old, "m")
 	require.True(t, behind)
 	require.Equal(t, 10*time.Second, since)
 	since, behind = r.Behind([]ModelState{{"m", 2}}, "m")
 	require.True(t, behind)
 	require.Equal(t, 19*time.Second, since)
-	require.False(t, r.Name(WeightVersion{"m", 2}, 20*time.Second), "versions never fall")
+	require.False(t, r.Name(WeightVersion{"m", 2}, 20*time.Second, 20*time.Second), "versions never fall")
 }
 
 func fleetOf(n int, version int64) []Endpoint {
@@ -38,7 +38,7 @@
 	const n = 12
 	es := fleetOf(n, 1)
 	r := NewRollout()
-	r.Name(WeightVersion{"m", 2}, 0)
+	r.Name(WeightVersion{"m", 2}, 0, 0)
 	seq, until := map[string]int64{}, map[string]time.Duration{}
 	lost := map[string]bool{"e03": true} // its first order gets no answer and no effect
 	var now time.Duration
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -18,7 +18,10 @@
 	m.header = q.msg.header.Clone()
 	o := Outgoing{
 		Endpoint: p.endpoint.ID, Prompted: q.call.Prompt != nil, Priority: forward.EffectivePriority(q.route, q.customer),
-		Salt: q.salt, LastEvent: q.call.LastEvent, Remaining: remaining(q.deadline, q.g.clock()),
+		Salt: p.choice.Salt, Version: p.choice.Version, UntilMs: p.untilMs, LastEvent: q.call.LastEvent, Remaining: remaining(q.deadline, q.g.clock()),
+	}
+	if pr := q.call.Prompt; pr != nil {
+		o.Fetch, o.Save = storeAddresses(p.choice.Plan.Fetch, len(pr.Parts)), storeAddresses(p.choice.Plan.Save, len(pr.Parts))
 	}
 	if q.customer != nil {
 		o.Customer = q.customer.Name
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -34,7 +34,11 @@
 	Prompted  bool
 	Priority  int
 	Salt      string // cached prompts are found only under the same salt
+	Version   int64  // the only weights that may answer, 0 for any
 	LastEvent string
+	Fetch     []string // for each part of the prompt the address that it is fetched from, "" for none
+	Save      []string // for each part of the prompt the address that it is saved to, "" for none
+	UntilMs   int64    // on the stores' clock: a fetch ends by then
 }
 
 // Reply is what the headers of an endpoint's answer say.
@@ -73,6 +77,14 @@
 	Members(ctx context.Context, group string) ([]string, error)
 }
 
+// Stores speaks to the cache stores, which are named by their address.
+type Stores interface {
+	List(ctx context.Context, address string) (forward.StoreList, error)
+	Events(ctx context.Context, address string, since int64, wait time.Duration) (forward.StoreEvents, error)
+	// Free frees parts while the store has the incarnation and its clock is before untilMs.
+	Free(ctx context.Context, address string, parts []forward.StoredPart, epoch, untilMs int64) error
+}
+
 // LoadOrder tells an endpoint to load a weight version.
 type LoadOrder struct {
 	Endpoint forward.Endpoint
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -113,7 +113,7 @@
 		case r.Config != nil:
 			g.applyConfig(r.Config, now-started)
 		case r.Weights != nil:
-			if s.rollout.Name(*r.Weights, named) {
+			if s.rollout.Name(*r.Weights, named, now) {
 				log.Info().Str("event", "weights_named").Str("model", r.Weights.Model).Int64("version", r.Weights.Version).Msg("a weight version was named")
 			}
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,6 +47,7 @@
 	Endpoints Feed[forward.EndpointChange]
 	Groups    Group
 	Orders    Orders
+	Stores    Stores
 }
 
 // Gateway forwards requests.
@@ -58,6 +59,7 @@
 	endpoints Feed[forward.EndpointChange]
 	groups    Group
 	orders    Orders
+	stores    Stores
 	state     *state
 	pool      *connPool
 	ownership forward.Ownership // guarded by the state's mutex
@@ -80,7 +82,7 @@
 	s := o.Settings
 	member := netip.AddrPortFrom(netip.MustParseAddr(s.Host), uint16(s.PeerPorts[0])).String()
 	return &Gateway{
-		settings: s, clock: o.Clock, dialect: o.Dialect, operators: o.Operators, endpoints: o.Endpoints, groups: o.Groups, orders: o.Orders,
+		settings: s, clock: o.Clock, dialect: o.Dialect, operators: o.Operators, endpoints: o.Endpoints, groups: o.Groups, orders: o.Orders, stores: o.Stores,
 		state: newState(s, o.Clock, rand.New(rand.NewPCG(o.Seed, o.Seed))), pool: newConnPool(o.Clock),
 		ownership:    forward.Ownership{Self: member, Lease: orderLease, Handover: ms(s.OrderHandoverMs) + orderTransit},
 		member:       member,
@@ -121,7 +123,7 @@
 	}
 	background, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){g.followOperators, g.followEndpoints, g.group, g.gossip, g.roll} {
+	for _, f := range []func(context.Context){g.followOperators, g.followEndpoints, g.group, g.gossip, g.roll, g.followStores, g.keepStores} {
 		wg.Go(func() { f(background) })
 	}
 	log.Info().Str("event", "started").Str("callers", g.settings.CallerAddress).Str("ready", g.settings.ReadyAddress).Str("log", g.settings.LogAddress).Msg("serving")
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -53,6 +53,16 @@
 	Loads    []reportLoad
 	Uses     []reportUse // parts that were sent to endpoints since the last report
 	Loading  []uint32    // endpoints that are being changed by an order
+	Saves    []reportUse // parts that are being written; Endpoint is the store
+	Loaded   []reportVersion
+}
+
+// reportVersion tells of weights that an endpoint has.
+type reportVersion struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Endpoint uint32
+	Model    string
+	Version  int64
 }
 
 type peerReport struct {
@@ -65,10 +75,20 @@
 type peerLoads struct {
 	reports map[string]*peerReport
 	uses    []reportUse // of this process, not yet reported
+	saves   []reportUse
+	loaded  map[uint32]loadedVersion
 	members []string
 }
 
-func newPeerLoads() peerLoads { return peerLoads{reports: map[string]*peerReport{}} }
+// loadedVersion is reported for a while, as a report may be lost.
+type loadedVersion struct {
+	reportVersion
+	until time.Duration
+}
+
+func newPeerLoads() peerLoads {
+	return peerLoads{reports: map[string]*peerReport{}, loaded: map[uint32]loadedVersion{}}
+}
 
 // load is the load of all peers on an endpoint.
 func (p *peerLoads) load(id string, now time.Duration) forward.Load {
@@ -99,6 +119,17 @@
 	}
 }
 
+func (p *peerLoads) saved(store string, part uint64, tokens int) {
+	if len(p.saves) < maxUses {
+		p.saves = append(p.saves, reportUse{Endpoint: endpointHash(store), Part: part, Tokens: tokens})
+	}
+}
+
+func (p *peerLoads) loadedWeights(id, model string, version int64, now time.Duration) {
+	h := endpointHash(id)
+	p.loaded[h] = loadedVersion{reportVersion{Endpoint: h, Model: model, Version: version}, now + peerExpiry}
+}
+
 // gossip exchanges reports with the peers until ctx ends.
 func (g *Gateway) gossip(ctx context.Context) {
 	go g.receiveReports()
@@ -132,8 +163,15 @@
 	s := g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := loadReport{Protocol: gossipProtocol, Member: g.member, Seq: seq, Uses: s.peers.uses}
-	s.peers.uses = nil
+	r := loadReport{Protocol: gossipProtocol, Member: g.member, Seq: seq, Uses: s.peers.uses, Saves: s.peers.saves}
+	s.peers.uses, s.peers.saves = nil, nil
+	for h, l := range s.peers.loaded {
+		if s.clock() >= l.until {
+			delete(s.peers.loaded, h)
+			continue
+		}
+		r.Loaded = append(r.Loaded, l.reportVersion)
+	}
 	for id, e := range s.endpoints {
 		if l := e.load; l.Active > 0 {
 			r.Loads = append(r.Loads, reportLoad{Endpoint: endpointHash(id), Active: l.Active, Waiting: l.Waiting, Prefill: l.Prefill, Memory: l.Memory})
@@ -185,7 +223,14 @@
 		p.loads[l.Endpoint] = forward.Load{Active: l.Active, Waiting: l.Waiting, Prefill: l.Prefill, Memory: l.Memory}
 	}
 	s.peers.reports[r.Member] = p
-	if len(r.Uses) == 0 && len(r.Loading) == 0 {
+	for _, u := range r.Saves {
+		for _, v := range s.stores {
+			if endpointHash(v.Name) == u.Endpoint {
+				v.Saving(u.Part, u.Tokens, now)
+			}
+		}
+	}
+	if len(r.Uses) == 0 && len(r.Loading) == 0 && len(r.Loaded) == 0 {
 		return
 	}
 	byHash := map[uint32]string{}
@@ -197,6 +242,12 @@
 			s.endpoint(id).loading = now + peerExpiry/2
 		}
 	}
+	for _, l := range r.Loaded {
+		if id, ok := byHash[l.Endpoint]; ok {
+			s.observeVersion(id, l.Model, l.Version)
+			s.endpoint(id).loading = 0
+		}
+	}
 	for _, u := range r.Uses {
 		if id, ok := byHash[u.Endpoint]; ok {
 			s.endpoint(id).cached.Use(u.Part, u.Tokens, s.capacity(id, now), now)
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -22,6 +22,7 @@
 	limit    int // connections that this process may have to the endpoint
 	choice   forward.Choice
 	began    time.Duration
+	untilMs  int64 // on the stores' clock: a fetch ends by then
 }
 
 // place chooses an endpoint and counts the request there.
@@ -39,7 +40,9 @@
 	}
 	cs := s.candidates(q.service.Name, q.call.Prompt, q.tried, now)
 	c := forward.Choose(forward.Task{
-		Prompt: q.call.Prompt, Salt: q.salt, FailureDomain: s.settings.FailureDomain, Engine: q.service.Engine,
+		Prompt: q.call.Prompt, FailureDomain: s.settings.FailureDomain, Engine: q.service.Engine, Group: q.group,
+		Stores: s.fetchableStores(now), Now: now,
+		Fetchable: func(model string, version int64) bool { return s.rollout.Fetchable(model, version, now) },
 	}, cs)
 	if c.Index < 0 {
 		return nil, q.unplaced(apierr.Retry(apierr.NoEndpoint, apierr.NotRun, q.retryAfter(0), "no endpoint of the service can take the request", "send the request again"))
@@ -53,11 +56,16 @@
 	st.load.Add(p.work)
 	if pr := q.call.Prompt; pr != nil {
 		capacity := int(residentShare * float64(q.service.Engine.CapacityTokens))
-		for _, part := range pr.Shared() {
-			key := forward.PartKey(q.salt, part.ID)
+		for i, part := range pr.Shared() {
+			key := forward.PartKey(c.Salt, part.ID)
 			st.cached.Use(key, part.Tokens, capacity, now)
 			s.peers.used(p.endpoint.ID, key, part.Tokens)
+			if i < len(c.Plan.Save) && c.Plan.Save[i] != nil {
+				c.Plan.Save[i].Saving(key, part.Tokens, now)
+				s.peers.saved(c.Plan.Save[i].Name, key, part.Tokens)
+			}
 		}
+		p.untilMs = s.fetchUntil(c.Plan, now)
 	}
 	q.tried[p.endpoint.ID] = true
 	return p, nil
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -32,7 +32,7 @@
 	route    *forward.Route
 	customer *forward.Customer
 	service  *forward.Service
-	salt     string
+	group    string // of customers that may share cached prompts
 	msg      message
 	tried    map[string]bool
 	sends    int // endpoints that the request was sent to
@@ -129,11 +129,11 @@
 	return nil
 }
 
-// sharedSalt is the salt of customers that may share cached prompts.
-const sharedSalt = "shared"
+// sharedGroup is the group of customers that may share cached prompts.
+const sharedGroup = "shared"
 
 func (q *request) authenticate(s *state, now, age time.Duration) *apierr.Error {
-	q.salt = sharedSalt
+	q.group = sharedGroup
 	if len(s.table.Config.Customers) == 0 {
 		return nil
 	}
@@ -141,7 +141,7 @@
 		q.customer = s.table.Customer(q.call.Key)
 	}
 	if q.customer != nil && q.customer.Dedicated {
-		q.salt = "customer " + q.customer.Name
+		q.group = "customer " + q.customer.Name
 	}
 	if q.route.Public {
 		return nil
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -107,6 +107,9 @@
 		s.observeVersion(st.Endpoint.ID, m.Name, m.Version)
 	}
 	if s.rollout.Reported(st.Endpoint.ID, rep, s.clock()) {
+		for _, m := range rep.Models {
+			s.peers.loadedWeights(st.Endpoint.ID, m.Name, m.Version, s.clock())
+		}
 		log.Info().Str("event", "weights_loaded").Str("endpoint", st.Endpoint.ID).Msg("the endpoint has the named weights")
 	}
 }
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -41,6 +41,7 @@
 	endpoints map[string]*endpointState
 	rollout   *forward.Rollout
 	budgets   map[string]*retry.Budget
+	stores    []*forward.StoreView
 	peers     peerLoads
 	settings  Settings
 }
