Empty endpoints of long prompts before they load new weights

Cause: an order waits for the runs of its endpoint, which take up to four seconds, and the endpoint serves nothing meanwhile; each change of the group stopped all rollouts; new weights drew all load to the first endpoints that had them; a version counted from the read before it was named. Change: an endpoint gets no long prompts for up to 2.5 s, then the order. A process acts on the old list of members for its lease; a new owner orders at once where no order can have been given within the pause. At most 0.4 of a service is out of use over all processes. A read that the log held dates the naming.

--- a/core/forward/choose.go
+++ b/core/forward/choose.go
@@ -10,18 +10,19 @@
 // Figures of the placement. The rates are those that the operators publish for
 // their engines; docs/decisions/0009-users-machines.md.
 const (
-	prefillPerMs   = 50.0                    // prompt tokens read in a ms, with the pauses of running requests
-	slotStep       = 0.1                     // ms that one more running request adds to each step
-	stepsPerPrompt = 4                       // steps that a prompt of usual length waits for
-	overMemory     = 1500 * time.Millisecond // wait for memory that is not there, for a whole memory
-	fetchPerMs     = 180.0                   // tokens fetched from a store in a ms, by its link
-	fetchFirst     = 8.0                     // ms until a fetch begins
-	tieSpread      = 4.0                     // ms between the first and the last in the order by hash
-	otherDomain    = 3.0                     // ms that a connection to another failure domain costs
-	coldPenalty    = 50.0                    // ms for an endpoint that is still slow after its start
-	evictionShare  = 0.35                    // cost of a token read, added for what it evicts
-	plainCost      = 20.0                    // ms of one request more at a plain service, per slot in use
-	suspectPenalty = 10_000.0                // ms: only taken when no other is there
+	prefillPerMs    = 50.0                    // prompt tokens read in a ms, with the pauses of running requests
+	slotStep        = 0.1                     // ms that one more running request adds to each step
+	stepsPerPrompt  = 4                       // steps that a prompt of usual length waits for
+	overMemory      = 1500 * time.Millisecond // wait for memory that is not there, for a whole memory
+	fetchPerMs      = 180.0                   // tokens fetched from a store in a ms, by its link
+	fetchFirst      = 8.0                     // ms until a fetch begins
+	tieSpread       = 4.0                     // ms between the first and the last in the order by hash
+	otherDomain     = 3.0                     // ms that a connection to another failure domain costs
+	coldPenalty     = 50.0                    // ms for an endpoint that is still slow after its start
+	evictionShare   = 0.35                    // cost of a token read, added for what it evicts
+	plainCost       = 20.0                    // ms of one request more at a plain service, per slot in use
+	outdatedPenalty = 150.0                   // ms: answers on older weights are worth a little less
+	suspectPenalty  = 10_000.0                // ms: only taken when no other is there
 )
 
 // Candidate is an endpoint as the placement sees it.
@@ -32,6 +33,7 @@
 	Usable   bool // not suspect
 	Excluded bool // already tried, or not to be used
 	Outdated bool // has older weights than were named
+	Emptying bool // gets no long prompts
 }
 
 // Task is what is to be placed.
@@ -74,8 +76,11 @@
 		if !c.Usable {
 			cost += suspectPenalty
 		}
+		if c.Emptying && t.Prompt != nil && t.Prompt.Long() {
+			cost += suspectPenalty
+		}
 		if c.Outdated {
-			cost += suspectPenalty / 2
+			cost += outdatedPenalty
 		}
 		if cost < bestCost {
 			choice.Index, choice.Suspect = i, !c.Usable
@@ -109,7 +114,7 @@
 	ch.Plan = plan
 	ch.Cached, ch.Fetched = t.prefix(c, &ch)
 	read := max(t.Prompt.Tokens-ch.Cached-ch.Fetched, 0)
-	ch.Work = Work{Prefill: read, Memory: t.Prompt.Tokens + outputEstimate(t.Prompt)}
+	ch.Work = Work{Prefill: read, Memory: t.Prompt.Tokens + outputEstimate(t.Prompt), Long: t.Prompt.Long()}
 	wait := float64(c.Load.Prefill+read)/prefillPerMs + slotStep*stepsPerPrompt*float64(c.Load.Active)
 	if ch.Fetched > 0 {
 		wait += fetchFirst + float64(ch.Fetched)/fetchPerMs
@@ -132,6 +137,13 @@
 	return 0
 }
 
+// longOutput is the number of output tokens from which a run is a long one: its
+// steps take longer than loading new weights.
+const longOutput = 24
+
+// Long tells whether the prompt's run takes long.
+func (p *Prompt) Long() bool { return outputEstimate(p) >= longOutput }
+
 // outputEstimate is the expected number of output tokens.
 func outputEstimate(p *Prompt) int {
 	if p.Length > 0 {
--- a/core/forward/load.go
+++ b/core/forward/load.go
@@ -11,6 +11,7 @@
 type Work struct {
 	Prefill int  // prompt tokens expected to be read, not cached
 	Memory  int  // tokens of memory held until the end
+	Long    bool // runs for long
 	Started bool // the first event has come
 }
 
@@ -20,12 +21,14 @@
 	Waiting int // requests without a first event
 	Prefill int // tokens to be read by the waiting ones
 	Memory  int // tokens of all active ones
+	Long    int // active ones that run for long
 }
 
 // Add counts a request that was sent.
 func (l *Load) Add(w Work) {
 	l.Active++
 	l.Memory += w.Memory
+	l.Long += boolInt(w.Long)
 	if !w.Started {
 		l.Waiting++
 		l.Prefill += w.Prefill
@@ -46,11 +49,19 @@
 	l.Start(w)
 	l.Active--
 	l.Memory -= w.Memory
+	l.Long -= boolInt(w.Long)
 }
 
 // Plus returns the sum of two loads.
 func (l Load) Plus(o Load) Load {
-	return Load{l.Active + o.Active, l.Waiting + o.Waiting, l.Prefill + o.Prefill, l.Memory + o.Memory}
+	return Load{l.Active + o.Active, l.Waiting + o.Waiting, l.Prefill + o.Prefill, l.Memory + o.Memory, l.Long + o.Long}
+}
+
+func boolInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
 }
 
 // PartKey identifies a cached part under the salt that it is kept by.
--- a/core/forward/ownership.go
+++ b/core/forward/ownership.go
@@ -12,8 +12,8 @@
 // members; each endpoint belongs to one member by rendezvous hashing, so that a
 // member that comes or goes moves only its own share.
 //
-// A process acts on a list of members only while its last join, at most a lease
-// ago, returned the list's generation. One that became an endpoint's owner waits
+// A process acts on a list of members only for a lease after the last join that
+// returned the list's generation. One that became an endpoint's owner waits
 // for the former one's lease and for the pause between two holders.
 type Ownership struct {
 	Self     string
@@ -21,10 +21,9 @@
 	Handover time.Duration // pause between the orders of two holders
 
 	generation int64
-	renewed    time.Duration
-	joined     bool
-	read       *epoch  // a list that no join has confirmed yet
-	epochs     []epoch // confirmed ones, oldest first
+	renewed    time.Duration // sent time of the last join under the newest confirmed list
+	read       *epoch        // a list that no join has confirmed yet
+	epochs     []epoch       // confirmed ones, oldest first
 }
 
 type epoch struct {
@@ -36,13 +35,17 @@
 // Joined takes the answer of a join that was sent at the time. It returns true
 // when a list of members became valid by it.
 func (o *Ownership) Joined(generation int64, sent time.Duration) bool {
-	if generation != o.generation && sent >= o.renewed+o.Lease {
+	if n := len(o.epochs); n > 0 && generation != o.epochs[n-1].generation && sent >= o.renewed+o.Lease {
 		o.epochs = nil // others may have owned the endpoints in between
 	}
-	o.generation, o.renewed, o.joined = generation, sent, true
+	o.generation = generation
 	if o.read == nil || o.read.generation != generation {
+		if n := len(o.epochs); n > 0 && o.epochs[n-1].generation == generation {
+			o.renewed = sent
+		}
 		return false
 	}
+	o.renewed = sent
 	e := *o.read
 	e.confirmed = sent
 	o.read = nil
@@ -75,27 +78,46 @@
 	return o.epochs[len(o.epochs)-1].members
 }
 
-// Generation is the newest one; it serves as the fencing token of orders, as two
-// owners of an endpoint never act under the same one.
+// Generation is the newest one.
 func (o *Ownership) Generation() int64 { return o.generation }
 
+// Fence is the fencing token of orders: the generation of the list that this
+// process acts on. Two owners of an endpoint never act under the same one.
+func (o *Ownership) Fence() int64 {
+	if len(o.epochs) == 0 {
+		return 0
+	}
+	return o.epochs[len(o.epochs)-1].generation
+}
+
 func (o *Ownership) wait() time.Duration { return o.Lease + o.Handover }
 
-// Owns tells whether an order may be given to the endpoint now.
+// Owns tells whether an order may be given to the endpoint now, whatever the owner
+// before may have done.
 func (o *Ownership) Owns(endpoint string, now time.Duration) bool {
-	if !o.joined || now >= o.renewed+o.Lease || len(o.epochs) == 0 {
+	return o.ownsFor(endpoint, o.wait(), now)
+}
+
+// OwnsAlone tells whether no other process can give orders to the endpoint any
+// more; one may have done so within the pause between two holders.
+func (o *Ownership) OwnsAlone(endpoint string, now time.Duration) bool {
+	return o.ownsFor(endpoint, o.Lease+soloMargin, now)
+}
+
+// soloMargin covers an order on its way at the end of its sender's lease.
+const soloMargin = 300 * time.Millisecond
+
+func (o *Ownership) ownsFor(endpoint string, wait, now time.Duration) bool {
+	if len(o.epochs) == 0 || now >= o.renewed+o.Lease || o.epochs[0].confirmed > now-wait {
 		return false
 	}
 	last := len(o.epochs) - 1
-	if o.epochs[last].generation != o.generation || o.epochs[0].confirmed > now-o.wait() {
-		return false
-	}
 	key := rendezvous.Key([]byte(endpoint))
 	for i := last; i >= 0; i-- {
 		if rendezvous.Owner(key, o.epochs[i].members) != o.Self {
 			return false
 		}
-		if o.epochs[i].confirmed <= now-o.wait() {
+		if o.epochs[i].confirmed <= now-wait {
 			break
 		}
 	}
--- a/core/forward/rollout.go
+++ b/core/forward/rollout.go
@@ -8,11 +8,15 @@
 
 // Figures of a rollout.
 const (
-	loadShare   = 0.45                    // of a service's endpoints may be out of use at a time
-	sweepTime   = 4500 * time.Millisecond // the loads of all endpoints begin within this: more at once slow each other
+	loadShare   = 0.4                     // of a service's endpoints may be out of use at a time
+	claimExpiry = 500 * time.Millisecond  // an endpoint whose ownership was lost is no longer kept free
+	startPause  = 300 * time.Millisecond  // between two of one process, for the others to hear of the first
+	orderMemory = 5 * time.Second         // an endpoint that is no longer managed is forgotten
 	keptTargets = 8                       // versions of a model that are remembered
 	orderExpiry = 2 * time.Second         // an order without effect is repeated after this
 	reportPause = 300 * time.Millisecond  // between two reports of an endpoint that loads
+	noticePause = 250 * time.Millisecond  // until all processes know that an endpoint is being emptied
+	emptyLimit  = 2500 * time.Millisecond // for long prompts to end before the order, which waits for the rest
 )
 
 // Rollout brings endpoints to the named weight versions. Each endpoint is asked
@@ -30,14 +34,32 @@
 	learned time.Duration // by this process, not earlier than it was named
 }
 
+// stage is how far the rollout on one endpoint is.
+type stage int
+
+const (
+	emptying stage = iota // gets no long prompts, while those that run end
+	asking                // its report is awaited
+	ordered               // an order was sent
+)
+
 type ordering struct {
+	stage   stage
+	since   time.Duration // of the stage
+	managed time.Duration // last seen as managed by this process
 	asked   time.Duration
-	ordered time.Duration
-	sent    bool
 	report  Report
 	have    bool
 }
 
+// Managed is an endpoint that this process gives orders to.
+type Managed struct {
+	Endpoint Endpoint
+	Long     int   // long prompts that run there, of all processes
+	Certain  bool  // no other process has given an order within the pause between holders
+	Seq      int64 // when not certain: the number of orders that all processes know of
+}
+
 // Report is what an endpoint says of itself.
 type Report struct {
 	Models []ModelState
@@ -100,10 +122,14 @@
 	return "", 0, false
 }
 
-// Loading tells whether the endpoint is about to be changed by this process.
-func (r *Rollout) Loading(id string) bool {
+// Loading tells whether an endpoint should get no new requests, and whether it
+// should get no long ones, as this process is about to change it.
+func (r *Rollout) Loading(id string, now time.Duration) (all, long bool) {
 	o := r.orders[id]
-	return o != nil
+	if o == nil || now >= o.managed+claimExpiry {
+		return false, false
+	}
+	return o.stage != emptying, true
 }
 
 // Reported takes an endpoint's report. It returns true when the endpoint has all
@@ -124,63 +150,73 @@
 // Sent records that an order was sent.
 func (r *Rollout) Sent(id string, now time.Duration) {
 	if o := r.orders[id]; o != nil {
-		o.sent, o.ordered, o.have = true, now, false
+		o.stage, o.since, o.have = ordered, now, false
 	}
 }
 
-// Forget drops what is known of orders, when the role passes on.
-func (r *Rollout) Forget() { clear(r.orders) }
-
-// Next returns what to do now for the endpoints. At most a share of a
-// service's endpoints is out of use at a time, and their loads begin one by one.
-func (r *Rollout) Next(endpoints []Endpoint, now time.Duration) []Step {
-	slices.SortFunc(endpoints, func(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) })
-	total, loading := map[string]int{}, map[string]int{}
-	alive := map[string]bool{}
-	for _, e := range endpoints {
-		total[e.Service]++
-		alive[e.ID] = true
-		if r.Loading(e.ID) {
-			loading[e.Service]++
+// Fleet counts the endpoints of a service.
+type Fleet struct {
+	Total   int
+	Claimed int // that other processes are about to change
+}
+
+// Next returns what to do now for the endpoints. At most a share of a service's
+// endpoints is out of use at a time, and their loads begin one by one.
+func (r *Rollout) Next(managed []Managed, fleets map[string]Fleet, now time.Duration) []Step {
+	slices.SortFunc(managed, func(a, b Managed) int {
+		return cmp.Or(cmp.Compare(a.Long, b.Long), cmp.Compare(a.Endpoint.ID, b.Endpoint.ID))
+	})
+	loading := map[string]int{}
+	for _, m := range managed {
+		if o := r.orders[m.Endpoint.ID]; o != nil {
+			loading[m.Endpoint.Service]++
+			o.managed = now
 		}
 	}
-	for id := range r.orders {
-		if !alive[id] {
+	for id, o := range r.orders {
+		if now >= o.managed+orderMemory {
 			delete(r.orders, id)
 		}
 	}
 	var steps []Step
-	for _, e := range endpoints {
-		if s, ok := r.step(e, now, total, loading); ok {
+	for _, m := range managed {
+		service := m.Endpoint.Service
+		o := r.orders[m.Endpoint.ID]
+		if o == nil {
+			f := fleets[service]
+			_, _, behind := r.needed(m.Endpoint.Models)
+			if !behind || loading[service]+f.Claimed >= max(1, int(loadShare*float64(f.Total))) || now < r.started+startPause {
+				continue
+			}
+			loading[service]++
+			r.started = now
+			r.orders[m.Endpoint.ID] = &ordering{stage: emptying, since: now, managed: now}
+			continue
+		}
+		if s, ok := o.step(r, m, now); ok {
 			steps = append(steps, s)
 		}
 	}
 	return steps
 }
 
-func (r *Rollout) step(e Endpoint, now time.Duration, total, loading map[string]int) (Step, bool) {
-	model, version, behind := r.needed(e.Models)
-	o := r.orders[e.ID]
-	if o == nil {
-		n := total[e.Service]
-		if !behind || loading[e.Service] >= max(1, int(loadShare*float64(n))) || now < r.started+sweepTime/time.Duration(n) {
+func (o *ordering) step(r *Rollout, m Managed, now time.Duration) (Step, bool) {
+	if o.stage == emptying {
+		if now < o.since+noticePause || m.Long > 0 && now < o.since+emptyLimit {
 			return Step{}, false
 		}
-		loading[e.Service]++
-		r.started = now
-		r.orders[e.ID] = &ordering{asked: now}
-		return Step{Endpoint: e}, true
+		o.stage, o.since = asking, now
 	}
-	if o.have && !o.report.Busy && (!o.sent || now >= o.ordered+orderExpiry) {
-		if m, v, ok := r.needed(o.report.Models); ok {
-			model, version = m, v
+	mayOrder := m.Certain || o.report.Seq == m.Seq
+	if o.have && !o.report.Busy && mayOrder && (o.stage == asking || now >= o.since+orderExpiry) {
+		if model, version, ok := r.needed(o.report.Models); ok {
+			o.have = false
+			return Step{Endpoint: m.Endpoint, Order: true, Model: model, Version: version, Seq: o.report.Seq}, true
 		}
-		o.have = false
-		return Step{Endpoint: e, Order: true, Model: model, Version: version, Seq: o.report.Seq}, true
 	}
 	if now >= o.asked+reportPause {
 		o.asked = now
-		return Step{Endpoint: e}, true
+		return Step{Endpoint: m.Endpoint}, true
 	}
 	return Step{}, false
 }
--- a/core/forward/rollout_test.go
+++ b/core/forward/rollout_test.go
@@ -49,12 +49,16 @@
 			if u, ok := until[e.ID]; ok && now >= u {
 				e.Models[0].Version = 2
 			}
-			if r.Loading(e.ID) {
+			if _, long := r.Loading(e.ID, now); long {
 				out++
 			}
 		}
 		require.LessOrEqual(t, out, n/2, "at %v", now)
-		for _, s := range r.Next(es, now) {
+		var managed []Managed
+		for _, e := range es {
+			managed = append(managed, Managed{Endpoint: e, Certain: true})
+		}
+		for _, s := range r.Next(managed, map[string]Fleet{"s": {Total: n}}, now) {
 			id := s.Endpoint.ID
 			if !s.Order {
 				_, busy := until[id]
@@ -120,10 +124,10 @@
 				orders++
 				if who, ok := lastOwner[id]; ok && who != n {
 					require.GreaterOrEqual(t, now-lastOrder[id], handover, "%s after %s for %s at %v", n, who, id, now)
-					require.Greater(t, owners[n].Generation(), lastFence[id])
+					require.Greater(t, owners[n].Fence(), lastFence[id])
 				}
-				require.GreaterOrEqual(t, owners[n].Generation(), lastFence[id])
-				lastOrder[id], lastOwner[id], lastFence[id] = now, n, owners[n].Generation()
+				require.GreaterOrEqual(t, owners[n].Fence(), lastFence[id])
+				lastOrder[id], lastOwner[id], lastFence[id] = now, n, owners[n].Fence()
 			}
 		}
 	}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -92,6 +92,9 @@
 	return nil
 }
 
+// answerTime is more than an answer of the log takes that it doesn't hold back.
+const answerTime = 300 * time.Millisecond
+
 // unknownNaming is the time of versions that were named before this process read
 // any: their time may be over.
 const unknownNaming = -time.Hour
@@ -105,6 +108,9 @@
 	named := unknownNaming
 	if age, known := s.fresh.Age(now); known {
 		named = now - age // at the earliest: after the last read that showed nothing newer
+		if now-started > answerTime {
+			named = max(named, now-answerTime) // the log held the read until there was a record
+		}
 	}
 	for _, r := range records {
 		switch {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -35,6 +35,7 @@
 	Waiting  int
 	Prefill  int
 	Memory   int
+	Long     int
 }
 
 type reportUse struct {
@@ -53,6 +54,7 @@
 	Loads    []reportLoad
 	Uses     []reportUse // parts that were sent to endpoints since the last report
 	Loading  []uint32    // endpoints that are being changed by an order
+	Emptying []uint32    // endpoints that get no long prompts
 	Saves    []reportUse // parts that are being written; Endpoint is the store
 	Loaded   []reportVersion
 }
@@ -63,6 +65,7 @@
 	Endpoint uint32
 	Model    string
 	Version  int64
+	Seq      int64 // orders that it has accepted
 }
 
 type peerReport struct {
@@ -125,9 +128,9 @@
 	}
 }
 
-func (p *peerLoads) loadedWeights(id, model string, version int64, now time.Duration) {
+func (p *peerLoads) loadedWeights(id, model string, version, seq int64, now time.Duration) {
 	h := endpointHash(id)
-	p.loaded[h] = loadedVersion{reportVersion{Endpoint: h, Model: model, Version: version}, now + peerExpiry}
+	p.loaded[h] = loadedVersion{reportVersion{Endpoint: h, Model: model, Version: version, Seq: seq}, now + peerExpiry}
 }
 
 // gossip exchanges reports with the peers until ctx ends.
@@ -174,10 +177,13 @@
 	}
 	for id, e := range s.endpoints {
 		if l := e.load; l.Active > 0 {
-			r.Loads = append(r.Loads, reportLoad{Endpoint: endpointHash(id), Active: l.Active, Waiting: l.Waiting, Prefill: l.Prefill, Memory: l.Memory})
+			r.Loads = append(r.Loads, reportLoad{Endpoint: endpointHash(id), Active: l.Active, Waiting: l.Waiting, Prefill: l.Prefill, Memory: l.Memory, Long: l.Long})
 		}
-		if s.rollout.Loading(id) {
+		all, long := s.rollout.Loading(id, s.clock())
+		if all {
 			r.Loading = append(r.Loading, endpointHash(id))
+		} else if long {
+			r.Emptying = append(r.Emptying, endpointHash(id))
 		}
 	}
 	members := slices.Clone(s.peers.members)
@@ -220,7 +226,7 @@
 	}
 	p := &peerReport{at: now, seq: r.Seq, loads: map[uint32]forward.Load{}}
 	for _, l := range r.Loads {
-		p.loads[l.Endpoint] = forward.Load{Active: l.Active, Waiting: l.Waiting, Prefill: l.Prefill, Memory: l.Memory}
+		p.loads[l.Endpoint] = forward.Load{Active: l.Active, Waiting: l.Waiting, Prefill: l.Prefill, Memory: l.Memory, Long: l.Long}
 	}
 	s.peers.reports[r.Member] = p
 	for _, u := range r.Saves {
@@ -230,7 +236,7 @@
 			}
 		}
 	}
-	if len(r.Uses) == 0 && len(r.Loading) == 0 && len(r.Loaded) == 0 {
+	if len(r.Uses) == 0 && len(r.Loading) == 0 && len(r.Loaded) == 0 && len(r.Emptying) == 0 {
 		return
 	}
 	byHash := map[uint32]string{}
@@ -240,12 +246,20 @@
 	for _, h := range r.Loading {
 		if id, ok := byHash[h]; ok {
 			s.endpoint(id).loading = now + peerExpiry/2
+			s.endpoint(id).claimed = now
+		}
+	}
+	for _, h := range r.Emptying {
+		if id, ok := byHash[h]; ok {
+			s.endpoint(id).emptying = now + peerExpiry/2
+			s.endpoint(id).claimed = now
 		}
 	}
 	for _, l := range r.Loaded {
 		if id, ok := byHash[l.Endpoint]; ok {
 			s.observeVersion(id, l.Model, l.Version)
-			s.endpoint(id).loading = 0
+			st := s.endpoint(id)
+			st.loading, st.emptying, st.seq = 0, 0, max(st.seq, l.Seq)
 		}
 	}
 	for _, u := range r.Uses {
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -44,6 +44,7 @@
 		Stores: s.fetchableStores(now), Now: now,
 		Fetchable: func(model string, version int64) bool { return s.rollout.Fetchable(model, version, now) },
 	}, cs)
+	q.line.count(cs)
 	if c.Index < 0 {
 		return nil, q.unplaced(apierr.Retry(apierr.NoEndpoint, apierr.NotRun, q.retryAfter(0), "no endpoint of the service can take the request", "send the request again"))
 	}
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -10,6 +10,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/galenaweir/galenaweir/core/apierr"
+	"github.com/galenaweir/galenaweir/core/forward"
 )
 
 type errorBody struct {
@@ -56,6 +57,11 @@
 	configVersion int64
 	configAge     time.Duration
 	attempts      []attemptLine
+	candidates    int  // endpoints of the service at the last placement, and how many of them
+	usable        int  // could take the request
+	emptying      int  // got no long prompts
+	outdated      int  // had older weights than were named
+	excluded      int  // were not allowed to take it
 	onlyRefused   bool // every endpoint that got the request has said that it did not run
 	status        int
 	bytes         int64
@@ -64,6 +70,17 @@
 	err           *apierr.Error
 }
 
+// count records the endpoints that the last placement could choose from.
+func (l *line) count(cs []forward.Candidate) {
+	l.candidates, l.usable, l.emptying, l.outdated, l.excluded = len(cs), 0, 0, 0, 0
+	for _, c := range cs {
+		l.usable += boolInt(c.Usable && !c.Excluded)
+		l.emptying += boolInt(c.Emptying)
+		l.outdated += boolInt(c.Outdated)
+		l.excluded += boolInt(c.Excluded)
+	}
+}
+
 type attemptLine struct {
 	p    *placement
 	err  *exchangeError
@@ -90,6 +107,9 @@
 	if q.call.Prompt != nil {
 		e = e.Int("prompt_tokens", q.call.Prompt.Tokens)
 	}
+	if l := q.line; l.candidates > 0 {
+		e = e.Int("endpoints", l.candidates).Int("usable", l.usable).Int("emptying", l.emptying).Int("outdated", l.outdated).Int("excluded", l.excluded)
+	}
 	for i, a := range q.line.attempts {
 		n := strconv.Itoa(i + 1)
 		e = e.Str("endpoint_"+n, a.p.endpoint.ID).Dur("expected_ms_"+n, a.p.choice.Wait).Int("cached_"+n, a.p.choice.Cached).Int("fetched_"+n, a.p.choice.Fetched).
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/phuslu/log"
@@ -29,8 +28,9 @@
 func (g *Gateway) group(ctx context.Context) {
 	for ctx.Err() == nil {
 		sent := g.clock()
-		if m, err := g.join(ctx); err == nil && g.joined(m, sent) {
-			g.readMembers(ctx, m.Generation)
+		m, err := g.join(ctx)
+		if err == nil && g.joined(m, sent) && g.readMembers(ctx, m.Generation) {
+			continue // the next join confirms the list
 		}
 		wait.For(ctx, joinPause)
 	}
@@ -57,17 +57,18 @@
 	return !g.ownership.Current(m.Generation)
 }
 
-func (g *Gateway) readMembers(ctx context.Context, generation int64) {
+func (g *Gateway) readMembers(ctx context.Context, generation int64) bool {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	members, err := g.groups.Members(ctx, groupName)
 	if err != nil {
 		log.Warn().Str("event", "members_unread").Err(err).Msg("read again after the next join")
-		return
+		return false
 	}
 	g.state.mu.Lock()
 	defer g.state.mu.Unlock()
 	g.ownership.Listed(generation, members)
+	return true
 }
 
 // roll brings named weight versions to the endpoints that this process owns.
@@ -78,8 +79,8 @@
 		now := s.clock()
 		var steps []forward.Step
 		if !g.draining.Load() {
-			owned := slices.DeleteFunc(s.usableEndpoints(now), func(e forward.Endpoint) bool { return !g.ownership.Owns(e.ID, now) })
-			steps = s.rollout.Next(owned, now)
+			managed, fleets := g.managed(now)
+			steps = s.rollout.Next(managed, fleets, now)
 		}
 		s.mu.Unlock()
 		for _, st := range steps {
@@ -88,6 +89,34 @@
 	}
 }
 
+// managed returns the endpoints that this process gives orders to, and counts those
+// of each service.
+func (g *Gateway) managed(now time.Duration) ([]forward.Managed, map[string]forward.Fleet) {
+	s := g.state
+	var out []forward.Managed
+	fleets := map[string]forward.Fleet{}
+	for _, e := range s.usableEndpoints(now) {
+		f := fleets[e.Service]
+		f.Total++
+		if st := s.endpoint(e.ID); now < st.loading || now < st.emptying {
+			f.Claimed++
+		}
+		fleets[e.Service] = f
+		if len(e.Models) == 0 || !g.ownership.OwnsAlone(e.ID, now) {
+			continue
+		}
+		st := s.endpoint(e.ID)
+		m := forward.Managed{
+			Endpoint: e, Long: st.load.Long + s.peers.load(e.ID, now).Long, Certain: g.ownership.Owns(e.ID, now), Seq: st.seq,
+		}
+		if !m.Certain && st.claimed > 0 && now < st.claimed+ms(g.settings.OrderHandoverMs) {
+			continue
+		}
+		out = append(out, m)
+	}
+	return out, fleets
+}
+
 func (g *Gateway) step(ctx context.Context, st forward.Step) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
@@ -108,8 +137,9 @@
 	}
 	if s.rollout.Reported(st.Endpoint.ID, rep, s.clock()) {
 		for _, m := range rep.Models {
-			s.peers.loadedWeights(st.Endpoint.ID, m.Name, m.Version, s.clock())
+			s.peers.loadedWeights(st.Endpoint.ID, m.Name, m.Version, rep.Seq, s.clock())
 		}
+		s.endpoint(st.Endpoint.ID).seq = rep.Seq
 		log.Info().Str("event", "weights_loaded").Str("endpoint", st.Endpoint.ID).Msg("the endpoint has the named weights")
 	}
 }
@@ -117,7 +147,7 @@
 func (g *Gateway) order(ctx context.Context, st forward.Step) {
 	s := g.state
 	s.mu.Lock()
-	may, fence := g.ownership.Owns(st.Endpoint.ID, s.clock()), g.ownership.Generation()
+	may, fence := g.ownership.OwnsAlone(st.Endpoint.ID, s.clock()), g.ownership.Fence()
 	if may {
 		s.rollout.Sent(st.Endpoint.ID, s.clock())
 	}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -21,12 +21,15 @@
 
 // endpointState is what this process knows of one endpoint beside its entry.
 type endpointState struct {
-	load    forward.Load
-	health  forward.Health
-	cached  forward.Residency
-	models  map[string]int64 // weight versions seen in answers
-	started int64
-	loading time.Duration // being changed by an order until then
+	load     forward.Load
+	health   forward.Health
+	cached   forward.Residency
+	models   map[string]int64 // weight versions seen in answers
+	started  int64
+	loading  time.Duration // being changed by an order until then
+	emptying time.Duration // gets no long prompts until then
+	claimed  time.Duration // a peer was about to change it
+	seq      int64         // orders that it has accepted, as far as all processes know
 }
 
 // state is all that decides about requests. mu guards it.
@@ -84,6 +87,7 @@
 				st.cached.Clear()
 				st.health = forward.Health{}
 				clear(st.models)
+				st.seq = 0
 			}
 			st.started = e.Started
 		}
@@ -109,6 +113,9 @@
 			Endpoint: e, Load: st.load.Plus(s.peers.load(e.ID, now)), Cached: &st.cached,
 			Usable: st.health.Usable(now) && now >= st.loading, Excluded: tried[e.ID],
 		}
+		all, long := s.rollout.Loading(e.ID, now)
+		c.Usable = c.Usable && !all
+		c.Emptying = long || now < st.emptying
 		if p != nil {
 			since, behind := s.rollout.Behind(e.Models, p.Model)
 			c.Outdated = behind
