Test forwarding over sockets

Change: tests of the gateway against raw endpoints: bytes unchanged, unsafe requests once, true refusals, stray and surplus answers, broken answers, streams that go on, early answers, callers that leave, old configurations, drains.

--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,524 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaweir/galenaweir/core/forward"
+)
+
+// testDialect is a dialect with names of its own.
+type testDialect struct{}
+
+func (testDialect) Call(h http.Header) (Call, error) {
+	c := Call{ID: h.Get("Test-Id"), LastEvent: h.Get("Test-Last")}
+	c.Key, c.HasKey = h.Get("Test-Key"), h.Get("Test-Key") != ""
+	if v := h.Get("Test-Deadline"); v != "" {
+		n, err := strconv.Atoi(v)
+		if err != nil {
+			return c, err
+		}
+		c.Deadline = time.Duration(n) * time.Millisecond
+	}
+	return c, nil
+}
+
+func (testDialect) Outgoing(h http.Header, o Outgoing) {
+	h.Del("Test-Key")
+	h.Set("Test-Endpoint", o.Endpoint)
+	h.Set("Test-Customer", o.Customer)
+	h.Set("Test-Last", o.LastEvent)
+}
+
+func (testDialect) Reply(status int, h http.Header) Reply {
+	return Reply{RequestID: h.Get("Test-Id"), Signed: h.Get("Test-Seal") != "", NotRun: h.Get("Test-Not-Run") != ""}
+}
+
+// testClock is a clock that a test moves.
+type testClock struct{ now atomic.Int64 }
+
+func (c *testClock) read() time.Duration         { return time.Duration(c.now.Load()) }
+func (c *testClock) advance(d time.Duration)     { c.now.Add(int64(d)) }
+func (c *testClock) start(d time.Duration) Clock { c.now.Store(int64(d)); return c.read }
+func testSettings() Settings {
+	return Settings{
+		ID: "entry-1", Host: "127.0.0.1", FailureDomain: "a", CallerAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", LogAddress: "127.0.0.1:1",
+		PeerPorts: [2]int{1, 2}, DrainMs: 2000, GraceS: 8, RevokeMs: 5000, BudgetRatio: 0.2, BudgetWindowS: 10, VersionMs: 10000, OrderHandoverMs: 3000,
+	}
+}
+
+// endpoint is a raw server: each accepted connection is given to the handler.
+type endpoint struct {
+	address  string
+	requests atomic.Int64
+}
+
+// serveRaw runs an endpoint whose handler answers one request at a time on a
+// connection; it returns false to close the connection.
+func serveRaw(t *testing.T, handle func(r *http.Request, c net.Conn) bool) *endpoint {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	e := &endpoint{address: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					e.requests.Add(1)
+					if !handle(r, c) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return e
+}
+
+func ok(r *http.Request, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nTest-Id: %s\r\nTest-Seal: s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("Test-Id"), len(body), body)
+}
+
+func answerOK(body string) func(*http.Request, net.Conn) bool {
+	return func(r *http.Request, c net.Conn) bool {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, err := io.WriteString(c, ok(r, body))
+		return err == nil
+	}
+}
+
+type fixture struct {
+	*Gateway
+	clock *testClock
+	srv   *httptest.Server
+}
+
+// newFixture returns a gateway with one service, its endpoints and routes of each kind.
+func newFixture(t *testing.T, endpoints ...*endpoint) *fixture {
+	t.Helper()
+	clock := &testClock{}
+	f := &fixture{clock: clock, Gateway: New(Options{Settings: testSettings(), Clock: clock.start(time.Hour), Seed: 1, Dialect: testDialect{}})}
+	route := func(path string, kind forward.Kind, resumable bool) forward.Route {
+		return forward.Route{
+			Name: path, Host: "service.test", PathPrefix: path, Kind: kind, Resumable: resumable, MaxAttempts: 2, Timeout: 5 * time.Second,
+			LatencyTarget: time.Second, Targets: []forward.Target{{Service: "s", Weight: 1}},
+		}
+	}
+	f.applyOperators([]forward.OperatorChange{{Config: &forward.Config{
+		Version: 1, Services: []forward.Service{{Name: "s"}},
+		Routes:    []forward.Route{route("/unsafe/", forward.Unsafe, false), route("/safe/", forward.Safe, false), route("/stream/", forward.Stream, false), route("/resumable/", forward.Stream, true)},
+		Customers: []forward.Customer{{Name: "c", Keys: []string{"key"}}},
+	}}}, clock.read(), true)
+	var changes []forward.EndpointChange
+	for i, e := range endpoints {
+		id := fmt.Sprintf("e%d", i)
+		changes = append(changes, forward.EndpointChange{ID: id, Endpoint: &forward.Endpoint{ID: id, Service: "s", Address: e.address, FailureDomain: "a", Slots: 4 - i}})
+	}
+	f.applyEndpoints(changes, clock.read(), true)
+	for range 100 { // a budget for second attempts
+		f.state.budget("s").Request(clock.read())
+	}
+	f.srv = httptest.NewServer(f.Gateway)
+	t.Cleanup(f.srv.Close)
+	return f
+}
+
+func (f *fixture) request(t *testing.T, method, path, body string) *http.Request {
+	t.Helper()
+	r, err := http.NewRequest(method, f.srv.URL, strings.NewReader(body))
+	require.NoError(t, err)
+	r.URL.Opaque = path
+	r.Host = "service.test"
+	r.Header.Set("Test-Key", "key")
+	r.Header.Set("Test-Id", "id-"+path)
+	return r
+}
+
+func (f *fixture) do(t *testing.T, r *http.Request) (int, string, error) {
+	t.Helper()
+	resp, err := f.srv.Client().Do(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body), err
+}
+
+// Guards against requests that reach an endpoint in another form than the caller
+// sent, or with the caller's key.
+func TestRequestIsForwardedAsItIs(t *testing.T) {
+	var got *http.Request
+	var body string
+	e := serveRaw(t, func(r *http.Request, c net.Conn) bool {
+		b, _ := io.ReadAll(r.Body)
+		got, body = r, string(b)
+		_, err := io.WriteString(c, ok(r, "answer"))
+		return err == nil
+	})
+	f := newFixture(t, e)
+	r := f.request(t, "PUT", "/unsafe/a%2Fb/../c;d?x=1&&y=%20", "some bytes")
+	r.Header.Set("X-Other", "kept")
+	r.Header.Set("Keep-Alive", "timeout=5")
+	status, answer, err := f.do(t, r)
+	require.NoError(t, err)
+	require.Equal(t, 200, status)
+	require.Equal(t, "answer", answer)
+	require.Equal(t, "PUT", got.Method)
+	require.Equal(t, "/unsafe/a%2Fb/../c;d?x=1&&y=%20", got.RequestURI)
+	require.Equal(t, "some bytes", body)
+	require.Equal(t, "kept", got.Header.Get("X-Other"))
+	require.Equal(t, "service.test", got.Host)
+	require.Equal(t, "c", got.Header.Get("Test-Customer"))
+	require.Empty(t, got.Header.Get("Test-Key"))
+	require.Empty(t, got.Header.Get("Keep-Alive"))
+}
+
+// Guards against a payment that runs twice because its first answer was lost.
+func TestUnsafeRequestIsNotRepeated(t *testing.T) {
+	lose := func(r *http.Request, c net.Conn) bool { return false }
+	a, b := serveRaw(t, lose), serveRaw(t, lose)
+	f := newFixture(t, a, b)
+	for _, path := range []string{"/unsafe/x", "/stream/x"} {
+		a.requests.Store(0)
+		b.requests.Store(0)
+		status, body, err := f.do(t, f.request(t, "POST", path, "pay"))
+		require.NoError(t, err)
+		require.Equal(t, 502, status, path)
+		require.Contains(t, body, `"ran":"unknown"`)
+		require.EqualValues(t, 1, a.requests.Load()+b.requests.Load(), path)
+	}
+}
+
+// Guards against failures that reach callers although another endpoint answers.
+func TestSafeRequestIsTriedElsewhere(t *testing.T) {
+	a := serveRaw(t, func(r *http.Request, c net.Conn) bool { return false })
+	b := serveRaw(t, answerOK("from b"))
+	f := newFixture(t, a, b)
+	status, body, err := f.do(t, f.request(t, "GET", "/safe/x", ""))
+	require.NoError(t, err)
+	require.Equal(t, 200, status)
+	require.Equal(t, "from b", body)
+	require.EqualValues(t, 1, a.requests.Load(), "the first attempt went to the other endpoint")
+}
+
+// Guards against a refusal that says "not run" after an attempt that may have run,
+// and against one that doesn't say it although nothing ran.
+func TestRefusalSaysWhetherTheRequestRan(t *testing.T) {
+	refuse := serveRaw(t, func(r *http.Request, c net.Conn) bool {
+		_, err := io.WriteString(c, "HTTP/1.1 503 Busy\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	})
+	f := newFixture(t, refuse)
+	resp, err := f.srv.Client().Do(f.request(t, "POST", "/unsafe/x", "pay"))
+	require.NoError(t, err)
+	resp.Body.Close()
+	require.Equal(t, 503, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+
+	lost := serveRaw(t, func(r *http.Request, c net.Conn) bool { return false })
+	f = newFixture(t, lost, refuse) // the answer is lost, then the other endpoint refuses
+	status, _, err := f.do(t, f.request(t, "GET", "/safe/x", ""))
+	require.NoError(t, err)
+	require.Equal(t, 502, status)
+}
+
+// Guards against an answer that reaches the next caller on the same connection.
+func TestStrayAnswersAreReadOver(t *testing.T) {
+	first := true
+	e := serveRaw(t, func(r *http.Request, c net.Conn) bool {
+		if !first {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTest-Id: other\r\nTest-Seal: s\r\nContent-Length: 5\r\n\r\nwrong")
+		}
+		first = false
+		_, err := io.WriteString(c, ok(r, "own "+r.Header.Get("Test-Id")))
+		return err == nil
+	})
+	f := newFixture(t, e)
+	for i := range 5 {
+		path := fmt.Sprintf("/unsafe/%d", i)
+		status, body, err := f.do(t, f.request(t, "POST", path, "x"))
+		require.NoError(t, err)
+		require.Equal(t, 200, status)
+		require.Equal(t, "own id-"+path, body)
+	}
+}
+
+// Guards against bytes after an answer that are taken for the next one.
+func TestSurplusBytesCloseTheConnection(t *testing.T) {
+	e := serveRaw(t, func(r *http.Request, c net.Conn) bool {
+		_, err := io.WriteString(c, ok(r, "whole")+ok(r, "surplus"))
+		return err == nil
+	})
+	f := newFixture(t, e)
+	for range 5 {
+		status, body, err := f.do(t, f.request(t, "POST", "/unsafe/same", "x"))
+		require.NoError(t, err)
+		require.Equal(t, 200, status)
+		require.Equal(t, "whole", body)
+	}
+}
+
+// Guards against a part of an answer that looks whole to the caller.
+func TestBrokenAnswerDoesNotLookWhole(t *testing.T) {
+	cases := map[string]string{
+		"short of its length":   "Content-Length: 100\r\n\r\npart",
+		"short of its chunks":   "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+		"garbage in its chunks": "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+	}
+	for name, rest := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := serveRaw(t, func(r *http.Request, c net.Conn) bool {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTest-Id: "+r.Header.Get("Test-Id")+"\r\nTest-Seal: s\r\n"+rest)
+				return false
+			})
+			f := newFixture(t, e)
+			status, _, err := f.do(t, f.request(t, "POST", "/unsafe/x", ""))
+			require.True(t, err != nil || status == 502, "status %d", status)
+		})
+	}
+	t.Run("no receipt", func(t *testing.T) {
+		e := serveRaw(t, func(r *http.Request, c net.Conn) bool {
+			_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nTest-Id: "+r.Header.Get("Test-Id")+"\r\nContent-Length: 2\r\n\r\nno")
+			return err == nil
+		})
+		f := newFixture(t, e)
+		status, _, err := f.do(t, f.request(t, "POST", "/unsafe/x", ""))
+		require.NoError(t, err)
+		require.Equal(t, 502, status)
+	})
+}
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id) }
+
+// streamFrom serves a stream of events from after the last one on, and breaks off
+// in the middle of the event breakAt.
+func streamFrom(t *testing.T, breakAt, last int) *endpoint {
+	return serveRaw(t, func(r *http.Request, c net.Conn) bool {
+		from, _ := strconv.Atoi(r.Header.Get("Test-Last"))
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTest-Id: "+r.Header.Get("Test-Id")+"\r\nTest-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+		cw := httputil.NewChunkedWriter(c)
+		for i := from + 1; i <= last; i++ {
+			data := event(i)
+			if i == breakAt {
+				_, _ = io.WriteString(cw, data[:len(data)/2])
+				return false
+			}
+			_, _ = io.WriteString(cw, data)
+		}
+		_ = cw.Close()
+		_, err := io.WriteString(c, "\r\n")
+		return err == nil
+	})
+}
+
+// Guards against events that are missing, doubled or joined when a stream goes on
+// at another endpoint, and against a broken stream that looks complete.
+func TestStreamGoesOnAfterItsLastWholeEvent(t *testing.T) {
+	f := newFixture(t, streamFrom(t, 3, 6), streamFrom(t, -1, 6))
+	want := ""
+	for i := 1; i <= 6; i++ {
+		want += event(i)
+	}
+	status, body, err := f.do(t, f.request(t, "POST", "/resumable/x", "prompt"))
+	require.NoError(t, err)
+	require.Equal(t, 200, status)
+	require.Equal(t, want, body)
+
+	f = newFixture(t, streamFrom(t, 3, 6), streamFrom(t, -1, 6))
+	_, body, err = f.do(t, f.request(t, "POST", "/stream/x", "prompt"))
+	require.Error(t, err, "a stream that can't be resumed must not look complete")
+	require.Equal(t, event(1)+event(2), body)
+}
+
+// Guards against events that wait for later ones.
+func TestEventsArePassedOnAsTheyCome(t *testing.T) {
+	release := make(chan struct{})
+	e := serveRaw(t, func(r *http.Request, c net.Conn) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTest-Id: "+r.Header.Get("Test-Id")+"\r\nTest-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n")
+		cw := httputil.NewChunkedWriter(c)
+		_, _ = io.WriteString(cw, event(1))
+		<-release
+		_, _ = io.WriteString(cw, event(2))
+		_ = cw.Close()
+		_, err := io.WriteString(c, "\r\n")
+		return err == nil
+	})
+	f := newFixture(t, e)
+	resp, err := f.srv.Client().Do(f.request(t, "POST", "/stream/x", "prompt"))
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	first := make([]byte, len(event(1)))
+	_, err = io.ReadFull(resp.Body, first)
+	require.NoError(t, err)
+	require.Equal(t, event(1), string(first))
+	close(release)
+	rest, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, event(2), string(rest))
+}
+
+// Guards against work at an endpoint for a caller that has left.
+func TestEndpointIsFreedWhenTheCallerLeaves(t *testing.T) {
+	arrived, closed := make(chan struct{}), make(chan struct{})
+	e := serveRaw(t, func(r *http.Request, c net.Conn) bool {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(arrived)
+		var b [1]byte
+		_, err := c.Read(b[:])
+		if errors.Is(err, io.EOF) {
+			close(closed)
+		}
+		return false
+	})
+	f := newFixture(t, e)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	_, _, err := f.do(t, f.request(t, "POST", "/unsafe/x", "pay").WithContext(ctx))
+	require.Error(t, err)
+	<-closed
+}
+
+// Guards against an endpoint that answers before it has read a long body and then
+// gets the next request where the rest of the body is due.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	var mu sync.Mutex
+	bodies := map[string]int{}
+	e := serveRaw(t, func(r *http.Request, c net.Conn) bool {
+		_, _ = io.WriteString(c, ok(r, "early"))
+		n, _ := io.Copy(io.Discard, r.Body)
+		mu.Lock()
+		defer mu.Unlock()
+		bodies[r.RequestURI] = int(n)
+		return true
+	})
+	f := newFixture(t, e)
+	long := strings.Repeat("x", 1<<20)
+	for i := range 3 {
+		status, body, err := f.do(t, f.request(t, "POST", fmt.Sprintf("/unsafe/%d", i), long))
+		require.NoError(t, err)
+		require.Equal(t, 200, status)
+		require.Equal(t, "early", body)
+	}
+	require.EqualValues(t, 3, e.requests.Load())
+}
+
+// Guards against a key that is accepted after it may have been taken away, against
+// 401, 403 and 404 by a process that doesn't know the newest configuration, and
+// against a readiness that draws callers to it.
+func TestOldConfigurationRefusesKeys(t *testing.T) {
+	e := serveRaw(t, answerOK("answer"))
+	f := newFixture(t, e)
+	status := func(path, key string) int {
+		r := f.request(t, "POST", path, "")
+		r.Header.Set("Test-Key", key)
+		n, _, err := f.do(t, r)
+		require.NoError(t, err)
+		return n
+	}
+	require.True(t, f.Ready())
+	require.Equal(t, 200, status("/unsafe/x", "key"))
+	require.Equal(t, 401, status("/unsafe/x", "unknown"))
+	require.Equal(t, 404, status("/nowhere/x", "key"))
+	f.clock.advance(3 * time.Second)
+	require.False(t, f.Ready())
+	require.Equal(t, 200, status("/unsafe/x", "key"), "within the bound of a key's removal")
+	require.Equal(t, 503, status("/unsafe/x", "unknown"))
+	require.Equal(t, 503, status("/nowhere/x", "key"))
+	f.clock.advance(2 * time.Second)
+	require.Equal(t, 503, status("/unsafe/x", "key"))
+	require.EqualValues(t, 2, e.requests.Load())
+	f.applyOperators(nil, f.clock.read(), false)
+	require.True(t, f.Ready())
+	require.Equal(t, 200, status("/unsafe/x", "key"))
+}
+
+// Guards against 401, 403 or 404 before any configuration was read.
+func TestUnknownConfigurationRefusesWithATimeToComeBack(t *testing.T) {
+	clock := &testClock{}
+	g := New(Options{Settings: testSettings(), Clock: clock.start(time.Hour), Dialect: testDialect{}})
+	w := httptest.NewRecorder()
+	g.ServeHTTP(w, httptest.NewRequest("POST", "/unsafe/x", nil))
+	require.Equal(t, 503, w.Code)
+	require.NotEmpty(t, w.Header().Get("Retry-After"))
+	require.False(t, g.Ready())
+}
+
+// Guards against an older configuration that comes into force after a newer one.
+func TestConfigurationNeverReverts(t *testing.T) {
+	f := newFixture(t)
+	f.applyOperators([]forward.OperatorChange{{Config: &forward.Config{Version: 7}}}, f.clock.read(), false)
+	f.applyOperators([]forward.OperatorChange{{Config: &forward.Config{Version: 5}}}, f.clock.read(), true)
+	require.EqualValues(t, 7, f.state.table.Config.Version)
+}
+
+// Guards against requests on old weights after a restart: the version that the
+// first read finds may have been named long ago.
+func TestVersionFoundAtTheStartHasNoTimeLeft(t *testing.T) {
+	clock := &testClock{}
+	g := New(Options{Settings: testSettings(), Clock: clock.start(time.Hour), Dialect: testDialect{}})
+	g.applyOperators([]forward.OperatorChange{{Weights: &forward.WeightVersion{Model: "m", Version: 2}}}, clock.read(), true)
+	g.applyEndpoints([]forward.EndpointChange{
+		{ID: "old", Endpoint: &forward.Endpoint{ID: "old", Service: "s", Models: []forward.ModelState{{Name: "m", Version: 1}}}},
+		{ID: "new", Endpoint: &forward.Endpoint{ID: "new", Service: "s", Models: []forward.ModelState{{Name: "m", Version: 2}}}},
+	}, clock.read(), true)
+	for _, c := range g.state.candidates("s", &forward.Prompt{Model: "m"}, nil, clock.read()) {
+		require.Equal(t, c.Endpoint.ID == "old", c.Excluded, c.Endpoint.ID)
+	}
+}
+
+// Guards against a planned stop that cuts a request.
+func TestDrainFinishesWhatRuns(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	e := serveRaw(t, func(r *http.Request, c net.Conn) bool {
+		close(arrived)
+		<-release
+		_, err := io.WriteString(c, ok(r, "late but whole"))
+		return err == nil
+	})
+	f := newFixture(t, e)
+	done := make(chan string)
+	go func() {
+		_, body, err := f.do(t, f.request(t, "POST", "/unsafe/x", "pay"))
+		done <- fmt.Sprint(body, err)
+	}()
+	<-arrived
+	stopped := make(chan struct{})
+	go func() {
+		f.drain(f.srv.Config)
+		close(stopped)
+	}()
+	require.Eventually(t, func() bool { return !f.Ready() }, time.Second, time.Millisecond)
+	close(release)
+	require.Equal(t, "late but whole<nil>", <-done)
+	<-stopped
+}
