Fetch parts from endpoints that used them just before

Change: fetch from an endpoint whose use of the part is recent enough; learn each store's rate from the requests that waited for it; count all parts of prompts; read rather than wait over twice as long for a fetch; endpoints with the oldest weights first; ties by the random source.

--- a/core/forward/choose.go
+++ b/core/forward/choose.go
@@ -14,12 +14,14 @@
 	slotStep        = 0.1                     // ms that one more running request adds to each step
 	stepsPerPrompt  = 4                       // steps that a prompt of usual length waits for
 	overMemory      = 1500 * time.Millisecond // wait for memory that is not there, for a whole memory
-	fetchPerMs      = 180.0                   // tokens fetched from a store in a ms, by its link
-	fetchFirst      = 8.0                     // ms until a fetch begins
+	peerPerMs       = 2500.0                  // tokens fetched from another endpoint in a ms, by its link
+	peerFirst       = 6.0                     // ms until such a fetch begins
+	fetchOverRead   = 2.0                     // a fetch may take so many times as long as reading, which takes others' time
 	tieSpread       = 4.0                     // ms between the first and the last in the order by hash
 	otherDomain     = 3.0                     // ms that a connection to another failure domain costs
 	coldPenalty     = 50.0                    // ms for an endpoint that is still slow after its start
-	evictionShare   = 0.35                    // cost of a token read, added for what it evicts
+	evictionShare   = 0.35                    // cost of a token, added for what it evicts
+	againShare      = 0.65                    // cost of a shared token read, added as it was or will be read elsewhere too
 	plainCost       = 20.0                    // ms of one request more at a plain service, per slot in use
 	outdatedPenalty = 150.0                   // ms: answers on older weights are worth a little less
 	suspectPenalty  = 10_000.0                // ms: only taken when no other is there
@@ -43,6 +45,7 @@
 	Engine        *Engine
 	Group         string       // customers that may share cached prompts
 	Stores        []*StoreView // nil when fetching is not allowed now
+	First         int          // index of the candidate that is looked at first; it wins ties
 	Now           time.Duration
 	Fetchable     func(model string, version int64) bool
 }
@@ -51,6 +54,7 @@
 type Choice struct {
 	Index   int // -1 when none can take it
 	Wait    time.Duration
+	FetchMs float64 // of the wait
 	Work    Work
 	Salt    string // of the endpoint's weights
 	Version int64  // of the endpoint's weights, 0 when unknown
@@ -66,13 +70,14 @@
 // costs more than reading them again.
 func Choose(t Task, cs []Candidate) Choice {
 	best, bestCost := Choice{Index: -1}, math.Inf(1)
-	plans := map[string]StorePlan{}
-	for i := range cs {
+	plans := plans{task: &t, candidates: cs, bySalt: map[string]StorePlan{}}
+	for k := range cs {
+		i := (t.First + k) % len(cs)
 		c := &cs[i]
 		if c.Excluded {
 			continue
 		}
-		cost, choice := t.cost(c, plans)
+		cost, choice := t.cost(c, &plans)
 		if !c.Usable {
 			cost += suspectPenalty
 		}
@@ -90,7 +95,7 @@
 	return best
 }
 
-func (t *Task) cost(c *Candidate, plans map[string]StorePlan) (float64, Choice) {
+func (t *Task) cost(c *Candidate, plans *plans) (float64, Choice) {
 	cost := 0.0
 	if c.Endpoint.FailureDomain != t.FailureDomain {
 		cost += otherDomain
@@ -106,24 +111,17 @@
 	}
 	ch := Choice{Version: c.version(t.Prompt.Model)}
 	ch.Salt = Salt(t.Group, t.Prompt.Model, ch.Version)
-	plan, ok := plans[ch.Salt]
-	if !ok && ch.Version > 0 && t.Stores != nil && t.Fetchable(t.Prompt.Model, ch.Version) {
-		plan = PlanStores(t.Stores, t.Prompt, ch.Salt, t.Now)
-		plans[ch.Salt] = plan
-	}
-	ch.Plan = plan
-	ch.Cached, ch.Fetched = t.prefix(c, &ch)
+	ch.Plan = plans.of(ch.Salt, ch.Version)
+	again := t.prefix(c, &ch)
 	read := max(t.Prompt.Tokens-ch.Cached-ch.Fetched, 0)
 	ch.Work = Work{Prefill: read, Memory: t.Prompt.Tokens + outputEstimate(t.Prompt), Long: t.Prompt.Long()}
 	wait := float64(c.Load.Prefill+read)/prefillPerMs + slotStep*stepsPerPrompt*float64(c.Load.Active)
-	if ch.Fetched > 0 {
-		wait += fetchFirst + float64(ch.Fetched)/fetchPerMs
-	}
+	wait += ch.FetchMs
 	if over := c.Load.Memory + ch.Work.Memory - t.Engine.CapacityTokens; over > 0 {
 		wait += float64(over) / float64(t.Engine.CapacityTokens) * float64(overMemory/time.Millisecond)
 	}
 	ch.Wait = time.Duration(wait * float64(time.Millisecond))
-	cost += wait + evictionShare*float64(read+ch.Fetched)/prefillPerMs + tieSpread*t.order(c.Endpoint.ID)
+	cost += wait + (evictionShare*float64(read+ch.Fetched)+againShare*float64(again))/prefillPerMs + tieSpread*t.order(c.Endpoint.ID)
 	return cost, ch
 }
 
@@ -152,20 +150,79 @@
 	return p.MaxOutput
 }
 
-// prefix returns how many tokens at the start of the prompt are in memory and how
-// many can be fetched.
-func (t *Task) prefix(c *Candidate, ch *Choice) (cached, fetched int) {
+// prefix works out how many tokens at the start of the prompt are in memory and how
+// many are fetched, and returns the shared tokens that are read.
+func (t *Task) prefix(c *Candidate, ch *Choice) (again int) {
+	fetch := make([]Source, len(ch.Plan.Fetch))
+	broken := false // a part is read; the later ones are read too
 	for i, p := range t.Prompt.Shared() {
+		resident := c.Cached != nil && c.Cached.Has(PartKey(ch.Salt, p.ID))
+		source := Source{}
+		if i < len(fetch) {
+			source = ch.Plan.Fetch[i]
+		}
+		useful := source.Address != "" && source.Address != c.Endpoint.Address && source.Ms < fetchOverRead*float64(p.Tokens)/prefillPerMs
+		if useful && !broken {
+			fetch[i] = source // also of a resident part, which may have been evicted
+		}
 		switch {
-		case c.Cached != nil && c.Cached.Has(PartKey(ch.Salt, p.ID)):
-			cached += p.Tokens
-		case i < len(ch.Plan.Fetch) && ch.Plan.Fetch[i] != nil:
-			fetched += p.Tokens
+		case broken || !resident && !useful:
+			broken = true
+			again += p.Tokens
+		case resident:
+			ch.Cached += p.Tokens
 		default:
-			return cached, fetched
+			ch.Fetched += p.Tokens
+			ch.FetchMs += source.Ms
+		}
+	}
+	ch.Plan.Fetch = fetch
+	return again
+}
+
+// plans works the sources of a prompt's parts out once for each salt.
+type plans struct {
+	task       *Task
+	candidates []Candidate
+	bySalt     map[string]StorePlan
+}
+
+func (ps *plans) of(salt string, version int64) StorePlan {
+	if p, ok := ps.bySalt[salt]; ok || version == 0 {
+		return p
+	}
+	t := ps.task
+	p := StorePlan{Fetch: make([]Source, len(t.Prompt.Shared()))}
+	if t.Stores != nil && t.Fetchable(t.Prompt.Model, version) {
+		p = PlanStores(t.Stores, t.Prompt, salt, t.Now)
+	}
+	for i, part := range t.Prompt.Shared() {
+		if s, ok := ps.peer(PartKey(salt, part.ID), part.Tokens); ok && (p.Fetch[i].Address == "" || s.Ms < p.Fetch[i].Ms) {
+			p.Fetch[i] = s
+		}
+	}
+	ps.bySalt[salt] = p
+	return p
+}
+
+// peer returns the endpoint that a part can be fetched from soonest: one that used
+// it so recently that it must still be in memory.
+func (ps *plans) peer(key uint64, tokens int) (Source, bool) {
+	best := Source{}
+	for i := range ps.candidates {
+		c := &ps.candidates[i]
+		if !c.Usable || c.Cached == nil || !c.Cached.Certain(key, ps.task.Engine.CapacityTokens) {
+			continue
+		}
+		ms := peerFirst + float64(tokens)/peerPerMs
+		if c.Endpoint.FailureDomain != ps.task.FailureDomain {
+			ms *= 2
+		}
+		if best.Address == "" || ms < best.Ms {
+			best = Source{Address: c.Endpoint.Address, Ms: ms}
 		}
 	}
-	return cached, fetched
+	return best, best.Address != ""
 }
 
 // order is the place of the endpoint among all for the prompt's longest shared
--- a/core/forward/load.go
+++ b/core/forward/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -77,25 +76,32 @@
 // Residency estimates which parts an endpoint has in memory: those that were sent
 // to it last, as far as its memory reaches.
 type Residency struct {
-	parts map[uint64]*resident
-	total int
+	parts  map[uint64]*resident
+	total  int
+	passed int // tokens of all uses so far
 }
 
 type resident struct {
 	tokens int
-	used   time.Duration
+	passed int // as of the last use
 }
 
-// Use records that a request with the part was sent at the time.
-func (r *Residency) Use(key uint64, tokens, capacity int, now time.Duration) {
+// residentReach is the share of the memory by which a part must have been passed
+// before it is held to be uncertain: the order of reading isn't that of sending.
+const residentReach = 0.6
+
+// Use records that a request with the part was sent.
+func (r *Residency) Use(key uint64, tokens, capacity int) {
 	if r.parts == nil {
 		r.parts = map[uint64]*resident{}
 	}
 	if p := r.parts[key]; p != nil {
-		p.used = max(p.used, now)
+		r.passed += min(tokens, r.passed-p.passed)
+		p.passed = r.passed
 		return
 	}
-	r.parts[key] = &resident{tokens, now}
+	r.passed += tokens
+	r.parts[key] = &resident{tokens, r.passed}
 	r.total += tokens
 	for r.total > capacity && len(r.parts) > 1 {
 		r.evict()
@@ -104,10 +110,10 @@
 
 func (r *Residency) evict() {
 	var oldest uint64
-	at := time.Duration(math.MaxInt64)
+	at := math.MaxInt
 	for k, p := range r.parts {
-		if p.used < at || p.used == at && k < oldest {
-			oldest, at = k, p.used
+		if p.passed < at || p.passed == at && k < oldest {
+			oldest, at = k, p.passed
 		}
 	}
 	r.total -= r.parts[oldest].tokens
@@ -117,5 +123,12 @@
 // Has tells whether the part is believed to be in memory.
 func (r *Residency) Has(key uint64) bool { return r.parts[key] != nil }
 
+// Certain tells whether the part was used so recently that it can be fetched from
+// the endpoint.
+func (r *Residency) Certain(key uint64, capacity int) bool {
+	p := r.parts[key]
+	return p != nil && float64(r.passed-p.passed) < residentReach*float64(capacity)
+}
+
 // Clear forgets all parts, as after a restart or a change of weights.
-func (r *Residency) Clear() { r.parts, r.total = nil, 0 }
+func (r *Residency) Clear() { *r = Residency{} }
--- a/core/forward/rollout.go
+++ b/core/forward/rollout.go
@@ -2,13 +2,15 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
 
 // Figures of a rollout.
 const (
-	loadShare   = 0.4                     // of a service's endpoints may be out of use at a time
+	changeShare = 0.5                     // of a service's endpoints are emptied or loaded at a time
+	loadShare   = 0.3                     // of a service's endpoints get no requests at a time
 	claimExpiry = 500 * time.Millisecond  // an endpoint whose ownership was lost is no longer kept free
 	startPause  = 300 * time.Millisecond  // between two of one process, for the others to hear of the first
 	orderMemory = 5 * time.Second         // an endpoint that is no longer managed is forgotten
@@ -158,18 +160,25 @@
 type Fleet struct {
 	Total   int
 	Claimed int // that other processes are about to change
+	Loading int // of these, those that get no requests at all
 }
 
 // Next returns what to do now for the endpoints. At most a share of a service's
-// endpoints is out of use at a time, and their loads begin one by one.
+// endpoints is changed at a time, and a smaller share gets no requests.
 func (r *Rollout) Next(managed []Managed, fleets map[string]Fleet, now time.Duration) []Step {
 	slices.SortFunc(managed, func(a, b Managed) int {
-		return cmp.Or(cmp.Compare(a.Long, b.Long), cmp.Compare(a.Endpoint.ID, b.Endpoint.ID))
+		return cmp.Or(cmp.Compare(oldest(a.Endpoint), oldest(b.Endpoint)), cmp.Compare(a.Long, b.Long), cmp.Compare(a.Endpoint.ID, b.Endpoint.ID))
 	})
-	loading := map[string]int{}
+	changing, loading := map[string]int{}, map[string]int{}
+	for service, f := range fleets {
+		changing[service], loading[service] = f.Claimed, f.Loading
+	}
 	for _, m := range managed {
 		if o := r.orders[m.Endpoint.ID]; o != nil {
-			loading[m.Endpoint.Service]++
+			changing[m.Endpoint.Service]++
+			if o.stage != emptying {
+				loading[m.Endpoint.Service]++
+			}
 			o.managed = now
 		}
 	}
@@ -185,14 +194,21 @@
 		if o == nil {
 			f := fleets[service]
 			_, _, behind := r.needed(m.Endpoint.Models)
-			if !behind || loading[service]+f.Claimed >= max(1, int(loadShare*float64(f.Total))) || now < r.started+startPause {
+			if !behind || changing[service] >= max(1, int(changeShare*float64(f.Total))) || now < r.started+startPause {
 				continue
 			}
-			loading[service]++
+			changing[service]++
 			r.started = now
 			r.orders[m.Endpoint.ID] = &ordering{stage: emptying, since: now, managed: now}
 			continue
 		}
+		if o.stage == emptying {
+			if loading[service] >= max(1, int(loadShare*float64(fleets[service].Total))) || !o.empty(m, now) {
+				continue
+			}
+			loading[service]++
+			o.stage, o.since = asking, now
+		}
 		if s, ok := o.step(r, m, now); ok {
 			steps = append(steps, s)
 		}
@@ -200,13 +216,21 @@
 	return steps
 }
 
-func (o *ordering) step(r *Rollout, m Managed, now time.Duration) (Step, bool) {
-	if o.stage == emptying {
-		if now < o.since+noticePause || m.Long > 0 && now < o.since+emptyLimit {
-			return Step{}, false
-		}
-		o.stage, o.since = asking, now
+// oldest returns the lowest weight version of an endpoint: its time ends first.
+func oldest(e Endpoint) int64 {
+	v := int64(math.MaxInt64)
+	for _, m := range e.Models {
+		v = min(v, m.Version)
 	}
+	return v
+}
+
+// empty tells whether an endpoint that gets no long prompts may be changed now.
+func (o *ordering) empty(m Managed, now time.Duration) bool {
+	return now >= o.since+noticePause && m.Long == 0 || now >= o.since+emptyLimit
+}
+
+func (o *ordering) step(r *Rollout, m Managed, now time.Duration) (Step, bool) {
 	mayOrder := m.Certain || o.report.Seq == m.Seq
 	if o.have && !o.report.Busy && mayOrder && (o.stage == asking || now >= o.since+orderExpiry) {
 		if model, version, ok := r.needed(o.report.Models); ok {
--- a/core/forward/stores.go
+++ b/core/forward/stores.go
@@ -98,6 +98,9 @@
 	pending   map[uint64]pendingSave
 	used      int
 	reserved  int
+
+	observed   float64 // tokens in a ms, 0 before the first observation
+	observedAt time.Duration
 }
 
 type partialPart struct {
@@ -272,32 +275,70 @@
 	return out
 }
 
-// StorePlan says for each part of a prompt where it is fetched from or saved to; ""
-// for neither.
+// Source is where a part of a prompt is fetched from: a store, or another endpoint.
+type Source struct {
+	Address string // "" for none
+	Store   *StoreView
+	Ms      float64 // expected time of the fetch
+}
+
+// StorePlan says for each shared part of a prompt where it is fetched from and
+// which store it is saved to, nil for none.
 type StorePlan struct {
-	Fetch []*StoreView
+	Fetch []Source
 	Save  []*StoreView
 }
 
+// Time of a fetch from a store. The link of the slowest tier gives the rate to begin
+// with; a transfer that others hold up is noticed by the requests that waited for it.
+const (
+	storePerMs   = 180.0 // tokens
+	storeFirstMs = 8.0
+	minPerMs     = 2.0
+	maxPerMs     = 500.0
+	rateWeight   = 0.2             // of a new observation
+	rateMemory   = 4 * time.Second // after which an observation counts for a third
+)
+
+// fetchMs is the expected time to fetch tokens from the store.
+func (v *StoreView) fetchMs(tokens int, now time.Duration) float64 {
+	return storeFirstMs + float64(tokens)/v.rate(now)
+}
+
+func (v *StoreView) rate(now time.Duration) float64 {
+	if v.observed == 0 {
+		return storePerMs
+	}
+	w := math.Exp(-float64(now-v.observedAt) / float64(rateMemory))
+	return math.Exp(w*math.Log(v.observed) + (1-w)*math.Log(storePerMs))
+}
+
+// Observe takes the time that a fetch of tokens took.
+func (v *StoreView) Observe(tokens int, ms float64, now time.Duration) {
+	r := min(max(float64(tokens)/max(ms-storeFirstMs, 1), minPerMs), maxPerMs)
+	v.observed = math.Exp((1-rateWeight)*math.Log(v.rate(now)) + rateWeight*math.Log(r))
+	v.observedAt = now
+}
+
 // PlanStores looks the shared parts of a prompt up. Every entry saves a part to the
 // same store, found by hashing with the stores' room as weights.
 func PlanStores(stores []*StoreView, p *Prompt, salt string, now time.Duration) StorePlan {
 	shared := p.Shared()
-	plan := StorePlan{Fetch: make([]*StoreView, len(shared)), Save: make([]*StoreView, len(shared))}
+	plan := StorePlan{Fetch: make([]Source, len(shared)), Save: make([]*StoreView, len(shared))}
 	for i, part := range shared {
 		k := PartKey(salt, part.ID)
 		pending := false
 		for _, v := range stores {
 			if _, ok := v.held[k]; ok && v.trusted(now) {
-				if plan.Fetch[i] == nil || v.Capacity < plan.Fetch[i].Capacity { // smaller stores are faster tiers
-					plan.Fetch[i] = v
+				if ms := v.fetchMs(part.Tokens, now); plan.Fetch[i].Store == nil || ms < plan.Fetch[i].Ms {
+					plan.Fetch[i] = Source{v.Address, v, ms}
 				}
 			}
 			if s, ok := v.pending[k]; ok && now < s.until {
 				pending = true
 			}
 		}
-		if plan.Fetch[i] == nil && !pending {
+		if plan.Fetch[i].Store == nil && !pending {
 			plan.Save[i] = saveTarget(stores, k, part.Tokens, now)
 		}
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -21,7 +21,7 @@
 		Salt: p.choice.Salt, Version: p.choice.Version, UntilMs: p.untilMs, LastEvent: q.call.LastEvent, Remaining: remaining(q.deadline, q.g.clock()),
 	}
 	if pr := q.call.Prompt; pr != nil {
-		o.Fetch, o.Save = storeAddresses(p.choice.Plan.Fetch, len(pr.Parts)), storeAddresses(p.choice.Plan.Save, len(pr.Parts))
+		o.Fetch, o.Save = addresses(p.choice.Plan, len(pr.Parts))
 	}
 	if q.customer != nil {
 		o.Customer = q.customer.Name
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,6 +65,7 @@
 	ownership forward.Ownership // guarded by the state's mutex
 	member    string
 	peerConn  *net.UDPConn
+	reportNow chan struct{}
 
 	draining    atomic.Bool
 	inFlight    atomic.Int64
@@ -86,6 +87,7 @@
 		state: newState(s, o.Clock, rand.New(rand.NewPCG(o.Seed, o.Seed))), pool: newConnPool(o.Clock),
 		ownership:    forward.Ownership{Self: member, Lease: orderLease, Handover: ms(s.OrderHandoverMs) + orderTransit},
 		member:       member,
+		reportNow:    make(chan struct{}, 1),
 		requests:     metrics.Default.Count("forwarded_requests"),
 		refusals:     metrics.Default.CountBy("forward_refusals"),
 		strayReports: metrics.Default.Count("stray_load_reports"),
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -18,6 +18,8 @@
 // The exchange of loads between entries.
 const (
 	gossipPause    = 100 * time.Millisecond // one report to each peer; loads change within a prompt's reading
+	gossipSpacing  = 15 * time.Millisecond  // between two reports at least
+	promptReport   = 1500                   // tokens to be read from which a placement is reported at once
 	gossipPerPeer  = 10 * time.Millisecond  // longer pauses in large groups, to bound the datagrams
 	peerExpiry     = time.Second            // a report counts so long
 	maxDatagram    = 8192
@@ -137,7 +139,7 @@
 func (g *Gateway) gossip(ctx context.Context) {
 	go g.receiveReports()
 	seq := int64(g.clock())
-	for wait.For(ctx, g.gossipPause()) {
+	for g.nextReport(ctx) {
 		seq++
 		report, members := g.report(seq)
 		data, err := msgpack.Marshal(&report)
@@ -155,6 +157,31 @@
 	}
 }
 
+// nextReport waits until a report is due. A long prompt that was placed is reported
+// at once, as peers would send theirs to the same endpoint.
+func (g *Gateway) nextReport(ctx context.Context) bool {
+	if !wait.For(ctx, gossipSpacing) {
+		return false
+	}
+	due := time.NewTimer(g.gossipPause() - gossipSpacing)
+	defer due.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-due.C:
+	case <-g.reportNow:
+	}
+	return true
+}
+
+// reportSoon asks for a report before the next regular one.
+func (g *Gateway) reportSoon() {
+	select {
+	case g.reportNow <- struct{}{}:
+	default: // one is due already
+	}
+}
+
 func (g *Gateway) gossipPause() time.Duration {
 	s := g.state
 	s.mu.Lock()
@@ -264,7 +291,7 @@
 	}
 	for _, u := range r.Uses {
 		if id, ok := byHash[u.Endpoint]; ok {
-			s.endpoint(id).cached.Use(u.Part, u.Tokens, s.capacity(id, now), now)
+			s.endpoint(id).cached.Use(u.Part, u.Tokens, s.capacity(id, now))
 		}
 	}
 }
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -41,6 +41,7 @@
 	cs := s.candidates(q.service.Name, q.call.Prompt, q.tried, now)
 	c := forward.Choose(forward.Task{
 		Prompt: q.call.Prompt, FailureDomain: s.settings.FailureDomain, Engine: q.service.Engine, Group: q.group,
+		First:  s.rng.IntN(len(cs) + 1),
 		Stores: s.fetchableStores(now), Now: now,
 		Fetchable: func(model string, version int64) bool { return s.rollout.Fetchable(model, version, now) },
 	}, cs)
@@ -57,9 +58,9 @@
 	st.load.Add(p.work)
 	if pr := q.call.Prompt; pr != nil {
 		capacity := int(residentShare * float64(q.service.Engine.CapacityTokens))
-		for i, part := range pr.Shared() {
+		for i, part := range pr.Parts {
 			key := forward.PartKey(c.Salt, part.ID)
-			st.cached.Use(key, part.Tokens, capacity, now)
+			st.cached.Use(key, part.Tokens, capacity)
 			s.peers.used(p.endpoint.ID, key, part.Tokens)
 			if i < len(c.Plan.Save) && c.Plan.Save[i] != nil {
 				c.Plan.Save[i].Saving(key, part.Tokens, now)
@@ -67,6 +68,9 @@
 			}
 		}
 		p.untilMs = s.fetchUntil(c.Plan, now)
+		if p.work.Prefill >= promptReport {
+			q.g.reportSoon()
+		}
 	}
 	q.tried[p.endpoint.ID] = true
 	return p, nil
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -75,6 +75,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.endpoint(p.endpoint.ID).load.Start(&p.work)
+	s.observeFetch(p, s.clock())
 }
 
 // eventsEnd returns the length of the whole events at the start of b.
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -100,6 +100,7 @@
 		f.Total++
 		if st := s.endpoint(e.ID); now < st.loading || now < st.emptying {
 			f.Claimed++
+			f.Loading += boolInt(now < st.loading)
 		}
 		fleets[e.Service] = f
 		if len(e.Models) == 0 || !g.ownership.OwnsAlone(e.ID, now) {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,7 +18,7 @@
 	staleConfig   = 2500 * time.Millisecond // age from which a route or key may be newer than what is known
 	refusingFor   = 250 * time.Millisecond  // an endpoint that refused gets no work for this long
 	unreachedFor  = time.Second             // one that could not be reached
-	residentShare = 0.7                     // of an engine's memory, the rest holds running requests
+	residentShare = 0.9                     // of an engine's memory that parts of prompts take
 )
 
 // endpointState is what this process knows of one endpoint beside its entry.
@@ -98,6 +100,7 @@
 		e.Models = models
 		out = append(out, e)
 	})
+	slices.SortFunc(out, func(a, b forward.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
 
--- a/gateway/stores.go
+++ b/gateway/stores.go
@@ -34,26 +34,43 @@
 // fetchUntil is the end of a fetch on the clock of the stores, the earliest of them.
 func (s *state) fetchUntil(plan forward.StorePlan, now time.Duration) int64 {
 	until := int64(0)
-	for _, v := range plan.Fetch {
-		if v == nil {
+	for _, f := range plan.Fetch {
+		if f.Store == nil {
 			continue
 		}
-		if ms := int64(v.Clock(now + forward.FetchWindow)); until == 0 || ms < until {
+		if ms := int64(f.Store.Clock(now + forward.FetchWindow)); until == 0 || ms < until {
 			until = ms
 		}
 	}
 	return until
 }
 
-// storeAddresses lists the stores' addresses for each part of a prompt.
-func storeAddresses(views []*forward.StoreView, parts int) []string {
-	out := make([]string, parts)
-	for i, v := range views {
+// addresses lists where each part of a prompt is fetched from and saved to.
+func addresses(plan forward.StorePlan, parts int) (fetch, save []string) {
+	fetch, save = make([]string, parts), make([]string, parts)
+	for i, f := range plan.Fetch {
+		fetch[i] = f.Address
+	}
+	for i, v := range plan.Save {
 		if v != nil {
-			out[i] = v.Address
+			save[i] = v.Address
+		}
+	}
+	return fetch, save
+}
+
+// observeFetch takes the time to the first event of a request that fetched parts.
+func (s *state) observeFetch(p *placement, now time.Duration) {
+	c := p.choice
+	if c.Fetched == 0 {
+		return
+	}
+	for _, f := range c.Plan.Fetch {
+		if f.Store != nil && f.Ms >= c.FetchMs/2 { // the fetch that the request waited for
+			took := float64(now-p.began)/float64(time.Millisecond) - (float64(c.Wait)/float64(time.Millisecond) - c.FetchMs)
+			f.Store.Observe(c.Fetched, max(took, f.Ms/3), now)
 		}
 	}
-	return out
 }
 
 // followStores keeps a follower for each managed store of the configuration.
