Fetch a part from an endpoint only once it is read there

Cause: a part counted as fetchable from the moment its request was sent. Change: it counts from the expected end of its reading; the decision line tells the shared tokens that are read.

--- a/core/forward/choose.go
+++ b/core/forward/choose.go
@@ -59,7 +59,8 @@
 	Salt    string // of the endpoint's weights
 	Version int64  // of the endpoint's weights, 0 when unknown
 	Cached  int    // prompt tokens expected in memory
-	Fetched int    // prompt tokens expected from stores
+	Fetched int    // prompt tokens expected from stores and other endpoints
+	Read    int    // shared prompt tokens expected to be read
 	Plan    StorePlan
 	Suspect bool // only a suspect endpoint was left
 }
@@ -113,6 +114,7 @@
 	ch.Salt = Salt(t.Group, t.Prompt.Model, ch.Version)
 	ch.Plan = plans.of(ch.Salt, ch.Version)
 	again := t.prefix(c, &ch)
+	ch.Read = again
 	read := max(t.Prompt.Tokens-ch.Cached-ch.Fetched, 0)
 	ch.Work = Work{Prefill: read, Memory: t.Prompt.Tokens + outputEstimate(t.Prompt), Long: t.Prompt.Long()}
 	wait := float64(c.Load.Prefill+read)/prefillPerMs + slotStep*stepsPerPrompt*float64(c.Load.Active)
@@ -211,7 +213,7 @@
 	best := Source{}
 	for i := range ps.candidates {
 		c := &ps.candidates[i]
-		if !c.Usable || c.Cached == nil || !c.Cached.Certain(key, ps.task.Engine.CapacityTokens) {
+		if !c.Usable || c.Cached == nil || !c.Cached.Certain(key, ps.task.Engine.CapacityTokens, ps.task.Now) {
 			continue
 		}
 		ms := peerFirst + float64(tokens)/peerPerMs
--- a/core/forward/load.go
+++ b/core/forward/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -83,15 +84,16 @@
 
 type resident struct {
 	tokens int
-	passed int // as of the last use
+	passed int           // as of the last use
+	ready  time.Duration // when it is read
 }
 
 // residentReach is the share of the memory by which a part must have been passed
 // before it is held to be uncertain: the order of reading isn't that of sending.
 const residentReach = 0.6
 
-// Use records that a request with the part was sent.
-func (r *Residency) Use(key uint64, tokens, capacity int) {
+// Use records that a request with the part was sent, which is read by the time ready.
+func (r *Residency) Use(key uint64, tokens, capacity int, ready time.Duration) {
 	if r.parts == nil {
 		r.parts = map[uint64]*resident{}
 	}
@@ -101,7 +103,7 @@
 		return
 	}
 	r.passed += tokens
-	r.parts[key] = &resident{tokens, r.passed}
+	r.parts[key] = &resident{tokens, r.passed, ready}
 	r.total += tokens
 	for r.total > capacity && len(r.parts) > 1 {
 		r.evict()
@@ -123,11 +125,11 @@
 // Has tells whether the part is believed to be in memory.
 func (r *Residency) Has(key uint64) bool { return r.parts[key] != nil }
 
-// Certain tells whether the part was used so recently that it can be fetched from
-// the endpoint.
-func (r *Residency) Certain(key uint64, capacity int) bool {
+// Certain tells whether the part is read and was used so recently that it can be
+// fetched from the endpoint.
+func (r *Residency) Certain(key uint64, capacity int, now time.Duration) bool {
 	p := r.parts[key]
-	return p != nil && float64(r.passed-p.passed) < residentReach*float64(capacity)
+	return p != nil && now >= p.ready && float64(r.passed-p.passed) < residentReach*float64(capacity)
 }
 
 // Clear forgets all parts, as after a restart or a change of weights.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -291,7 +291,7 @@
 	}
 	for _, u := range r.Uses {
 		if id, ok := byHash[u.Endpoint]; ok {
-			s.endpoint(id).cached.Use(u.Part, u.Tokens, s.capacity(id, now))
+			s.endpoint(id).cached.Use(u.Part, u.Tokens, s.capacity(id, now), now+peerReadTime)
 		}
 	}
 }
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -60,7 +60,7 @@
 		capacity := int(residentShare * float64(q.service.Engine.CapacityTokens))
 		for i, part := range pr.Parts {
 			key := forward.PartKey(c.Salt, part.ID)
-			st.cached.Use(key, part.Tokens, capacity)
+			st.cached.Use(key, part.Tokens, capacity, now+c.Wait+readMargin)
 			s.peers.used(p.endpoint.ID, key, part.Tokens)
 			if i < len(c.Plan.Save) && c.Plan.Save[i] != nil {
 				c.Plan.Save[i].Saving(key, part.Tokens, now)
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -112,7 +112,7 @@
 	}
 	for i, a := range q.line.attempts {
 		n := strconv.Itoa(i + 1)
-		e = e.Str("endpoint_"+n, a.p.endpoint.ID).Dur("expected_ms_"+n, a.p.choice.Wait).Int("cached_"+n, a.p.choice.Cached).Int("fetched_"+n, a.p.choice.Fetched).
+		e = e.Str("endpoint_"+n, a.p.endpoint.ID).Dur("expected_ms_"+n, a.p.choice.Wait).Int("cached_"+n, a.p.choice.Cached).Int("fetched_"+n, a.p.choice.Fetched).Int("read_"+n, a.p.choice.Read).
 			Bool("suspect_"+n, a.p.choice.Suspect).Dur("took_ms_"+n, a.took)
 		if a.err != nil {
 			e = e.Bool("not_run_"+n, a.err.notRun).Bool("sent_"+n, a.err.sent).Str("failure_"+n, a.err.Error())
