Make fewer calls to the log and to stores

Change: reads of the endpoints' list are spaced by the time within which a leaving one is to be known; store calls wait 0.25 s and are spaced by the number of entries; a read after a failure does not wait; only what exceeds the usual error of an expected wait is put down to a store's link.

--- a/core/forward/stores.go
+++ b/core/forward/stores.go
@@ -23,7 +23,7 @@
 const (
 	storeTrust   = 1700 * time.Millisecond // since the start of the last read of its events
 	FetchWindow  = 1300 * time.Millisecond // from the decision to the end of a fetch
-	configTrust  = 2500 * time.Millisecond // since the last read of the operators' records
+	configTrust  = 3200 * time.Millisecond // since the last read of the operators' records
 	retireAfter  = 4500 * time.Millisecond
 	freeAfter    = retireAfter + configTrust + FetchWindow + 500*time.Millisecond
 	restartPause = storeTrust + FetchWindow + 500*time.Millisecond
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -15,8 +15,8 @@
 // Reading the log. Each call is priced and counted against the platform's rate
 // limit, so that reads wait at the log for records.
 const (
-	operatorWait  = 1200 * time.Millisecond // a read that waits shows that nothing newer is there
-	endpointPause = 500 * time.Millisecond  // heartbeats of all endpoints come in one read
+	operatorWait  = 1400 * time.Millisecond // a read that waits shows that nothing newer is there; the age reaches twice as much
+	endpointShare = 0.4                     // of the time within which a leaving endpoint is to be known, between two reads
 	readSlack     = 800 * time.Millisecond  // beyond the wait, for the answer
 	lostAfter     = 2                       // failed reads in a row before the log counts as lost
 )
@@ -39,7 +39,11 @@
 	failures := 0
 	for ctx.Err() == nil {
 		started := r.clock()
-		err := r.step(ctx, started)
+		hold := r.wait
+		if failures > 0 {
+			hold = 0 // an answer at once shows that the log is back
+		}
+		err := r.step(ctx, started, hold)
 		if err == nil {
 			if failures >= lostAfter {
 				log.Info().Str("event", "log_regained").Str("feed", r.name).Int("failures", failures).Msg("the log can be read again")
@@ -69,7 +73,7 @@
 // readBackoff spaces out failed reads; a log that is back is noticed soon.
 var readBackoff = retry.Backoff{Base: 100 * time.Millisecond, Max: 600 * time.Millisecond}
 
-func (r *reader[T]) step(ctx context.Context, started time.Duration) error {
+func (r *reader[T]) step(ctx context.Context, started, hold time.Duration) error {
 	if !r.known {
 		ctx, cancel := context.WithTimeout(ctx, 2*readSlack)
 		defer cancel()
@@ -81,9 +85,9 @@
 		r.apply(records, started, true)
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, r.wait+readSlack)
+	ctx, cancel := context.WithTimeout(ctx, hold+readSlack)
 	defer cancel()
-	records, next, err := r.feed.Read(ctx, r.next, r.wait)
+	records, next, err := r.feed.Read(ctx, r.next, hold)
 	if err != nil {
 		return err
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,7 +31,7 @@
 
 // Readiness and shutdown.
 const (
-	readyStale   = 2500 * time.Millisecond // age of the configuration from which others should take the callers
+	readyStale   = 3200 * time.Millisecond // age of the configuration from which others should take the callers
 	drainNotice  = 2500 * time.Millisecond // the balancer asks once a second and needs two misses
 	exitMargin   = 500 * time.Millisecond  // kept of the grace period for the exit
 	leaveTimeout = 500 * time.Millisecond
@@ -200,7 +200,7 @@
 }
 
 func (g *Gateway) followEndpoints(ctx context.Context) {
-	r := reader[forward.EndpointChange]{name: "endpoints", feed: g.endpoints, clock: g.clock, pause: endpointPause, apply: g.applyEndpoints, failed: func(now time.Duration) {
+	r := reader[forward.EndpointChange]{name: "endpoints", feed: g.endpoints, clock: g.clock, pause: time.Duration(endpointShare * float64(ms(g.settings.DrainMs))), apply: g.applyEndpoints, failed: func(now time.Duration) {
 		g.state.mu.Lock()
 		defer g.state.mu.Unlock()
 		g.state.list.Lost(now)
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -14,14 +14,13 @@
 // The group of entries, which share the endpoints that get orders.
 const (
 	groupName    = "galenaweir-entries"
-	joinPause    = 400 * time.Millisecond
-	memberLease  = 1500 * time.Millisecond // kept by the log
-	orderLease   = time.Second             // a holder that could not renew for so long gives no orders
-	joinTimeout  = 700 * time.Millisecond
-	rolloutPause = 100 * time.Millisecond
+	joinPause    = 300 * time.Millisecond
+	memberLease  = time.Second            // kept by the log
+	orderLease   = 700 * time.Millisecond // a holder that could not renew for so long gives no orders
+	joinTimeout  = 600 * time.Millisecond
+	rolloutPause = 50 * time.Millisecond
 	orderTimeout = 800 * time.Millisecond
 	orderTransit = 200 * time.Millisecond // from the decision to the order's arrival
-	membersPause = 10 * time.Second       // also without a change, as answers may be lost
 )
 
 // group keeps this process in the group of entries until ctx ends.
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -15,7 +15,7 @@
 const (
 	revokeMargin  = 500 * time.Millisecond  // for requests on their way to an endpoint
 	versionMargin = 1000 * time.Millisecond // for requests that wait at an endpoint
-	staleConfig   = 2500 * time.Millisecond // age from which a route or key may be newer than what is known
+	staleConfig   = 3200 * time.Millisecond // age from which a route or key may be newer than what is known
 	refusingFor   = 250 * time.Millisecond  // an endpoint that refused gets no work for this long
 	unreachedFor  = time.Second             // one that could not be reached
 	readMargin    = 100 * time.Millisecond  // beyond the expected wait, until a part of a prompt is read
--- a/gateway/stores.go
+++ b/gateway/stores.go
@@ -12,12 +12,15 @@
 
 // Following the cache stores. A call that waits at the store is not priced.
 const (
-	storeWait    = 900 * time.Millisecond // at the store, for an event
+	storeWait    = 250 * time.Millisecond // at the store, for an event; a shorter wait is priced
 	storePause   = 150 * time.Millisecond // between calls, so that events come in groups
+	storeCallers = 6                      // entries that wait at a store at the same time, on average; it takes some more
 	storeSlack   = 500 * time.Millisecond // beyond the wait
 	storeRetry   = 300 * time.Millisecond // after a failed call
 	keepPause    = 500 * time.Millisecond
 	relistPause  = 10 * time.Second // the keeper lists a store to find parts that broke off
+	waitError    = 0.5              // share by which the rest of a wait is underestimated now and then
+	waitErrorMs  = 60.0
 	freeTimeout  = 600 * time.Millisecond
 	freeValidity = time.Second // on the store's clock: a call that comes later frees nothing
 )
@@ -67,7 +70,8 @@
 	}
 	for _, f := range c.Plan.Fetch {
 		if f.Store != nil && f.Ms >= c.FetchMs/2 { // the fetch that the request waited for
-			took := float64(now-p.began)/float64(time.Millisecond) - (float64(c.Wait)/float64(time.Millisecond) - c.FetchMs)
+			others := float64(c.Wait)/float64(time.Millisecond) - c.FetchMs
+			took := float64(now-p.began)/float64(time.Millisecond) - (1+waitError)*others - waitErrorMs
 			f.Store.Observe(c.Fetched, max(took, f.Ms/3), now)
 		}
 	}
@@ -127,7 +131,7 @@
 				log.Info().Str("event", "store_regained").Str("store", v.Name).Msg("the cache store answers again")
 			}
 			failed = false
-			wait.For(ctx, storePause)
+			wait.For(ctx, g.storePause())
 			continue
 		}
 		if !failed {
@@ -138,6 +142,14 @@
 	}
 }
 
+// storePause is the time between two calls, longer with more entries.
+func (g *Gateway) storePause() time.Duration {
+	s := g.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(storePause, storeWait*time.Duration(len(s.peers.members))/storeCallers-storeWait)
+}
+
 func (g *Gateway) readStore(ctx context.Context, v *forward.StoreView) error {
 	s := g.state
 	s.mu.Lock()
@@ -164,7 +176,7 @@
 }
 
 func (g *Gateway) listStore(ctx context.Context, v *forward.StoreView) error {
-	ctx, cancel := context.WithTimeout(ctx, storeWait)
+	ctx, cancel := context.WithTimeout(ctx, storeWait+storeSlack)
 	defer cancel()
 	started := g.clock()
 	l, err := g.stores.List(ctx, v.Address)
