--- a/core/forward/choose.go
+++ b/core/forward/choose.go
@@ -54,7 +54,8 @@
 type Choice struct {
 	Index   int // -1 when none can take it
 	Wait    time.Duration
-	FetchMs float64 // of the wait
+	Queue   time.Duration // of the wait, what others cause
+	FetchMs float64       // of the wait
 	Work    Work
 	Salt    string // of the endpoint's weights
 	Version int64  // of the endpoint's weights, 0 when unknown
@@ -122,6 +123,8 @@
 	if over := c.Load.Memory + ch.Work.Memory - t.Engine.CapacityTokens; over > 0 {
 		wait += float64(over) / float64(t.Engine.CapacityTokens) * float64(overMemory/time.Millisecond)
 	}
+	own := ch.FetchMs + float64(read)/prefillPerMs
+	ch.Queue = time.Duration((wait - own) * float64(time.Millisecond))
 	ch.Wait = time.Duration(wait * float64(time.Millisecond))
 	cost += wait + (evictionShare*float64(read+ch.Fetched)+againShare*float64(again))/prefillPerMs + tieSpread*t.order(c.Endpoint.ID)
 	return cost, ch
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -15,8 +15,6 @@
 	maxRetryAfter   = 2 * time.Second
 )
 
-const lateFactor = 0.7
-
 // placement is one request on one endpoint.
 type placement struct {
 	endpoint forward.Endpoint
@@ -54,8 +52,8 @@
 	if c.Wait > left {
 		return nil, q.unplaced(apierr.Retry(apierr.DeadlineUnmet, apierr.NotRun, q.retryAfter(c.Wait-left), "the expected wait is longer than the deadline", "send the request again later"))
 	}
-	if q.call.Prompt != nil && c.Wait > time.Duration(lateFactor*float64(q.route.LatencyTarget)) {
-		return nil, q.unplaced(apierr.Retry(apierr.Overloaded, apierr.NotRun, q.retryAfter(c.Wait-q.route.LatencyTarget), "the expected wait is far beyond the latency target", "send the request again later"))
+	if q.call.Prompt != nil && forward.Hopeless(c, q.route.LatencyTarget) {
+		return nil, q.unplaced(apierr.Retry(apierr.Overloaded, apierr.NotRun, q.retryAfter(c.Queue), "the latency target can't be met", "send the request again later"))
 	}
 	p := &placement{endpoint: cs[c.Index].Endpoint, work: c.Work, choice: c, began: now, limit: s.connLimit(q.service)}
 	st := s.endpoint(p.endpoint.ID)
