Avoid endpoints that fail part of their requests

Cause: the breaker counts failures in a row, and the successes between the failures of an endpoint in trouble closed it each time; found by a new test.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 # netcgo links the resolver of the C library, as for any other program.
 TAGS := -tags netcgo
 
-.PHONY: build demo test unit lint tidy generate apt-tools modelcheck measure capacity load faults fuzz soak
+.PHONY: names build demo test unit lint tidy generate apt-tools modelcheck measure capacity load faults fuzz soak
 
 build:
 	go build $(TAGS) -o bin/ ./cmd/... ./standin/cmd/... ./bench/cmd/...
@@ -34,11 +34,16 @@
 unit: build
 	go test -race $(TAGS) $(SKIP) $(PACKAGES)
 
-lint: generate
+lint: generate names
 	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); echo 'run gofmt -w on these files'; exit 1; }
 	go vet $(PACKAGES)
 	go tool staticcheck $(PACKAGES)
 
+# Names that only the users' platform uses stand in platform/ alone.
+PLATFORM_NAMES := X-Server-Seal|X-Kv-|Kv-From|X-Expect-(Instance|Version)|X-Prompt-Prefix|X-Token-Count|X-Cache-Salt|X-Tenant|X-Not-Run|X-Weight-Versions|X-Instance-Id|X-Request-Priority|X-Deadline-Ms|/kv-|/log-(append|read|newest|join|leave|commit|owners|trim)|keyed\.(op|servers|status)|pathPrefix|kvCapacityTokens|kvTokenBytes|coldLeftMs|switchMode|nodeName|machineClass
+names:
+	@! git grep -nE '$(PLATFORM_NAMES)' -- '*.go' ':!platform/' || { echo 'move these names to platform/'; exit 1; }
+
 # Fails when the committed code was not generated from the definitions.
 generate: apt-tools
 	mkdir -p .cache/gen
--- /dev/null
+++ b/core/forward/endpoints_test.go
@@ -0,0 +1,126 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func ready(id string) EndpointChange {
+	return EndpointChange{ID: id, Endpoint: &Endpoint{ID: id, Service: "s", FailureDomain: "a", Slots: 6}}
+}
+
+func ids(e *Endpoints, now time.Duration) []string {
+	var out []string
+	e.Each(now, func(p Endpoint) { out = append(out, p.ID) })
+	return out
+}
+
+// Guards against requests to endpoints that leave, and against a fleet that is
+// dropped because its entries lapsed during an outage of the log.
+func TestEndpointsLeaveAndLapse(t *testing.T) {
+	e := NewEndpoints()
+	e.Apply([]EndpointChange{ready("a"), ready("b"), ready("c")}, 0)
+	require.Len(t, ids(e, 0), 3)
+	draining := ready("a")
+	draining.Endpoint.Draining = true
+	e.Apply([]EndpointChange{draining, {ID: "b"}}, time.Second)
+	require.Equal(t, []string{"c"}, ids(e, time.Second))
+
+	e.Lost(2 * time.Second)
+	require.True(t, e.Regained(10*time.Second))
+	e.Apply([]EndpointChange{{ID: "c"}, {ID: "a"}}, 10*time.Second)
+	require.Equal(t, []string{"c"}, ids(e, 11*time.Second), "it had no time to write again; a was leaving")
+	require.Empty(t, ids(e, 13*time.Second), "still missing: gone")
+	e.Apply([]EndpointChange{ready("d"), {ID: "d"}}, 14*time.Second)
+	require.Empty(t, ids(e, 14*time.Second), "removed long after the outage")
+}
+
+// Guards against endpoints that stay after their entry was overwritten by another
+// writer or is missing from a snapshot.
+func TestUnreadableAndMissingEntries(t *testing.T) {
+	e := NewEndpoints()
+	e.Apply([]EndpointChange{ready("a"), ready("b")}, 0)
+	e.Apply([]EndpointChange{{ID: "a", Err: errUnreadable}}, 0)
+	require.Equal(t, []string{"b"}, ids(e, 0))
+	e.Reset([]EndpointChange{ready("c")}, time.Second)
+	require.Equal(t, []string{"c"}, ids(e, time.Second))
+}
+
+var errUnreadable = errTest("unreadable")
+
+type errTest string
+
+func (e errTest) Error() string { return string(e) }
+
+// Guards against an endpoint that fails requests while its health check is good,
+// and against one that stays out of use after it recovered.
+func TestGrayEndpointIsAvoidedAndTriedAgain(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	var h Health
+	now := time.Second
+	for range 40 {
+		now += 20 * time.Millisecond
+		h.Answered(rng.Float64() < 0.14, now, rng) // the service's own failures
+		require.True(t, h.Usable(now))
+	}
+	fell := false
+	for range 60 {
+		now += 20 * time.Millisecond
+		h.Answered(rng.Float64() < 0.6, now, rng)
+		fell = fell || !h.Usable(now)
+	}
+	require.True(t, fell)
+	for range 100 {
+		now += 500 * time.Millisecond
+		if h.Usable(now) && h.Claim(now) {
+			h.Answered(false, now, rng)
+		}
+	}
+	require.True(t, h.Usable(now))
+}
+
+// Guards against a set that becomes empty by suspicion alone.
+func TestSuspectEndpointsAreTakenWhenNoOtherIsThere(t *testing.T) {
+	cs := []Candidate{{Endpoint: Endpoint{ID: "a"}}, {Endpoint: Endpoint{ID: "b"}, Excluded: true}}
+	c := Choose(Task{}, cs)
+	require.Equal(t, 0, c.Index)
+	require.True(t, c.Suspect)
+	cs[1] = Candidate{Endpoint: Endpoint{ID: "b"}, Usable: true, Load: Load{Active: 5}}
+	require.Equal(t, 1, Choose(Task{}, cs).Index)
+}
+
+// Guards against the wrong route, which is the longest prefix of the host's.
+func TestRouteByHostAndLongestPrefix(t *testing.T) {
+	tb := NewTable(&Config{Routes: []Route{
+		{Name: "short", Host: "h", PathPrefix: "/a/"}, {Name: "long", Host: "h", PathPrefix: "/a/b/"}, {Name: "other", Host: "i", PathPrefix: "/a/b/c/"},
+	}})
+	for path, want := range map[string]string{"/a/": "short", "/a/b": "short", "/a/b/": "long", "/a/b/c/d": "long"} {
+		require.Equal(t, want, tb.Route("h", path).Name, path)
+	}
+	require.Nil(t, tb.Route("h", "/b/"))
+	require.Nil(t, tb.Route("j", "/a/"))
+}
+
+// Guards against a prompt that is sent where its shared parts are not, while the
+// endpoint that has them is free, and against one that waits for them in a queue.
+func TestPromptGoesWhereItsPartsAre(t *testing.T) {
+	p := &Prompt{Model: "m", Tokens: 9000, MaxOutput: 64, Parts: []Part{{"subject", 8000}, {"own", 1000}}}
+	task := Task{Prompt: p, Engine: &Engine{CapacityTokens: 80_000}, FailureDomain: "a", Group: "shared"}
+	with := &Residency{}
+	with.Use(PartKey(Salt("shared", "m", 1), "subject"), 8000, 80_000, 0)
+	models := []ModelState{{"m", 1}}
+	cs := []Candidate{
+		{Endpoint: Endpoint{ID: "a", Address: "10.0.0.1:80", FailureDomain: "a", Models: models}, Usable: true, Cached: &Residency{}},
+		{Endpoint: Endpoint{ID: "b", Address: "10.0.0.2:80", FailureDomain: "a", Models: models}, Usable: true, Cached: with},
+	}
+	c := Choose(task, cs)
+	require.Equal(t, 1, c.Index)
+	require.Equal(t, 8000, c.Cached)
+	cs[1].Load.Add(Work{Prefill: 60_000})
+	c = Choose(task, cs)
+	require.Equal(t, 0, c.Index)
+	require.Equal(t, 8000, c.Fetched, "fetched from the endpoint that has it")
+}
--- a/core/forward/health.go
+++ b/core/forward/health.go
@@ -41,7 +41,7 @@
 	}
 	h.next = (h.next + 1) % grayWindow
 	if h.failures >= grayFailures {
-		h.breaker.Done(false, now, rng)
+		h.breaker.Trip(now, rng) // successes between the failures would keep it closed
 		h.outcomes, h.failures = [grayWindow]bool{}, 0
 		return
 	}
--- a/core/retry/breaker.go
+++ b/core/retry/breaker.go
@@ -54,6 +54,12 @@
 	if b.failures < breakerFailures || b.open && now < b.until-breakerProbeLimit {
 		return
 	}
+	b.Trip(now, rng)
+}
+
+// Trip opens the breaker, or doubles its open time, whatever came before.
+func (b *Breaker) Trip(now time.Duration, rng *rand.Rand) {
+	b.failures = max(b.failures, breakerFailures)
 	b.pause = min(max(2*b.pause, breakerOpenMin), breakerOpenMax)
 	b.open = true
 	b.until = now + b.pause/2 + time.Duration(rng.Int64N(int64(b.pause/2)+1))
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/netip"
@@ -31,7 +32,6 @@
 func endpointHash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
 type reportLoad struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	Endpoint uint32
 	Active   int
 	Waiting  int
@@ -41,7 +41,6 @@
 }
 
 type reportUse struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	Endpoint uint32
 	Part     uint64
 	Tokens   int
@@ -49,7 +48,6 @@
 
 // loadReport is what an entry tells its peers.
 type loadReport struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	Protocol string
 	Member   string
 	Seq      int64
@@ -63,7 +61,6 @@
 
 // reportVersion tells of weights that an endpoint has.
 type reportVersion struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	Endpoint uint32
 	Model    string
 	Version  int64
@@ -142,7 +139,7 @@
 	for g.nextReport(ctx) {
 		seq++
 		report, members := g.report(seq)
-		data, err := msgpack.Marshal(&report)
+		data, err := encodeReport(&report)
 		if err != nil {
 			log.Error().Str("event", "report_failed").Err(err).Msg("encode the load report")
 			continue
@@ -157,6 +154,15 @@
 	}
 }
 
+// encodeReport writes structs as arrays, which keeps a report small.
+func encodeReport(r *loadReport) ([]byte, error) {
+	var b bytes.Buffer
+	e := msgpack.NewEncoder(&b)
+	e.UseArrayEncodedStructs(true)
+	err := e.Encode(r)
+	return b.Bytes(), err
+}
+
 // nextReport waits until a report is due. A long prompt that was placed is reported
 // at once, as peers would send theirs to the same endpoint.
 func (g *Gateway) nextReport(ctx context.Context) bool {
