--- a/cmd/galenaweir-entry/forward.go
+++ b/cmd/galenaweir-entry/forward.go
@@ -3,9 +3,13 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/phuslu/log"
 
 	"github.com/galenaweir/galenaweir/gateway"
 	"github.com/galenaweir/galenaweir/platform"
@@ -46,9 +50,25 @@
 	flush := process.LogToStdout(s.ID)
 	store, engines := platform.NewStore(s.LogAddress), platform.NewEngines()
 	drain, _ := process.Signals()
-	err = gateway.New(gateway.Options{
+	g := gateway.New(gateway.Options{
 		Settings: s, Clock: gateway.Boottime, Seed: rand.Uint64(), Dialect: platform.Headers{},
 		Operators: store.Operators(), Endpoints: store.Endpoints(), Groups: store, Orders: engines, Stores: engines,
-	}).Run(drain)
+	})
+	go c.reload(g)
+	err = g.Run(drain)
 	return errors.Join(err, flush())
 }
+
+// reload reads the settings again at each SIGHUP.
+func (c *forwardCommand) reload(g *gateway.Gateway) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	for range hup {
+		s, err := gateway.LoadSettings(c.Settings)
+		if err != nil {
+			log.Error().Str("event", "settings_rejected").Err(err).Msg("the former settings stay in force")
+			continue
+		}
+		g.Reload(s)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -123,6 +124,14 @@
 	if err != nil {
 		return err
 	}
+	if g.settings.MetricsPort > 0 {
+		address := net.JoinHostPort(g.settings.Host, strconv.Itoa(g.settings.MetricsPort))
+		m, err := g.serve(address, metricsHandler())
+		if err != nil {
+			return err
+		}
+		defer m.Close()
+	}
 	background, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	for _, f := range []func(context.Context){g.followOperators, g.followEndpoints, g.group, g.gossip, g.roll, g.followStores, g.keepStores} {
@@ -139,6 +148,22 @@
 	return ready.Close()
 }
 
+func metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	return mux
+}
+
+// Reload takes changed settings. Addresses and the group's timing stay as they were
+// at the start.
+func (g *Gateway) Reload(s Settings) {
+	g.state.mu.Lock()
+	defer g.state.mu.Unlock()
+	g.state.settings = s
+	g.state.fresh.KeyLimit = ms(s.RevokeMs) - revokeMargin
+	log.Info().Str("event", "settings_reloaded").Msg("bounds apply from now on; other settings at the next start")
+}
+
 // drain lets the balancer move callers away, then ends the callers' connections
 // once their requests are answered.
 func (g *Gateway) drain(callers *http.Server) {
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -22,6 +22,7 @@
 	ReadyAddress  string `json:"readyAddress"`  // IP:PORT of the readiness check
 	LogAddress    string `json:"logAddress"`    // IP:PORT of the platform's log
 	PeerPorts     [2]int `json:"peerPorts"`     // first and last port between processes
+	MetricsPort   int    `json:"metricsPort"`   // of the metrics, 0 for none
 
 	DrainMs         int64   `json:"drainMs"`       // from an endpoint's leaving to the last request sent to it
 	GraceS          float64 `json:"graceS"`        // from SIGTERM to SIGKILL
