Switch the faults of stand-ins while they run

Change: faults that end stand-ins are injected last and healed first; a switch waits for a stand-in that starts again.

--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -15,6 +15,7 @@
 	"github.com/galenaweir/galenaweir/standin/logsvc"
 	"github.com/galenaweir/galenaweir/standin/service"
 	"github.com/galenaweir/galenaweir/standin/store"
+	"github.com/galenaweir/galenaweir/wait"
 )
 
 // Names of the processes.
@@ -64,6 +65,24 @@
 	return nil
 }
 
+// Limits of a stand-in that was restarted just before.
+const (
+	restartWait  = 5 * time.Second // until it listens, on a busy machine
+	restartPause = 20 * time.Millisecond
+)
+
+// switchOff ends a fault of a stand-in, which may be starting again.
+func (j *injector) switchOff(ctx context.Context, address string, v any) error {
+	ctx, cancel := context.WithTimeout(ctx, restartWait)
+	defer cancel()
+	for {
+		err := j.post(ctx, address, v)
+		if !errors.Is(err, syscall.ECONNREFUSED) || !wait.For(ctx, restartPause) {
+			return err
+		}
+	}
+}
+
 // inject begins a fault and returns what heals it.
 func (j *injector) inject(ctx context.Context, f Fault, hold time.Duration) (heal func() error, what string, err error) {
 	d := j.d
@@ -160,7 +179,7 @@
 	if err := j.post(ctx, c.address, c.on); err != nil {
 		return nil, "", err
 	}
-	return func() error { return j.post(ctx, c.address, c.off) }, c.component, nil
+	return func() error { return j.switchOff(ctx, c.address, c.off) }, c.component, nil
 }
 
 func (j *injector) kill(names ...string) (func() error, error) {
--- a/bench/soak/plan.go
+++ b/bench/soak/plan.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -66,6 +67,26 @@
 // planned reports whether the fault is a graceful stop, which must cut nothing.
 func (k Kind) planned() bool { return k == AgentStopped || k == EntryStopped }
 
+// killsStandIns reports whether the fault ends stand-ins, whose own faults can only
+// be switched while they run.
+func (k Kind) killsStandIns() bool { return k == DomainLost || k == StoreKilled }
+
+// injectionOrder returns the faults in the order of their injection; they are healed
+// in reverse. Those that end stand-ins come last.
+func injectionOrder(faults []Fault) []Fault {
+	out := slices.Clone(faults)
+	slices.SortStableFunc(out, func(a, b Fault) int {
+		switch x, y := a.Kind.killsStandIns(), b.Kind.killsStandIns(); {
+		case x == y:
+			return 0
+		case y:
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
 // Fault is one fault of a round.
 type Fault struct {
 	Kind   Kind
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -114,7 +115,7 @@
 	}
 	var heals []func() error
 	var names []string
-	for _, f := range x.Faults {
+	for _, f := range injectionOrder(x.Faults) {
 		heal, target, err := r.j.inject(ctx, f, x.Hold)
 		if err != nil {
 			return err
@@ -138,7 +139,7 @@
 	}()
 	<-held
 	var errs []error
-	for _, h := range heals {
+	for _, h := range slices.Backward(heals) {
 		errs = append(errs, h())
 	}
 	healed := time.Now()
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -149,3 +149,18 @@
 		assert.Contains(t, b.String(), want)
 	}
 }
+
+// Guards against a round that fails because a fault of a stand-in is switched while
+// another fault of the round has ended it (seed 7741, round 3).
+func TestFaultsOfStandInsAreSwitchedWhileTheyRun(t *testing.T) {
+	for seed := range uint64(500) {
+		for _, x := range NewPlan(seed, 20) {
+			killed := false
+			for _, f := range injectionOrder(x.Faults) {
+				require.False(t, killed && !f.Kind.killsStandIns(), "seed %d: %v", seed, x.Faults)
+				killed = killed || f.Kind.killsStandIns()
+			}
+			require.ElementsMatch(t, x.Faults, injectionOrder(x.Faults))
+		}
+	}
+}
