--- a/core/forward/choose.go
+++ b/core/forward/choose.go
@@ -16,7 +16,8 @@
 	overMemory      = 1500 * time.Millisecond // wait for memory that is not there, for a whole memory
 	peerPerMs       = 2500.0                  // tokens fetched from another endpoint in a ms, by its link
 	peerFirst       = 6.0                     // ms until such a fetch begins
-	fetchOverRead   = 2.0                     // a fetch may take so many times as long as reading, which takes others' time
+	fetchOverRead   = 3.0                     // a fetch may take so many times as long as reading, which takes others' time
+	fetchAllowance  = 40.0                    // ms beyond that: without a small first part the ones after it are read too
 	tieSpread       = 4.0                     // ms between the first and the last in the order by hash
 	otherDomain     = 3.0                     // ms that a connection to another failure domain costs
 	coldPenalty     = 50.0                    // ms for an endpoint that is still slow after its start
@@ -166,7 +167,7 @@
 		if i < len(fetch) {
 			source = ch.Plan.Fetch[i]
 		}
-		useful := source.Address != "" && source.Address != c.Endpoint.Address && source.Ms < fetchOverRead*float64(p.Tokens)/prefillPerMs
+		useful := source.Address != "" && source.Address != c.Endpoint.Address && source.Ms < fetchOverRead*float64(p.Tokens)/prefillPerMs+fetchAllowance
 		if useful && !broken {
 			fetch[i] = source // also of a resident part, which may have been evicted
 		}
