Soak forwarding entries against the platform's stand-ins

Change: platform/standin has the platform's log and servers; bench/forwardsoak runs three entries as processes under load and faults drawn from a seed and checks at most once, true refusals, whole answers, keys, versions, draining, planned stops and holders from what callers and servers see. make soak-forward SEED=n SEEDS=k.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 # netcgo links the resolver of the C library, as for any other program.
 TAGS := -tags netcgo
 
-.PHONY: names build demo test unit lint tidy generate apt-tools modelcheck measure capacity load faults fuzz soak
+.PHONY: soak-forward names build demo test unit lint tidy generate apt-tools modelcheck measure capacity load faults fuzz soak
 
 build:
 	go build $(TAGS) -o bin/ ./cmd/... ./standin/cmd/... ./bench/cmd/...
@@ -23,6 +23,10 @@
 	./bin/load
 
 # The whole system on loopback under load and faults drawn from SEED, about 60 s.
+# Forwarding entries against the stand-ins of the platform, seeds from SEED on.
+soak-forward: build
+	./bin/forwardsoak --seed $(or $(SEED),1) --seeds $(or $(SEEDS),50)
+
 soak: build
 	./bin/soak --seed $(or $(SEED),1)
 
--- /dev/null
+++ b/bench/cmd/forwardsoak/main.go
@@ -0,0 +1,76 @@
+// Command forwardsoak runs forwarding entries against the platform's stand-ins
+// under faults drawn from seeds, some at the same time.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/galenaweir/galenaweir/bench/forwardsoak"
+)
+
+type options struct {
+	Seed    uint64 `long:"seed" default:"1" description:"first seed"`
+	Seeds   uint64 `long:"seeds" default:"1" description:"number of seeds"`
+	AtOnce  int    `long:"at-once" default:"4" description:"seeds that run at the same time"`
+	Seconds int    `long:"seconds" default:"20" description:"length of a run"`
+	Bin     string `long:"bin" default:"bin" description:"folder of the programs"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	folder, err := os.MkdirTemp("", "galenaweir-forwardsoak-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	if failed := run(o, folder); failed > 0 {
+		fmt.Printf("%d of %d seeds failed; logs in %s\n", failed, o.Seeds, folder)
+		os.Exit(1)
+	}
+	fmt.Printf("%d seeds passed\n", o.Seeds)
+	_ = os.RemoveAll(folder) // only logs of passed runs
+}
+
+func run(o options, folder string) (failed int) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	places := make(chan int, o.AtOnce)
+	for i := range o.AtOnce {
+		places <- i
+	}
+	for seed := o.Seed; seed < o.Seed+o.Seeds; seed++ {
+		place := <-places
+		wg.Go(func() {
+			defer func() { places <- place }()
+			dir := filepath.Join(folder, fmt.Sprint(seed))
+			err := os.MkdirAll(dir, 0o700)
+			var broken []string
+			if err == nil {
+				broken, err = forwardsoak.Run(context.Background(), forwardsoak.Options{
+					Seed: seed, Bin: o.Bin, Folder: dir, Host: fmt.Sprintf("127.71.%d.1", place+1), Length: time.Duration(o.Seconds) * time.Second, Out: os.Stdout,
+				})
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil || len(broken) > 0 {
+				failed++
+				fmt.Printf("seed %d FAILED: %v\n", seed, err)
+				for _, b := range broken[:min(len(broken), 10)] {
+					fmt.Println("   ", b)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	return failed
+}
