Sum peers' loads as reports come

Cause: each placement summed the reports of all peers, and in a group of over 100 entries a report expired before the next one came, as the pause between reports grows with the group. Change: sums are kept as reports come and go; a report counts for three pauses.

--- a/core/forward/load.go
+++ b/core/forward/load.go
@@ -57,6 +57,11 @@
 	return Load{l.Active + o.Active, l.Waiting + o.Waiting, l.Prefill + o.Prefill, l.Memory + o.Memory, l.Long + o.Long}
 }
 
+// Minus returns the difference of two loads.
+func (l Load) Minus(o Load) Load {
+	return Load{l.Active - o.Active, l.Waiting - o.Waiting, l.Prefill - o.Prefill, l.Memory - o.Memory, l.Long - o.Long}
+}
+
 func boolInt(b bool) int {
 	if b {
 		return 1
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -23,6 +23,7 @@
 	promptReport   = 1500                   // tokens to be read from which a placement is reported at once
 	gossipPerPeer  = 10 * time.Millisecond  // longer pauses in large groups, to bound the datagrams
 	peerExpiry     = time.Second            // a report counts so long
+	reportsMissed  = 3                      // or until so many have not come
 	maxDatagram    = 8192
 	maxUses        = 64 // cached parts in one report; more only makes the estimate poorer
 	gossipProtocol = "galenaweir-load-1"
@@ -76,7 +77,8 @@
 // peerLoads holds the newest report of each peer. The state's mutex guards it.
 type peerLoads struct {
 	reports map[string]*peerReport
-	uses    []reportUse // of this process, not yet reported
+	sums    map[uint32]forward.Load // of all reports
+	uses    []reportUse             // of this process, not yet reported
 	saves   []reportUse
 	loaded  map[uint32]loadedVersion
 	members []string
@@ -89,30 +91,49 @@
 }
 
 func newPeerLoads() peerLoads {
-	return peerLoads{reports: map[string]*peerReport{}, loaded: map[uint32]loadedVersion{}}
+	return peerLoads{reports: map[string]*peerReport{}, sums: map[uint32]forward.Load{}, loaded: map[uint32]loadedVersion{}}
 }
 
 // load is the load of all peers on an endpoint.
-func (p *peerLoads) load(id string, now time.Duration) forward.Load {
-	var sum forward.Load
-	h := endpointHash(id)
-	for _, r := range p.reports {
-		if now-r.at < peerExpiry {
-			sum = sum.Plus(r.loads[h])
+func (p *peerLoads) load(id string) forward.Load { return p.sums[endpointHash(id)] }
+
+// count is the number of peers that report.
+func (p *peerLoads) count() int { return len(p.reports) }
+
+// pause is the time between two regular reports.
+func (p *peerLoads) pause() time.Duration {
+	return max(gossipPause, time.Duration(len(p.members))*gossipPerPeer)
+}
+
+// put replaces a peer's report.
+func (p *peerLoads) put(member string, r *peerReport) {
+	p.drop(member)
+	p.reports[member] = r
+	for h, l := range r.loads {
+		p.sums[h] = p.sums[h].Plus(l)
+	}
+}
+
+func (p *peerLoads) drop(member string) {
+	old := p.reports[member]
+	if old == nil {
+		return
+	}
+	delete(p.reports, member)
+	for h, l := range old.loads {
+		if p.sums[h] = p.sums[h].Minus(l); p.sums[h] == (forward.Load{}) {
+			delete(p.sums, h)
 		}
 	}
-	return sum
 }
 
-// count is the number of peers that report.
-func (p *peerLoads) count(now time.Duration) int {
-	n := 0
-	for _, r := range p.reports {
-		if now-r.at < peerExpiry {
-			n++
+// expire drops the reports of peers that have gone silent.
+func (p *peerLoads) expire(now time.Duration) {
+	for m, r := range p.reports {
+		if now-r.at >= max(peerExpiry, reportsMissed*p.pause()) {
+			p.drop(m)
 		}
 	}
-	return n
 }
 
 func (p *peerLoads) used(id string, part uint64, tokens int) {
@@ -192,13 +213,14 @@
 	s := g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return max(gossipPause, time.Duration(len(s.peers.members))*gossipPerPeer)
+	return s.peers.pause()
 }
 
 func (g *Gateway) report(seq int64) (loadReport, []string) {
 	s := g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.peers.expire(s.clock())
 	r := loadReport{Protocol: gossipProtocol, Member: g.member, Seq: seq, Uses: s.peers.uses, Saves: s.peers.saves}
 	s.peers.uses, s.peers.saves = nil, nil
 	for h, l := range s.peers.loaded {
@@ -220,8 +242,8 @@
 		}
 	}
 	members := slices.Clone(s.peers.members)
-	for m, p := range s.peers.reports { // those that hold no partition are known by their reports
-		if s.clock()-p.at < peerExpiry && !slices.Contains(members, m) {
+	for m := range s.peers.reports { // those that hold no partition are known by their reports
+		if !slices.Contains(members, m) {
 			members = append(members, m)
 		}
 	}
@@ -261,7 +283,7 @@
 	for _, l := range r.Loads {
 		p.loads[l.Endpoint] = forward.Load{Active: l.Active, Waiting: l.Waiting, Prefill: l.Prefill, Memory: l.Memory, Long: l.Long}
 	}
-	s.peers.reports[r.Member] = p
+	s.peers.put(r.Member, p)
 	for _, u := range r.Saves {
 		for _, v := range s.stores {
 			if endpointHash(v.Name) == u.Endpoint {
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -94,7 +94,7 @@
 	if sv.MaxConns <= 0 {
 		return 64 // no limit is stated
 	}
-	return max(sv.MaxConns/(s.peers.count(s.clock())+2), 4)
+	return max(sv.MaxConns/(s.peers.count()+2), 4)
 }
 
 // retryAfter is the time after which a refused caller may find room.
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -107,7 +107,7 @@
 		}
 		st := s.endpoint(e.ID)
 		m := forward.Managed{
-			Endpoint: e, Long: st.load.Long + s.peers.load(e.ID, now).Long, Certain: g.ownership.Owns(e.ID, now), Seq: st.seq,
+			Endpoint: e, Long: st.load.Long + s.peers.load(e.ID).Long, Certain: g.ownership.Owns(e.ID, now), Seq: st.seq,
 		}
 		if !m.Certain && st.claimed > 0 && now < st.claimed+ms(g.settings.OrderHandoverMs) {
 			continue
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -115,7 +115,7 @@
 		}
 		st := s.endpoint(e.ID)
 		c := forward.Candidate{
-			Endpoint: e, Load: st.load.Plus(s.peers.load(e.ID, now)), Cached: &st.cached,
+			Endpoint: e, Load: st.load.Plus(s.peers.load(e.ID)), Cached: &st.cached,
 			Usable: st.health.Usable(now) && now >= st.loading, Excluded: tried[e.ID],
 		}
 		all, long := s.rollout.Loading(e.ID, now)
