--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 # All that CI checks.
 test: lint unit modelcheck
 	$(MAKE) demo
+	./bin/forwardsoak --seeds 2 --at-once 2 --seconds 12
 	@if [ -n "$(RED)" ]; then echo "passed over, see KNOWN-RED.txt: $(RED)"; fi
 
 unit: build
--- a/bench/cmd/demo/main.go
+++ b/bench/cmd/demo/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/galenaweir/galenaweir/bench/forwardsoak"
 	"github.com/galenaweir/galenaweir/bench/local"
 )
 
@@ -70,12 +71,28 @@
 			return fmt.Errorf("%s: %w\n%s", s.name, err, d.Log("entry-0"))
 		}
 	}
+	if err := forwarding(ctx, o.Bin); err != nil {
+		return fmt.Errorf("forwarding: %w", err)
+	}
 	if o.Keep {
 		keep(d)
 	}
 	return nil
 }
 
+// forwardHost is the loopback address of the forwarding entries.
+const forwardHost = "127.71.100.1"
+
+// forwarding shows the callers' interface of the users' platform.
+func forwarding(ctx context.Context, bin string) error {
+	dir, err := os.MkdirTemp("", "galenaweir-demo-forward-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	return forwardsoak.Demo(ctx, forwardsoak.Options{Bin: bin, Folder: dir, Host: forwardHost, Out: os.Stdout})
+}
+
 // keep prints how to use the deployment and waits for an interrupt.
 func keep(d *local.Deployment) {
 	fmt.Printf("\nthe deployment is up; interrupt to stop it\n\n")
--- a/bench/forwardsoak/soak.go
+++ b/bench/forwardsoak/soak.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -150,45 +151,73 @@
 	return p, p.start()
 }
 
-// Run runs a seed and returns the broken promises.
-func Run(ctx context.Context, o Options) ([]string, error) {
+func newRun(o Options) *run {
 	r := &run{o: o, rng: rand.New(rand.NewPCG(o.Seed, o.Seed)), log: standin.NewLog(), rec: &standin.Recorder{}}
-	l, err := net.Listen("tcp", net.JoinHostPort(o.Host, "0"))
+	r.load = newLoad(&r.facts)
+	return r
+}
+
+// start starts the stand-ins and the entries. The function that it returns ends what
+// was started, also after an error.
+func (r *run) start(ctx context.Context) (stop func(), err error) {
+	var ends []func()
+	stop = func() {
+		for _, end := range slices.Backward(ends) {
+			end()
+		}
+	}
+	l, err := net.Listen("tcp", net.JoinHostPort(r.o.Host, "0"))
 	if err != nil {
-		return nil, err
+		return stop, err
 	}
 	srv := &http.Server{Handler: r.log}
 	go func() { _ = srv.Serve(l) }() // until Close
-	defer srv.Close()
+	ends = append(ends, func() { srv.Close() })
 	for i := range servers {
-		s, err := standin.StartServer(o.Host, fmt.Sprintf("i-%d", i), r.rec)
+		s, err := standin.StartServer(r.o.Host, fmt.Sprintf("i-%d", i), r.rec)
 		if err != nil {
-			return nil, err
+			return stop, err
 		}
-		defer s.Close()
+		ends = append(ends, func() { s.Close() })
 		r.servers, r.states = append(r.servers, s), append(r.states, "ready")
 	}
-	r.load = newLoad(&r.facts)
 	r.publish()
 	r.facts.named(1, r.log.Put("keyed.op", "version/m", []byte(`{"model":"m","version":1}`)))
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	var wg sync.WaitGroup
 	wg.Go(func() { r.beat(ctx) })
+	ends = append(ends, func() {
+		cancel()
+		wg.Wait()
+	})
 	for i := range entries {
 		p, err := r.newProcess(i, l.Addr().String())
 		if err != nil {
-			return nil, err
+			return stop, err
 		}
-		defer func() {
+		ends = append(ends, func() {
 			_ = p.signal(syscall.SIGKILL) // it may have ended
 			_ = p.cmd.Wait()
-		}()
+		})
 		r.procs = append(r.procs, p)
 	}
+	return stop, nil
+}
+
+// Run runs a seed and returns the broken promises.
+func Run(ctx context.Context, o Options) ([]string, error) {
+	r := newRun(o)
+	stop, err := r.start(ctx)
+	defer stop()
+	if err != nil {
+		return nil, err
+	}
 	if err := r.waitReady(ctx, "the start"); err != nil {
 		return nil, err
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var wg sync.WaitGroup
 	for i := range callers {
 		wg.Go(func() { r.call(ctx, rand.New(rand.NewPCG(o.Seed, uint64(i)))) })
 	}
--- a/bench/forwardsoak/soak_test.go
+++ b/bench/forwardsoak/soak_test.go
@@ -34,6 +34,6 @@
 	for name, c := range cases {
 		require.Equal(t, c.broken, len(f.check(&c.x, []standin.Run{c.run})) > 0, name)
 	}
-	require.Len(t, checkOrders([]standin.Order{{"s", "a", 2, at(0)}, {"s", "b", 3, at(2)}, {"s", "b", 1, at(9)}}), 2)
-	require.Empty(t, checkOrders([]standin.Order{{"s", "a", 2, at(0)}, {"s", "b", 3, at(4)}, {"t", "a", 1, at(5)}}))
+	require.Len(t, checkOrders([]standin.Order{{Server: "s", Holder: "a", Fence: 2, At: at(0)}, {Server: "s", Holder: "b", Fence: 3, At: at(2)}, {Server: "s", Holder: "b", Fence: 1, At: at(9)}}), 2)
+	require.Empty(t, checkOrders([]standin.Order{{Server: "s", Holder: "a", Fence: 2, At: at(0)}, {Server: "s", Holder: "b", Fence: 3, At: at(4)}, {Server: "t", Holder: "a", Fence: 1, At: at(5)}}))
 }
