--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 # netcgo links the resolver of the C library, as for any other program.
 TAGS := -tags netcgo
 
-.PHONY: soak-forward names build demo test unit lint tidy generate apt-tools modelcheck measure capacity load faults fuzz soak
+.PHONY: ledger soak-forward names build demo test unit lint tidy generate apt-tools modelcheck measure capacity load faults fuzz soak
 
 build:
 	go build $(TAGS) -o bin/ ./cmd/... ./standin/cmd/... ./bench/cmd/...
@@ -65,6 +65,10 @@
 capacity: build
 	./bin/capacity --root .
 
+# Compares two runs of the users' bench: make ledger BEFORE=id AFTER=id.
+ledger:
+	@go run ./bench/cmd/ledger $(BEFORE) $(AFTER)
+
 tidy:
 	@for m in $(MODULES); do (cd $$m && GOWORK=off go mod tidy); done
 
--- /dev/null
+++ b/bench/ledger/ledger.go
@@ -0,0 +1,127 @@
+// Package ledger compares runs of the users' bench by what each day lost to what,
+// from the entries that the bench leaves in the journal.
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"text/tabwriter"
+)
+
+// Day is one day of a run.
+type Day struct {
+	Name    string         `json:"name"`
+	Worth   float64        `json:"G"`
+	Score   *float64       `json:"score"`
+	Served  float64        `json:"served"`
+	Refused float64        `json:"refused"`
+	Failed  float64        `json:"failed"`
+	Classes []*float64     `json:"by_class"` // share of the payoff earned, by kind of request
+	Rules   map[string]int `json:"rules"`    // broken ones
+	Parts   [][]any        `json:"parts"`    // name, weight, share earned
+	Prices  [][]any        `json:"prices"`   // name, amount, cost in worth
+	Fault   *string        `json:"fault"`
+}
+
+// Entry is one run.
+type Entry struct {
+	ID   string `json:"id"`
+	Site string `json:"site"`
+	Why  string `json:"why"`
+	Days []Day  `json:"days"`
+}
+
+// Load reads the entry with the ID from a journal.
+func Load(folder, id string) (Entry, error) {
+	var e Entry
+	files, err := filepath.Glob(filepath.Join(folder, "*-"+id+".json"))
+	if err != nil {
+		return e, err
+	}
+	if len(files) != 1 {
+		return e, fmt.Errorf("the journal %s has %d entries %q; give the ID that the bench printed as snapshot", folder, len(files), id)
+	}
+	data, err := os.ReadFile(files[0])
+	if err != nil {
+		return e, err
+	}
+	if err := json.Unmarshal(data, &e); err != nil {
+		return e, fmt.Errorf("decode %s: %w", files[0], err)
+	}
+	return e, nil
+}
+
+// row is a named part or price of a day.
+func row(v []any) (name string, value float64) {
+	if len(v) < 3 {
+		return "", 0
+	}
+	name, _ = v[0].(string) // a row of another form has no name
+	value, _ = v[2].(float64)
+	return name, value
+}
+
+// lost returns what a day lost: the weighted rest of each part, and each price.
+func (d *Day) lost() map[string]float64 {
+	out := map[string]float64{}
+	for _, p := range d.Parts {
+		name, share := row(p)
+		if weight, ok := p[1].(float64); ok {
+			out[name] = weight * (1 - share)
+		}
+	}
+	for _, p := range d.Prices {
+		name, cost := row(p)
+		out[name] += cost
+	}
+	return out
+}
+
+// minLoss is the least loss of worth that is printed.
+const minLoss = 0.004
+
+// Print writes the losses of the days that both runs have, the largest first.
+func Print(w io.Writer, before, after Entry) error {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(t, "day\tloss\t%s\t%s\tchange\t\n", before.ID, after.ID)
+	for _, a := range after.Days {
+		i := slices.IndexFunc(before.Days, func(b Day) bool { return b.Name == a.Name })
+		if i < 0 {
+			continue
+		}
+		b := before.Days[i]
+		line := func(name string, x, y float64) {
+			fmt.Fprintf(t, "%s\t%s\t%.3f\t%.3f\t%+.3f\t\n", a.Name, name, x, y, y-x)
+		}
+		line("worth", b.Worth, a.Worth)
+		line("refused", b.Refused, a.Refused)
+		line("failed", b.Failed, a.Failed)
+		x, y := b.lost(), a.lost()
+		var names []string
+		for n := range y {
+			if max(x[n], y[n]) >= minLoss {
+				names = append(names, n)
+			}
+		}
+		slices.SortFunc(names, func(m, n string) int {
+			switch {
+			case y[m] > y[n]:
+				return -1
+			case y[m] < y[n]:
+				return 1
+			}
+			return 0
+		})
+		for _, n := range names {
+			line(n, x[n], y[n])
+		}
+		for rule, n := range a.Rules {
+			fmt.Fprintf(t, "%s\tBROKEN %s\t%d\t%d\t\t\n", a.Name, rule, b.Rules[rule], n)
+		}
+	}
+	return t.Flush()
+}
