--- a/bench/forwardsoak/soak.go
+++ b/bench/forwardsoak/soak.go
@@ -134,7 +134,7 @@
 	at := func(port int) string { return fmt.Sprintf("%s:%d", r.o.Host, port) }
 	s := gateway.Settings{
 		ID: fmt.Sprintf("entry-%d", i), Host: r.o.Host, FailureDomain: zone, CallerAddress: at(ports[0]), ReadyAddress: at(ports[1]), LogAddress: logAddress,
-		PeerPorts: [2]int{ports[2], 65535}, DrainMs: drainBound.Milliseconds(), GraceS: graceS, ConfigApplyMs: 2000, RevokeMs: revokeBound.Milliseconds(),
+		PeerPorts: [2]int{ports[2], 65535}, DrainMs: drainBound.Milliseconds(), GraceS: graceS, RevokeMs: revokeBound.Milliseconds(),
 		BudgetRatio: 0.2, BudgetWindowS: 10, VersionMs: versionBound.Milliseconds(), OrderHandoverMs: handoverBound.Milliseconds(),
 	}
 	data, err := json.Marshal(s)
--- a/core/forward/rollout_test.go
+++ b/core/forward/rollout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -136,3 +137,81 @@
 		require.Greater(t, lastOrder[fmt.Sprint("endpoint", e)], 39*time.Second, "every endpoint has an owner in the end")
 	}
 }
+
+// Guards against the same under any schedule of cuts and suspends: each seed draws
+// when members lose the log, when they are suspended, and how late they read the
+// list of members.
+func TestOwnersNeverTakeTurns(t *testing.T) {
+	const handover, lease, ttl, step = 3 * time.Second, 700 * time.Millisecond, time.Second, 50 * time.Millisecond
+	for seed := range uint64(150) {
+		rng := rand.New(rand.NewPCG(seed, seed))
+		names := []string{"a", "b", "c", "d"}
+		type member struct {
+			o                *Ownership
+			outUntil, frozen time.Duration // cut off from the log; suspended
+			joined           time.Duration // the log's view
+			in               bool
+			readAt           time.Duration
+			readGeneration   int64
+		}
+		ms := map[string]*member{}
+		for _, n := range names {
+			ms[n] = &member{o: &Ownership{Self: n, Lease: lease, Handover: handover}}
+		}
+		generation := int64(1)
+		last, owner, fence := map[string]time.Duration{}, map[string]string{}, map[string]int64{}
+		for now := time.Duration(0); now < 60*time.Second; now += step {
+			for _, n := range names {
+				m := ms[n]
+				if m.in && now >= m.joined+ttl {
+					m.in = false
+					generation++
+				}
+				if rng.IntN(400) == 0 {
+					m.outUntil = now + time.Duration(rng.IntN(6000))*time.Millisecond
+				}
+				if rng.IntN(600) == 0 {
+					m.frozen = now + time.Duration(rng.IntN(5000))*time.Millisecond
+				}
+			}
+			for _, n := range names {
+				m := ms[n]
+				if now < m.frozen {
+					continue
+				}
+				if now >= m.outUntil && rng.IntN(5) == 0 {
+					if !m.in {
+						m.in = true
+						generation++
+					}
+					m.joined = now
+					m.o.Joined(generation, now)
+					if !m.o.Current(generation) {
+						m.readAt, m.readGeneration = now+time.Duration(rng.IntN(8))*step, generation
+					}
+				}
+				if m.readAt != 0 && now >= m.readAt && now >= m.outUntil {
+					var members []string
+					for _, k := range names {
+						if ms[k].in {
+							members = append(members, k)
+						}
+					}
+					m.o.Listed(m.readGeneration, members)
+					m.readAt = 0
+				}
+				for e := range 6 {
+					id := fmt.Sprint("endpoint", e)
+					if !m.o.Owns(id, now) {
+						continue
+					}
+					if who, ok := owner[id]; ok && who != n {
+						require.GreaterOrEqual(t, now-last[id], handover, "seed %d: %s after %s for %s at %v", seed, n, who, id, now)
+						require.Greater(t, m.o.Fence(), fence[id], "seed %d", seed)
+					}
+					last[id], owner[id], fence[id] = now, n, m.o.Fence()
+				}
+			}
+		}
+	}
+}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -26,7 +26,6 @@
 
 	DrainMs         int64   `json:"drainMs"`       // from an endpoint's leaving to the last request sent to it
 	GraceS          float64 `json:"graceS"`        // from SIGTERM to SIGKILL
-	ConfigApplyMs   int64   `json:"configApplyMs"` // from a confirmed configuration to its effect
 	RevokeMs        int64   `json:"revokeMs"`      // from a key's removal to its refusal
 	BudgetRatio     float64 `json:"budgetRatio"`   // share of requests that may be sent again
 	BudgetWindowS   float64 `json:"budgetWindowS"`
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -12,7 +12,7 @@
 const sampleSettings = `// a comment
 {
   "id": "entry-1", "host": "10.1.0.19", "failureDomain": "a", "callerAddress": "10.1.0.19:8749", "readyAddress": "10.1.0.19:8741",
-  "logAddress": "10.200.1.7:8744", "peerPorts": [7580,7595], "drainMs": 2000, "graceS": 8, "configApplyMs": 2000, "revokeMs": 5000,
+  "logAddress": "10.200.1.7:8744", "peerPorts": [7580,7595], "drainMs": 2000, "graceS": 8, "revokeMs": 5000,
   "budgetRatio": 0.2, "budgetWindowS": 10, "versionMs": 10000, "orderHandoverMs": 3000, "memoryMb": 134,
 }`
 
