--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -24,10 +24,10 @@
 	PeerPorts     [2]int `json:"peerPorts"`     // first and last port between processes
 	MetricsPort   int    `json:"metricsPort"`   // of the metrics, 0 for none
 
-	DrainMs         int64   `json:"drainMs"`       // from an endpoint's leaving to the last request sent to it
-	GraceS          float64 `json:"graceS"`        // from SIGTERM to SIGKILL
-	RevokeMs        int64   `json:"revokeMs"`      // from a key's removal to its refusal
-	BudgetRatio     float64 `json:"budgetRatio"`   // share of requests that may be sent again
+	DrainMs         int64   `json:"drainMs"`     // from an endpoint's leaving to the last request sent to it
+	GraceS          float64 `json:"graceS"`      // from SIGTERM to SIGKILL
+	RevokeMs        int64   `json:"revokeMs"`    // from a key's removal to its refusal
+	BudgetRatio     float64 `json:"budgetRatio"` // share of requests that may be sent again
 	BudgetWindowS   float64 `json:"budgetWindowS"`
 	VersionMs       int64   `json:"versionMs"`       // from a named version to the last request on an older one
 	OrderHandoverMs int64   `json:"orderHandoverMs"` // between the orders of two holders
