--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -49,6 +49,7 @@
 	TokenBytes     int
 	LinkMbps       float64
 	Models         []string
+	PartSources    bool // a request may name a source for each part of its prompt
 }
 
 // Service is a group of endpoints, or a cache store when StoreAddress is set.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -21,7 +21,7 @@
 		Salt: p.choice.Salt, Version: p.choice.Version, UntilMs: p.untilMs, LastEvent: q.call.LastEvent, Remaining: remaining(q.deadline, q.g.clock()),
 	}
 	if pr := q.call.Prompt; pr != nil {
-		o.Fetch, o.Save = addresses(p.choice.Plan, len(pr.Parts))
+		o.Fetch, o.Save = addresses(p.choice.Plan, pr.Parts, q.service.Engine.PartSources)
 	}
 	if q.customer != nil {
 		o.Customer = q.customer.Name
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -36,7 +36,7 @@
 	Salt      string // cached prompts are found only under the same salt
 	Version   int64  // the only weights that may answer, 0 for any
 	LastEvent string
-	Fetch     []string // for each part of the prompt the address that it is fetched from, "" for none
+	Fetch     []string // for each part of the prompt the address that it is fetched from, "" for none; one for the whole prompt where the engine takes no list
 	Save      []string // for each part of the prompt the address that it is saved to, "" for none
 	UntilMs   int64    // on the stores' clock: a fetch ends by then
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -534,3 +534,15 @@
 	require.Less(t, 2*operatorWait+answers, min(readyStale, staleConfig))
 	require.Less(t, operatorWait+operatorWait+readSlack+answers, ms(testSettings().RevokeMs)-revokeMargin, "one read may get no answer")
 }
+
+// Guards against a list of sources for an engine that takes one address.
+func TestEngineWithoutListsGetsOneSource(t *testing.T) {
+	parts := []forward.Part{{ID: "a", Tokens: 500}, {ID: "b", Tokens: 8000}, {ID: "own", Tokens: 100}}
+	plan := forward.StorePlan{Fetch: []forward.Source{{Address: "10.0.0.1:80"}, {Address: "10.0.0.2:80"}}, Save: make([]*forward.StoreView, 2)}
+	fetch, save := addresses(plan, parts, false)
+	require.Equal(t, []string{"10.0.0.2:80"}, fetch)
+	require.Empty(t, save)
+	fetch, save = addresses(plan, parts, true)
+	require.Equal(t, []string{"10.0.0.1:80", "10.0.0.2:80", ""}, fetch)
+	require.Equal(t, []string{"", "", ""}, save)
+}
--- a/gateway/stores.go
+++ b/gateway/stores.go
@@ -48,8 +48,22 @@
 	return until
 }
 
-// addresses lists where each part of a prompt is fetched from and saved to.
-func addresses(plan forward.StorePlan, parts int) (fetch, save []string) {
+// addresses lists where each part of a prompt is fetched from and saved to. An
+// engine that takes no list gets the source that saves the longest reading.
+func addresses(plan forward.StorePlan, parts []forward.Part, list bool) (fetch, save []string) {
+	if !list {
+		longest := 0
+		for i, f := range plan.Fetch {
+			if f.Address != "" && parts[i].Tokens > longest {
+				longest, fetch = parts[i].Tokens, []string{f.Address}
+			}
+		}
+		return fetch, nil
+	}
+	return partAddresses(plan, len(parts))
+}
+
+func partAddresses(plan forward.StorePlan, parts int) (fetch, save []string) {
 	fetch, save = make([]string, parts), make([]string, parts)
 	for i, f := range plan.Fetch {
 		fetch[i] = f.Address
