Let the soak reach the bounds of keys and weights

Cause: planted faults that keep keys for ever or send requests to old weights were not found: the log was never away for five seconds, and no server kept old weights for ten. Change: faults last up to seven seconds; a server may refuse orders to the end.

--- a/bench/forwardsoak/faults.go
+++ b/bench/forwardsoak/faults.go
@@ -54,6 +54,10 @@
 			return nil
 		}
 	}},
+	{"server ignores orders", func(r *run) func() error {
+		r.servers[r.rng.IntN(engines)].IgnoreOrders() // to the end of the run, as a version has ten seconds
+		return nothing
+	}},
 	{"log busy", func(r *run) func() error { return r.logFault(standin.LogBusy) }},
 	{"log silent", func(r *run) func() error { return r.logFault(standin.LogSilent) }},
 	{"log forgets", func(r *run) func() error {
--- a/bench/forwardsoak/soak.go
+++ b/bench/forwardsoak/soak.go
@@ -36,7 +36,7 @@
 
 	beatPause   = 500 * time.Millisecond
 	minHold     = time.Second
-	maxHold     = 4 * time.Second // longer than keys stay valid without the log, with the pause between rounds
+	maxHold     = 7 * time.Second // longer than keys stay valid without the log
 	roundPause  = 2500 * time.Millisecond
 	roundSettle = time.Second      // after which faults have no effect
 	restartTime = 12 * time.Second // within which a quarter must be served again after all was lost
