Refuse truly when every endpoint has refused

Cause: a request that two endpoints refused was answered 502, although it has run nowhere; found by reading. Change: it is refused with 503 and a time to come back. Result: TestRefusalSaysWhetherTheRequestRan has the case; it failed before.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -33,7 +33,7 @@
 	a, xerr := q.g.exchange(ctx, &m, q.call.ID, p.endpoint, p.limit)
 	if xerr == nil || xerr.sent {
 		q.sends++
-		q.line.onlyRefused = xerr != nil && xerr.notRun && (q.sends == 1 || q.line.onlyRefused)
+		q.refused = xerr != nil && xerr.notRun && (q.sends == 1 || q.refused)
 	}
 	if xerr != nil {
 		return xerr
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -82,7 +82,7 @@
 // unplaced is the refusal of a request that can't be placed: once it was sent
 // somewhere, whether it ran may be unknown.
 func (q *request) unplaced(err *apierr.Error) *apierr.Error {
-	if q.sends == 0 || q.line.onlyRefused {
+	if q.notRun() {
 		return err
 	}
 	return apierr.New(apierr.OutcomeUnknown, apierr.Unknown, err.Message, "find out whether it took effect before sending it again")
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -57,12 +57,11 @@
 	configVersion int64
 	configAge     time.Duration
 	attempts      []attemptLine
-	candidates    int  // endpoints of the service at the last placement, and how many of them
-	usable        int  // could take the request
-	emptying      int  // got no long prompts
-	outdated      int  // had older weights than were named
-	excluded      int  // were not allowed to take it
-	onlyRefused   bool // every endpoint that got the request has said that it did not run
+	candidates    int // endpoints of the service at the last placement, and how many of them
+	usable        int // could take the request
+	emptying      int // got no long prompts
+	outdated      int // had older weights than were named
+	excluded      int // were not allowed to take it
 	status        int
 	bytes         int64
 	firstByte     time.Duration
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -39,6 +39,7 @@
 	unsent   int
 	started  bool // the head of the answer was sent to the caller
 	lastID   string
+	refused  bool // every endpoint that got the request has said that it did not run
 	line     line
 }
 
@@ -217,12 +218,15 @@
 	if q.may(x, safe) {
 		return nil
 	}
-	if safe && !q.started && q.sends == boolInt(x.notRun) {
+	if safe && q.notRun() {
 		return apierr.Retry(apierr.Overloaded, apierr.NotRun, q.retryAfter(0), x.Error(), "send the request again").WithCause(x)
 	}
 	return apierr.New(apierr.OutcomeUnknown, apierr.Unknown, x.Error(), "find out whether it took effect before sending it again").WithCause(x)
 }
 
+// notRun tells whether the request has run nowhere.
+func (q *request) notRun() bool { return !q.started && (q.sends == 0 || q.refused) }
+
 // may tells whether the request may be tried on another endpoint.
 func (q *request) may(x *exchangeError, notRun bool) bool {
 	if q.unsent >= maxUnsent || remaining(q.deadline, q.g.clock()) < minUsefulBudget {
