--- a/bench/cmd/demo/main.go
+++ b/bench/cmd/demo/main.go
@@ -11,8 +11,8 @@
 
 	"github.com/jessevdk/go-flags"
 
-	"github.com/galenaweir/galenaweir/bench/forwardsoak"
 	"github.com/galenaweir/galenaweir/bench/local"
+	"github.com/galenaweir/galenaweir/platform/soak"
 )
 
 type options struct {
@@ -90,7 +90,7 @@
 		return err
 	}
 	defer os.RemoveAll(dir)
-	return forwardsoak.Demo(ctx, forwardsoak.Options{Bin: bin, Folder: dir, Host: forwardHost, Out: os.Stdout})
+	return soak.Demo(ctx, soak.Options{Bin: bin, Folder: dir, Host: forwardHost, Out: os.Stdout})
 }
 
 // keep prints how to use the deployment and waits for an interrupt.
--- a/bench/cmd/forwardsoak/main.go
+++ b/bench/cmd/forwardsoak/main.go
@@ -12,7 +12,7 @@
 
 	"github.com/jessevdk/go-flags"
 
-	"github.com/galenaweir/galenaweir/bench/forwardsoak"
+	"github.com/galenaweir/galenaweir/platform/soak"
 )
 
 type options struct {
@@ -56,7 +56,7 @@
 			err := os.MkdirAll(dir, 0o700)
 			var broken []string
 			if err == nil {
-				broken, err = forwardsoak.Run(context.Background(), forwardsoak.Options{
+				broken, err = soak.Run(context.Background(), soak.Options{
 					Seed: seed, Bin: o.Bin, Folder: dir, Host: fmt.Sprintf("127.71.%d.1", place+1), Length: time.Duration(o.Seconds) * time.Second, Out: os.Stdout,
 				})
 			}
