--- /dev/null
+++ b/spec/freshness.pml
@@ -0,0 +1,135 @@
+/*
+ * Freshness of keys; core/forward/freshness.go. An operator takes a key away;
+ * processes read the log and refuse all keys once their newest read is too old.
+ * Reads and their answers are late or lost, the log can't be reached, processes
+ * are suspended or restart at any point, also between two steps of a request.
+ *
+ * Time passes in ticks between any two steps, so that a process that takes none is
+ * suspended or cut off. Ages are counted up to LIMIT.
+ *
+ * Processes may also take a peer's age: a process asks with a stamp of its own
+ * clock, the peer answers with the version and the age of its configuration, and
+ * the age counts from the stamp. The product doesn't do so yet; the model shows
+ * the conditions.
+ *
+ * Safety: no key is accepted BOUND ticks after its removal was confirmed; a
+ * process never goes back to an older configuration.
+ *
+ * The lines below name faults that the check must find, set with -DMUTANT_name.
+ */
+// MUTANT no_limit
+// MUTANT age_from_answer
+// MUTANT clock_stops
+// MUTANT judged_once
+// MUTANT peer_age_from_answer
+// MUTANT peer_of_another_version
+// MUTANT failed_read_confirms
+
+#define PROCS 2
+#define BOUND 4            /* ticks from the removal to the refusal */
+#define LIMIT (BOUND - 1)  /* age from which keys are refused; one tick for what is on its way */
+
+#define READING 1
+#define ANSWERED 2
+#define ASKED 3
+#define TOLD 4
+
+byte newest = 1;           /* version 1 has the key, version 2 doesn't */
+byte since;                /* ticks since version 2 was confirmed */
+
+byte version[PROCS];       /* 0: none */
+byte age[PROCS];
+byte call[PROCS], sent[PROCS];           /* a read or a question on its way, ticks since it was sent */
+byte answer[PROCS], answerAge[PROCS];
+byte request[PROCS];       /* 1: its key was found valid, it is not sent yet */
+
+inline older(x, bound) { if :: x < bound -> x++ :: else fi }
+
+inline done(p) { call[p] = 0; sent[p] = 0; answer[p] = 0; answerAge[p] = 0 }
+
+#ifdef MUTANT_no_limit
+#define VALID(p) (version[p] == 1)
+#else
+#define VALID(p) (version[p] == 1 && age[p] < LIMIT)
+#endif
+
+active proctype system() {
+	byte p, q, a;
+	do
+	:: atomic { newest == 1 -> newest = 2; since = 0 }
+	/* A tick. */
+	:: atomic { true ->
+		if :: newest == 2 -> older(since, BOUND) :: else fi;
+		p = 0;
+		do
+		:: p < PROCS ->
+#ifdef MUTANT_clock_stops
+			if
+			:: true
+			:: true ->
+#endif
+			older(age[p], LIMIT);
+			if :: call[p] -> older(sent[p], LIMIT) :: else fi;
+#ifdef MUTANT_clock_stops
+			fi;
+#endif
+			p++
+		:: else -> break
+		od;
+		p = 0 }
+	:: atomic { true ->
+	if :: p = 0; q = 1 :: p = 1; q = 0 fi;
+	if
+	/* Reads of the log. */
+	:: call[p] == 0 -> call[p] = READING
+	:: call[p] == READING -> answer[p] = newest; call[p] = ANSWERED
+	:: call[p] == ANSWERED ->
+		assert(answer[p] >= version[p]);
+#ifdef MUTANT_age_from_answer
+		age[p] = 0;
+#else
+		if :: version[p] == 0 || sent[p] < age[p] -> age[p] = sent[p] :: else fi;
+#endif
+		version[p] = answer[p]; done(p)
+	:: call[p] ->
+#ifdef MUTANT_failed_read_confirms
+		if :: call[p] == READING -> age[p] = sent[p] :: else fi;
+#endif
+		done(p)  /* lost */
+	/* Questions to the peer. */
+	:: call[p] == 0 && version[p] -> call[p] = ASKED
+	:: call[p] == ASKED && version[q] -> answer[p] = version[q]; answerAge[p] = age[q]; call[p] = TOLD
+	:: call[p] == TOLD ->
+#ifdef MUTANT_peer_age_from_answer
+		a = answerAge[p];
+#else
+		a = answerAge[p] + sent[p];
+#endif
+		if
+#ifdef MUTANT_peer_of_another_version
+		:: a < age[p] -> age[p] = a
+#else
+		:: answer[p] == version[p] && a < age[p] -> age[p] = a
+#endif
+		:: else
+		fi;
+		a = 0; done(p)
+	/* A request with the key: judged as it comes, again before it is sent. */
+	:: request[p] == 0 && VALID(p) -> request[p] = 1
+	:: request[p] == 1 ->
+#ifdef MUTANT_judged_once
+		assert(newest == 1 || since < BOUND);
+#else
+		if
+		:: VALID(p) -> assert(newest == 1 || since < BOUND)
+		:: else
+		fi;
+#endif
+		request[p] = 0
+	/* A restart. */
+	:: version[p] -> version[p] = 0; age[p] = 0; request[p] = 0; done(p)
+	:: else
+	fi;
+	p = 0; q = 0 }
+	od
+}
--- a/spec/run.sh
+++ b/spec/run.sh
@@ -6,7 +6,7 @@
 cd "$(dirname "$0")"
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
-depth=100000
+depth=400000
 memory_mb=4096
 failed=0
 
