--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -46,7 +46,7 @@
 	RequestID     string
 	Signed        bool // a receipt is present
 	NotRun        bool // the request has not run and won't
-	OtherEndpoint bool // another endpoint has the address
+	OtherEndpoint bool // another endpoint has the address, or this one doesn't fit what the request expects
 	WeightVersion int64
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -26,6 +26,7 @@
 type exchangeError struct {
 	sent   bool // a part of the request may have reached the endpoint
 	notRun bool // the endpoint said that the request has not run and won't
+	moved  bool // it said so as another endpoint, or as one that doesn't fit
 	status int
 	err    error
 }
@@ -142,7 +143,7 @@
 		a.resp, a.reply = resp, reply
 		if reply.NotRun {
 			a.discard()
-			return &exchangeError{sent: true, notRun: true, status: resp.StatusCode, err: fmt.Errorf("the endpoint refused with %d", resp.StatusCode)}
+			return &exchangeError{sent: true, notRun: true, moved: reply.OtherEndpoint, status: resp.StatusCode, err: fmt.Errorf("the endpoint refused with %d", resp.StatusCode)}
 		}
 		if resp.StatusCode < http.StatusMultipleChoices && (!reply.Signed || reply.RequestID == "" && id != "") {
 			return &exchangeError{sent: true, err: errors.New("the answer has no receipt")}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -45,7 +45,7 @@
 }
 
 func (testDialect) Reply(status int, h http.Header) Reply {
-	return Reply{RequestID: h.Get("Test-Id"), Signed: h.Get("Test-Seal") != "", NotRun: h.Get("Test-Not-Run") != ""}
+	return Reply{RequestID: h.Get("Test-Id"), Signed: h.Get("Test-Seal") != "", NotRun: h.Get("Test-Not-Run") != "", OtherEndpoint: status == http.StatusMisdirectedRequest}
 }
 
 // testClock is a clock that a test moves.
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -115,6 +115,8 @@
 		return
 	}
 	switch {
+	case x.moved && p.choice.Version == 0:
+		st.health.Refusing(now + movedFor) // with a version, the endpoint may only have other weights
 	case x.notRun:
 		st.health.Refusing(now + refusingFor)
 	case !x.sent && x.err != errConnLimit:
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -18,6 +18,7 @@
 	staleConfig   = 3200 * time.Millisecond // age from which a route or key may be newer than what is known
 	refusingFor   = 250 * time.Millisecond  // an endpoint that refused gets no work for this long
 	unreachedFor  = time.Second             // one that could not be reached
+	movedFor      = 2 * time.Second         // one whose address another has; its entry is replaced or lapses by then
 	readMargin    = 100 * time.Millisecond  // beyond the expected wait, until a part of a prompt is read
 	peerReadTime  = 500 * time.Millisecond  // until a part is read that a peer sent
 	residentShare = 0.9                     // of an engine's memory that parts of prompts take
