--- /dev/null
+++ b/gateway/fuzz_test.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Guards against events that are cut, joined or lost when a stream comes in pieces,
+// and against an ID that is not the last whole event's.
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), 7)
+	f.Add([]byte("id: 1\r\ndata: a\r\n\r\n:c\n\nid:"), 3)
+	f.Add([]byte("\n\n\n"), 1)
+	f.Fuzz(func(t *testing.T, stream []byte, size int) {
+		if size <= 0 || len(stream) > 1<<12 {
+			return
+		}
+		var passed, pending []byte
+		for at := 0; at < len(stream); at += size {
+			pending = append(pending, stream[at:min(at+size, len(stream))]...)
+			end := eventsEnd(pending)
+			require.True(t, end == 0 || bytes.HasSuffix(pending[:end], []byte("\n\n")) || bytes.HasSuffix(pending[:end], []byte("\r\n\r\n")))
+			require.NotContains(t, lastEventID(pending[:end]), "\n")
+			passed = append(passed, pending[:end]...)
+			pending = append(pending[:0], pending[end:]...)
+		}
+		require.Equal(t, stream, append(passed, pending...))
+		require.Zero(t, eventsEnd(pending))
+	})
+}
+
+// Guards against datagrams of a peer, or of anyone, that stop the process or leave a
+// load behind that no later report removes.
+func FuzzPeerReport(f *testing.F) {
+	r := report("10.0.0.1:7", 5, 2)
+	r.Uses = []reportUse{{1, 1 << 63, -900}}
+	r.Loading, r.Emptying = []uint32{endpointHash("e0")}, []uint32{7}
+	r.Loaded = []reportVersion{{endpointHash("e0"), "m", -3, 1}}
+	data, err := encodeReport(r)
+	require.NoError(f, err)
+	f.Add(data)
+	f.Add(data[:len(data)/2])
+	f.Add([]byte("\x9f\xff\xff\xff\xff"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		clock := &testClock{}
+		g := New(Options{Settings: testSettings(), Clock: clock.start(time.Hour), Seed: 1, Dialect: testDialect{}})
+		g.state.endpoint("e0")
+		var r loadReport
+		if len(data) > maxDatagram || msgpack.Unmarshal(data, &r) != nil {
+			return
+		}
+		g.takeReport(&r)
+		clock.advance(time.Minute)
+		g.state.peers.expire(clock.read())
+		require.Empty(t, g.state.peers.sums)
+	})
+}
+
+// Guards against settings that stop the process instead of being refused.
+func FuzzSettings(f *testing.F) {
+	f.Add([]byte(`{"id":"a","host":"10.0.0.1", // comment
+"peerPorts":[7,8],"drainMs":1e9}`))
+	f.Add([]byte(`[`))
+	f.Add([]byte(`{"peerPorts":[1,2,3],"graceS":-1}`))
+	path := filepath.Join(f.TempDir(), "settings.json")
+	f.Fuzz(func(t *testing.T, data []byte) {
+		require.NoError(t, os.WriteFile(path, data, 0o600))
+		s, err := LoadSettings(path)
+		if err == nil {
+			require.Positive(t, s.GraceS)
+			require.Positive(t, s.RevokeMs)
+		}
+	})
+}
+
+// Guards against an endpoint's bytes that stop the process, or that reach a caller as
+// a whole answer without the request's ID and receipt.
+func FuzzEndpointAnswer(f *testing.F) {
+	const head = "HTTP/1.1 200 OK\r\nTest-Id: id-/unsafe/x\r\nTest-Seal: s\r\n"
+	f.Add([]byte(head + "Content-Length: 2\r\n\r\nok"))
+	f.Add([]byte(head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"))
+	f.Add([]byte(head + "Transfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\nok"))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\n" + head + "\r\nunframed"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"))
+	f.Add([]byte("HTTP/0.9 999\r\n\r\n"))
+	f.Add([]byte("\x00\x01\x02"))
+	f.Fuzz(func(t *testing.T, answer []byte) {
+		e := serveRaw(t, func(r *http.Request, c net.Conn) bool {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = c.Write(answer)
+			return false
+		})
+		fx := newFixture(t, e)
+		status, _, err := fx.do(t, fx.request(t, "POST", "/unsafe/x", "pay"))
+		if err == nil && status >= 200 && status < 300 {
+			text := strings.ToLower(string(answer))
+			require.Contains(t, text, "test-seal")
+			require.Contains(t, text, "id-/unsafe/x")
+		}
+	})
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -82,6 +82,23 @@
 	}
 }
 
+// target returns the path and query as the caller sent them, without the scheme and
+// host of an absolute target, which net/http takes for the host.
+func target(r *http.Request) string {
+	_, rest, ok := strings.Cut(r.RequestURI, "://")
+	if !ok || !r.URL.IsAbs() || strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	if i := strings.IndexAny(rest, "/?"); i >= 0 {
+		return "/" + strings.TrimPrefix(rest[i:], "/")
+	}
+	return "/"
+}
+
+func takesBody(method string) bool {
+	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
+}
+
 // admit finds the route, the customer and the service of the request.
 func (q *request) admit() *apierr.Error {
 	call, err := q.g.dialect.Call(q.r.Header)
@@ -98,7 +115,11 @@
 		return apierr.Retry(apierr.NotReady, apierr.NotRun, startRetry, "no configuration has been read yet", "send the request again")
 	}
 	q.line.configVersion, q.line.configAge = s.table.Config.Version, age
-	path, _, _ := strings.Cut(q.r.RequestURI, "?")
+	if !q.r.ProtoAtLeast(1, 1) && q.r.Header.Get("Content-Length") == "" && takesBody(q.r.Method) {
+		// net/http ignores chunks of HTTP/1.0: the request would run without its body.
+		return apierr.New(apierr.InvalidRequest, apierr.NotRun, "a body in HTTP/1.0 without Content-Length", "send Content-Length, or use HTTP/1.1")
+	}
+	path, _, _ := strings.Cut(target(q.r), "?")
 	q.route = s.table.Route(q.r.Host, path)
 	if q.route == nil {
 		if age > staleConfig {
@@ -181,7 +202,7 @@
 	if q.r.Header.Get("User-Agent") == "" {
 		h.Del("User-Agent")
 	}
-	q.msg = message{method: q.r.Method, uri: q.r.RequestURI, host: q.r.Host, header: h, body: body, hasLen: q.r.ContentLength >= 0 && (len(body) > 0 || q.r.Header.Get("Content-Length") != "")}
+	q.msg = message{method: q.r.Method, uri: target(q.r), host: q.r.Host, header: h, body: body, hasLen: q.r.ContentLength >= 0 && (len(body) > 0 || q.r.Header.Get("Content-Length") != "")}
 	return nil
 }
 
