Judge keys again before a request is sent, and follow failures by the log alone

Cause: a key was judged when its request was placed; a suspend, or a connection that takes long, between that and the sending was covered by a margin of 0.5 s only (spec/freshness.pml, mutant judged_once). A process whose output nobody reads could not end, as its last lines waited for it, and lines on what the process believes were left out as soon as requests' lines.

Change: the key is judged again before the first byte is sent; `tried` is a count of its own in the decision line; a queue of lines with room for others than requests', counts of what was left out by class, and at most 0.5 s for the last lines.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -30,7 +30,7 @@
 		o.LastEvent = q.lastID
 	}
 	q.g.dialect.Outgoing(m.header, o)
-	a, xerr := q.g.exchange(ctx, &m, q.call.ID, p.endpoint, p.limit)
+	a, xerr := q.g.exchange(ctx, &m, q.call.ID, p.endpoint, p.limit, q.mayBegin)
 	if xerr == nil || xerr.sent {
 		q.sends++
 		q.refused = xerr != nil && xerr.notRun && (q.sends == 1 || q.refused)
@@ -52,6 +52,24 @@
 	return q.deliver(a, p)
 }
 
+// errKeyOutdated means that the request may not be sent although it was placed.
+var errKeyOutdated = errors.New("a key may have been taken away since the request was placed")
+
+// mayBegin tells whether a placed request may still be sent: this process may have
+// been suspended since, or the connection may have taken long.
+func (q *request) mayBegin() error {
+	if q.customer == nil || q.route.Public {
+		return nil
+	}
+	s := q.g.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.fresh.KeysValid(s.clock()) {
+		return errKeyOutdated
+	}
+	return nil
+}
+
 // learn takes what an answer tells of its endpoint.
 func (q *request) learn(p *placement, a *answer) {
 	s := q.g.state
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -90,7 +90,7 @@
 
 // exchange sends a request to an endpoint and reads the head of its answer. The
 // connection is closed when ctx ends.
-func (g *Gateway) exchange(ctx context.Context, m *message, id string, e forward.Endpoint, limit int) (*answer, *exchangeError) {
+func (g *Gateway) exchange(ctx context.Context, m *message, id string, e forward.Endpoint, limit int, mayBegin func() error) (*answer, *exchangeError) {
 	key := e.ID + "@" + e.Address
 	data, err := m.bytes()
 	if err != nil {
@@ -100,6 +100,10 @@
 	if err != nil {
 		return nil, &exchangeError{err: err}
 	}
+	if err := mayBegin(); err != nil {
+		g.pool.put(key, conn, true)
+		return nil, &exchangeError{err: err}
+	}
 	a := &answer{conn: conn, pool: g.pool, key: key, written: make(chan error, 1)}
 	a.stop = context.AfterFunc(ctx, func() { conn.Close() })
 	if len(data) <= inlineBodyBytes {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -401,6 +401,28 @@
 	require.Equal(t, 200, status("/unsafe/x", "key"))
 }
 
+// Guards against a request that is sent long after it was placed, as its process was
+// suspended in between or the connection took long.
+func TestKeyIsJudgedAgainBeforeTheRequestIsSent(t *testing.T) {
+	e := serveRaw(t, answerOK("answer"))
+	f := newFixture(t, e)
+	q := &request{g: f.Gateway, customer: &f.state.table.Config.Customers[0], route: &forward.Route{}}
+	require.NoError(t, q.mayBegin())
+	suspended := func() error {
+		f.clock.advance(5 * time.Second)
+		return q.mayBegin()
+	}
+	m := &message{method: "POST", uri: "/unsafe/x", host: "service.test", header: http.Header{}}
+	endpoint := forward.Endpoint{ID: "e0", Address: e.address}
+	_, xerr := f.exchange(t.Context(), m, "id", endpoint, 1, suspended)
+	require.ErrorIs(t, xerr, errKeyOutdated)
+	require.False(t, xerr.sent)
+	require.Zero(t, e.requests.Load())
+	require.Empty(t, f.pool.inUse)
+	q.route.Public = true
+	require.NoError(t, q.mayBegin())
+}
+
 // Guards against 401, 403 or 404 before any configuration was read.
 func TestUnknownConfigurationRefusesWithATimeToComeBack(t *testing.T) {
 	clock := &testClock{}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -45,7 +45,7 @@
 		Stores: s.fetchableStores(now), Now: now,
 		Fetchable: func(model string, version int64) bool { return s.rollout.Fetchable(model, version, now) },
 	}, cs)
-	q.line.count(cs)
+	q.line.count(cs, q.tried)
 	if c.Index < 0 {
 		return nil, q.unplaced(apierr.Retry(apierr.NoEndpoint, apierr.NotRun, q.retryAfter(0), "no endpoint of the service can take the request", "send the request again"))
 	}
@@ -119,7 +119,7 @@
 		st.health.Refusing(now + movedFor) // with a version, the endpoint may only have other weights
 	case x.notRun:
 		st.health.Refusing(now + refusingFor)
-	case !x.sent && x.err != errConnLimit:
+	case !x.sent && x.err != errConnLimit && x.err != errKeyOutdated:
 		st.health.Refusing(now + unreachedFor)
 		st.health.Broken(now, s.rng)
 	case x.sent && remaining(q.deadline, now) > 0:
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -62,6 +62,7 @@
 	emptying      int // got no long prompts
 	outdated      int // had older weights than were named
 	excluded      int // were not allowed to take it
+	tried         int // had been asked before
 	status        int
 	bytes         int64
 	firstByte     time.Duration
@@ -70,13 +71,14 @@
 }
 
 // count records the endpoints that the last placement could choose from.
-func (l *line) count(cs []forward.Candidate) {
-	l.candidates, l.usable, l.emptying, l.outdated, l.excluded = len(cs), 0, 0, 0, 0
+func (l *line) count(cs []forward.Candidate, tried map[string]bool) {
+	l.candidates, l.usable, l.emptying, l.outdated, l.excluded, l.tried = len(cs), 0, 0, 0, 0, 0
 	for _, c := range cs {
 		l.usable += boolInt(c.Usable && !c.Excluded)
 		l.emptying += boolInt(c.Emptying)
 		l.outdated += boolInt(c.Outdated)
-		l.excluded += boolInt(c.Excluded)
+		l.tried += boolInt(tried[c.Endpoint.ID])
+		l.excluded += boolInt(c.Excluded && !tried[c.Endpoint.ID])
 	}
 }
 
@@ -107,7 +109,7 @@
 		e = e.Int("prompt_tokens", q.call.Prompt.Tokens)
 	}
 	if l := q.line; l.candidates > 0 {
-		e = e.Int("endpoints", l.candidates).Int("usable", l.usable).Int("emptying", l.emptying).Int("outdated", l.outdated).Int("excluded", l.excluded)
+		e = e.Int("endpoints", l.candidates).Int("usable", l.usable).Int("emptying", l.emptying).Int("outdated", l.outdated).Int("excluded", l.excluded).Int("tried", l.tried)
 	}
 	for i, a := range q.line.attempts {
 		n := strconv.Itoa(i + 1)
--- a/process/logs.go
+++ b/process/logs.go
@@ -1,47 +1,129 @@
 package process
 
 import (
+	"bytes"
+	"errors"
 	"expvar"
+	"io"
 	"os"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/phuslu/log"
 
 	"github.com/galenaweir/galenaweir/metrics"
 )
 
-// logQueueLines bounds the lines that wait for standard output: some seconds of a
-// busy process. More are left out and counted.
-const logQueueLines = 2048
+// Limits of the lines that wait for standard output.
+const (
+	logQueueLines   = 2048                   // some seconds of a busy process
+	logRequestLines = logQueueLines * 3 / 4  // requests' lines leave room for those on what the process believes
+	logFlushTime    = 500 * time.Millisecond // at the end of the process, when nobody reads its output
+)
+
+// Classes of lines, by which those left out are counted.
+const (
+	requestLines = "request"
+	otherLines   = "other"
+)
+
+var requestMark = []byte(`"event":"request"`)
+
+// errOutputFull means that lines were left when the process ended.
+var errOutputFull = errors.New("standard output is full: the last log lines are lost")
+
+// logQueue is an io.Writer of whole lines that never blocks: it leaves lines out
+// while the output is full.
+type logQueue struct {
+	out     io.Writer
+	lines   chan []byte
+	left    map[string]*atomic.Int64 // by class, since the last line on it
+	total   *expvar.Map
+	buffers sync.Pool
+	done    chan struct{}
+}
+
+func newLogQueue(out io.Writer) *logQueue {
+	q := &logQueue{
+		out: out, lines: make(chan []byte, logQueueLines), total: metrics.Default.CountBy("log_lines_omitted"), done: make(chan struct{}),
+		left: map[string]*atomic.Int64{requestLines: {}, otherLines: {}},
+	}
+	go q.run()
+	return q
+}
+
+func (q *logQueue) run() {
+	defer close(q.done)
+	for line := range q.lines {
+		if line == nil {
+			return
+		}
+		_, _ = q.out.Write(line) // there is no other place to tell of it
+		q.buffers.Put(&line)
+	}
+}
+
+// Write implements io.Writer. It copies the line.
+func (q *logQueue) Write(p []byte) (int, error) {
+	class, limit := otherLines, logQueueLines
+	if bytes.Contains(p, requestMark) {
+		class, limit = requestLines, logRequestLines
+	}
+	if !q.put(p, limit) {
+		q.left[class].Add(1)
+		q.total.Add(class, 1)
+		return len(p), nil
+	}
+	requests, others := q.left[requestLines].Swap(0), q.left[otherLines].Swap(0)
+	if requests+others > 0 {
+		log.Warn().Str("event", "log_lines_omitted").Int64("requests", requests).Int64("others", others).Msg("standard output was full")
+	}
+	return len(p), nil
+}
 
-// boundedWriter never blocks: it leaves lines out while standard output is full.
-type boundedWriter struct {
-	next    log.Writer
-	omitted atomic.Int64
-	total   *expvar.Int
+func (q *logQueue) put(p []byte, limit int) bool {
+	if len(q.lines) >= limit {
+		return false
+	}
+	var line []byte
+	if b, ok := q.buffers.Get().(*[]byte); ok {
+		line = (*b)[:0]
+	}
+	line = append(line, p...)
+	select {
+	case q.lines <- line:
+		return true
+	default:
+		return false
+	}
 }
 
-// WriteEntry implements log.Writer.
-func (w *boundedWriter) WriteEntry(e *log.Entry) (int, error) {
-	n, err := w.next.WriteEntry(e)
-	if err != nil {
-		w.omitted.Add(1)
-		w.total.Add(1)
-		return n, err
+// close writes what is queued, as far as the output takes it in time.
+func (q *logQueue) close() error {
+	limit := time.NewTimer(logFlushTime)
+	defer limit.Stop()
+	select {
+	case q.lines <- nil:
+	case <-limit.C:
+		return errOutputFull
 	}
-	if left := w.omitted.Swap(0); left > 0 {
-		log.Warn().Str("event", "log_lines_omitted").Int64("lines", left).Msg("standard output was full")
+	select {
+	case <-q.done:
+		return nil
+	case <-limit.C:
+		return errOutputFull
 	}
-	return n, nil
 }
 
 // LogToStdout writes JSON lines of the process with the ID to standard output. The
 // function that it returns writes what is queued.
 func LogToStdout(id string) (flush func() error) {
-	async := &log.AsyncWriter{ChannelSize: logQueueLines, DiscardOnFull: true, Writer: &log.IOWriter{Writer: os.Stdout}}
-	log.DefaultLogger = log.Logger{
-		Level: log.InfoLevel, Writer: &boundedWriter{next: async, total: metrics.Default.Count("log_lines_omitted")},
-		Context: log.NewContext(nil).Str("process", id).Value(),
-	}
-	return async.Close
+	q := newLogQueue(os.Stdout)
+	log.DefaultLogger = newLogger(q, id)
+	return q.close
+}
+
+func newLogger(w io.Writer, id string) log.Logger {
+	return log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: w}, Context: log.NewContext(nil).Str("process", id).Value()}
 }
