Check the length of lists in load reports before making room for them

Cause: FuzzPeerReport found a datagram of 113 bytes whose list states 3,990,619,793 elements. The decoder makes room for all of them at once, and the process ends for want of memory: one forged or corrupt datagram on the peers' port stops an entry.

Change: lists of a load report are decoded element by element after their stated length is checked against the largest datagram.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"slices"
@@ -52,12 +53,35 @@
 	Protocol string
 	Member   string
 	Seq      int64
-	Loads    []reportLoad
-	Uses     []reportUse // parts that were sent to endpoints since the last report
-	Loading  []uint32    // endpoints that are being changed by an order
-	Emptying []uint32    // endpoints that get no long prompts
-	Saves    []reportUse // parts that are being written; Endpoint is the store
-	Loaded   []reportVersion
+	Loads    list[reportLoad]
+	Uses     list[reportUse] // parts that were sent to endpoints since the last report
+	Loading  list[uint32]    // endpoints that are being changed by an order
+	Emptying list[uint32]    // endpoints that get no long prompts
+	Saves    list[reportUse] // parts that are being written; Endpoint is the store
+	Loaded   list[reportVersion]
+}
+
+// list is a slice whose stated length is checked before room is made for it: the
+// decoder would make room for four billion elements.
+type list[T any] []T
+
+var errLongList = errors.New("a list is longer than a datagram")
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (l *list[T]) DecodeMsgpack(d *msgpack.Decoder) error {
+	n, err := d.DecodeArrayLen()
+	if err != nil || n > maxDatagram {
+		return errors.Join(err, errLongList)
+	}
+	*l = nil
+	for range n {
+		var v T
+		if err := d.Decode(&v); err != nil {
+			return err
+		}
+		*l = append(*l, v)
+	}
+	return nil
 }
 
 // reportVersion tells of weights that an endpoint has.
