--- a/cmd/galenaweir-entry/main.go
+++ b/cmd/galenaweir-entry/main.go
@@ -22,7 +22,7 @@
 )
 
 func main() {
-	s := process.Parse("galenaweir-entry", addForward)
+	s := process.Parse("galenaweir-entry", addForward, addState)
 	if err := run(s); err != nil {
 		log.Error().Err(err).Msg("entry ended")
 		os.Exit(1)
--- /dev/null
+++ b/cmd/galenaweir-entry/state.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/galenaweir/galenaweir/gateway"
+	"github.com/galenaweir/galenaweir/platform"
+)
+
+// stateCommand shows what the forwarding entries of a deployment believe.
+type stateCommand struct {
+	Settings string `long:"settings" env:"GALENAWEIR_SETTINGS" value-name:"FILE" description:"settings of any forwarding entry of the deployment"`
+}
+
+func addState(p *flags.Parser) error {
+	_, err := p.AddCommand("state", "show what the forwarding entries believe", "Shows the operators' newest records in the platform's log and, for each forwarding entry, the configuration in force, its age, the named weights, the endpoints that it gives orders to and its rollouts. Fails when an entry can't be asked or has another configuration than the log.", &stateCommand{})
+	return err
+}
+
+// errDiffers makes the command fail without another message.
+var errDiffers = errors.New("not every entry has what the log has")
+
+// Execute implements flags.Commander.
+func (c *stateCommand) Execute([]string) error {
+	if c.Settings == "" {
+		return errors.New("no settings: give --settings or set " + settingsVariable)
+	}
+	s, err := gateway.LoadSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+	if s.MetricsPort == 0 {
+		return fmt.Errorf("settings %s: metricsPort is 0, the entries can't be asked", c.Settings)
+	}
+	store := platform.NewStore(s.LogAddress)
+	published, err := gateway.ReadPublished(context.Background(), store.Operators())
+	if err != nil {
+		return err
+	}
+	statuses, err := gateway.ReadStatuses(context.Background(), store, s.MetricsPort)
+	if err != nil {
+		return err
+	}
+	return printState(os.Stdout, published, statuses)
+}
+
+func printState(w io.Writer, published gateway.Published, statuses []gateway.ProcessStatus) error {
+	fmt.Fprintf(w, "log: configuration %d, weights %s, %d entries\n", published.Config, pairs(published.Weights), len(statuses))
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "host\tentry\tready\tconfig\tage ms\tweights\tusable\tin flight\tfence\tholds\trollouts")
+	differs := false
+	for _, p := range statuses {
+		if p.Err != nil {
+			differs = true
+			fmt.Fprintf(t, "%s\t%v\n", p.Host, p.Err)
+			continue
+		}
+		st := p.Status
+		differs = differs || st.Config != published.Config || !maps.Equal(st.Weights, published.Weights)
+		fmt.Fprintf(t, "%s\t%s\t%t\t%d\t%d\t%s\t%d/%d\t%d\t%d\t%s\t%s\n", p.Host, st.ID, st.Ready, st.Config, st.ConfigAgeMs, pairs(st.Weights),
+			st.Usable, st.Endpoints, st.InFlight, st.Generation, strings.Join(st.Holds, ","), pairs(st.Rollouts))
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	if differs {
+		return errDiffers
+	}
+	return nil
+}
+
+// pairs prints a map in the order of its keys.
+func pairs[V any](m map[string]V) string {
+	if len(m) == 0 {
+		return "-"
+	}
+	var out []string
+	for _, k := range slices.Sorted(maps.Keys(m)) {
+		out = append(out, fmt.Sprintf("%s=%v", k, m[k]))
+	}
+	return strings.Join(out, ",")
+}
--- a/core/forward/rollout.go
+++ b/core/forward/rollout.go
@@ -45,6 +45,8 @@
 	ordered               // an order was sent
 )
 
+var stageNames = map[stage]string{emptying: "emptying", asking: "asking", ordered: "ordered"}
+
 type ordering struct {
 	stage   stage
 	since   time.Duration // of the stage
@@ -124,6 +126,24 @@
 	return "", 0, false
 }
 
+// Newest returns the newest named version of each model.
+func (r *Rollout) Newest() map[string]int64 {
+	out := map[string]int64{}
+	for model, ts := range r.targets {
+		out[model] = ts[len(ts)-1].version
+	}
+	return out
+}
+
+// Stages returns how far this process's rollouts are, by endpoint.
+func (r *Rollout) Stages() map[string]string {
+	out := map[string]string{}
+	for id, o := range r.orders {
+		out[id] = stageNames[o.stage]
+	}
+	return out
+}
+
 // Loading tells whether an endpoint should get no new requests, and whether it
 // should get no long ones, as this process is about to change it.
 func (r *Rollout) Loading(id string, now time.Duration) (all, long bool) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -124,6 +124,7 @@
 	if err != nil {
 		return err
 	}
+	metrics.Default.Gauge("forwarding", func() any { return g.Status() })
 	if g.settings.MetricsPort > 0 {
 		address := net.JoinHostPort(g.settings.Host, strconv.Itoa(g.settings.MetricsPort))
 		m, err := g.serve(address, metricsHandler())
