Deny nothing after a suspend until the log was read again

Change: a process notices a gap of 0.5 s between its steps. After one, keys and routes that it doesn't know are refused with 503 until a read that started after the gap has completed; that read doesn't wait at the log. Known keys are judged by their age as before.

Result: TestResumedProcessDeniesNothing fails before the change (401 and 404). Ruled out: the log's stand-in and the soak's check; the entry's own lines show the old configuration at an age of 3,107 to 3,150 ms with a key published 3.1 s before.

--- a/core/forward/freshness.go
+++ b/core/forward/freshness.go
@@ -22,6 +22,10 @@
 	return now - f.asOf, f.known
 }
 
+// ConfirmedSince tells whether a read that started at the time or later has
+// completed.
+func (f *Freshness) ConfirmedSince(t time.Duration) bool { return f.known && f.asOf >= t }
+
 // KeysValid tells whether a key may be accepted now: a key that was taken away
 // must be refused everywhere within a bound, also where the log can't be read.
 func (f *Freshness) KeysValid(now time.Duration) bool {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -40,8 +40,8 @@
 	for ctx.Err() == nil {
 		started := r.clock()
 		hold := r.wait
-		if failures > 0 {
-			hold = 0 // an answer at once shows that the log is back
+		if failures > 0 || s.justResumed() {
+			hold = 0 // an answer at once shows that the log is back, or what was missed
 		}
 		err := r.step(ctx, started, hold)
 		if err == nil {
@@ -73,6 +73,13 @@
 // readBackoff spaces out failed reads; a log that is back is noticed soon.
 var readBackoff = retry.Backoff{Base: 100 * time.Millisecond, Max: 600 * time.Millisecond}
 
+// justResumed tells whether no read has completed that started after the last suspend.
+func (s *state) justResumed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.resumed > 0 && !s.fresh.ConfirmedSince(s.resumed)
+}
+
 func (r *reader[T]) step(ctx context.Context, started, hold time.Duration) error {
 	if !r.known {
 		ctx, cancel := context.WithTimeout(ctx, 2*readSlack)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -423,6 +423,31 @@
 	require.NoError(t, q.mayBegin())
 }
 
+// Guards against 401 and 404 by a process that was suspended while a key or route was
+// added, for the requests that waited at its sockets meanwhile. Found by the forwarding
+// soak, seed 1016.
+func TestResumedProcessDeniesNothing(t *testing.T) {
+	f := newFixture(t, serveRaw(t, answerOK("answer")))
+	status := func(path, key string) int {
+		r := f.request(t, "POST", path, "")
+		r.Header.Set("Test-Key", key)
+		n, _, err := f.do(t, r)
+		require.NoError(t, err)
+		return n
+	}
+	require.Equal(t, 401, status("/unsafe/x", "new"))
+	before := f.clock.read()
+	f.clock.advance(2 * time.Second)
+	require.Equal(t, 503, status("/unsafe/x", "new"))
+	require.Equal(t, 503, status("/nowhere/x", "key"))
+	require.Equal(t, 200, status("/unsafe/x", "key"))
+	f.applyOperators(nil, before, false)
+	require.Equal(t, 503, status("/unsafe/x", "new"), "a read from before the suspend shows nothing")
+	f.applyOperators(nil, f.clock.read(), false)
+	require.Equal(t, 401, status("/unsafe/x", "new"))
+	require.Equal(t, 404, status("/nowhere/x", "key"))
+}
+
 // Guards against 401, 403 or 404 before any configuration was read.
 func TestUnknownConfigurationRefusesWithATimeToComeBack(t *testing.T) {
 	clock := &testClock{}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -110,6 +110,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
+	s.step(now)
 	age, known := s.fresh.Age(now)
 	if s.table == nil || !known {
 		return apierr.Retry(apierr.NotReady, apierr.NotRun, startRetry, "no configuration has been read yet", "send the request again")
@@ -122,7 +123,7 @@
 	path, _, _ := strings.Cut(target(q.r), "?")
 	q.route = s.table.Route(q.r.Host, path)
 	if q.route == nil {
-		if age > staleConfig {
+		if !s.mayDeny(age) {
 			return stale("the configuration may have changed since it was read")
 		}
 		return apierr.New(apierr.NotFound, apierr.NotRun, "no route for this host and path", "check the address")
@@ -174,7 +175,7 @@
 	if q.customer != nil {
 		return nil
 	}
-	if age > staleConfig {
+	if !s.mayDeny(age) {
 		return stale("a key may have been added since the configuration was read")
 	}
 	return apierr.New(apierr.Unauthenticated, apierr.NotRun, "the key is not known", "use a key of a customer")
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -76,6 +76,7 @@
 		s := g.state
 		s.mu.Lock()
 		now := s.clock()
+		s.step(now)
 		var steps []forward.Step
 		if !g.draining.Load() {
 			managed, fleets := g.managed(now)
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/galenaweir/galenaweir/core/forward"
 	"github.com/galenaweir/galenaweir/core/retry"
 )
@@ -16,6 +18,7 @@
 	revokeMargin  = 500 * time.Millisecond  // for requests on their way to an endpoint
 	versionMargin = 1000 * time.Millisecond // for requests that wait at an endpoint
 	staleConfig   = 3200 * time.Millisecond // age from which a route or key may be newer than what is known
+	suspendGap    = 500 * time.Millisecond  // without a step of the process: it was suspended, or as good as that
 	refusingFor   = 250 * time.Millisecond  // an endpoint that refused gets no work for this long
 	unreachedFor  = time.Second             // one that could not be reached
 	movedFor      = 2 * time.Second         // one whose address another has; its entry is replaced or lapses by then
@@ -46,6 +49,8 @@
 	fresh       forward.Freshness
 	list        *forward.Endpoints
 	listKnown   bool
+	stepped     time.Duration      // last step of the process
+	resumed     time.Duration      // end of its last suspend
 	usable      []forward.Endpoint // nil when it is to be made anew
 	usableUntil time.Duration
 	endpoints   map[string]*endpointState
@@ -64,6 +69,23 @@
 	}
 }
 
+// step notices that the process was suspended since its last step.
+func (s *state) step(now time.Duration) {
+	if s.stepped != 0 && now-s.stepped >= suspendGap {
+		s.resumed = now
+		log.Warn().Str("event", "resumed").Dur("gap_ms", now-s.stepped).Msg("no step for a while; unknown keys and routes are refused with 503 until the log was read again")
+	}
+	s.stepped = now
+}
+
+// mayDeny tells whether what the configuration doesn't have may be answered with
+// 401 or 404: not while it may have been added without this process noticing. A read
+// that waits at the log shows what is added at once, but not while the process is
+// suspended.
+func (s *state) mayDeny(age time.Duration) bool {
+	return age <= staleConfig && s.fresh.ConfirmedSince(s.resumed)
+}
+
 func (s *state) endpoint(id string) *endpointState {
 	e := s.endpoints[id]
 	if e == nil {
