Let requests that waited through a suspend wait for the first read

Change: after a suspend the first read doesn't wait, and a request that only it holds up waits for it, at most 250 ms. A request is not held for anything else.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -77,6 +77,7 @@
 func (s *state) justResumed() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.step(s.clock())
 	return s.resumed > 0 && !s.fresh.ConfirmedSince(s.resumed)
 }
 
@@ -135,7 +136,7 @@
 			}
 		}
 	}
-	s.fresh.Confirm(started)
+	s.confirm(started)
 }
 
 func (g *Gateway) applyConfig(c *forward.Config, age time.Duration) {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -448,6 +448,38 @@
 	require.Equal(t, 404, status("/nowhere/x", "key"))
 }
 
+// Guards against requests that a process refuses as it resumes, although the log
+// shows within milliseconds that their keys are valid. Load pattern: what has come to
+// the sockets of a process that stood still, all at once.
+func TestResumedProcessServesWhatWaited(t *testing.T) {
+	const waiting = 20
+	f := newFixture(t, serveRaw(t, answerOK("answer")))
+	f.state.step(f.clock.read())
+	f.clock.advance(6 * time.Second)
+	statuses := make(chan int, waiting)
+	for i := range waiting {
+		r := f.request(t, "POST", fmt.Sprintf("/unsafe/%d", i), "")
+		go func() {
+			status, _, err := f.do(t, r)
+			if err != nil {
+				status = -1
+			}
+			statuses <- status
+		}()
+	}
+	require.Eventually(t, func() bool { return f.inFlight.Load() == waiting }, resumeWait/2, time.Millisecond)
+	f.applyOperators(nil, f.clock.read(), false)
+	for range waiting {
+		require.Equal(t, 200, <-statuses)
+	}
+	f.clock.advance(6 * time.Second) // no read completes: the refusal comes soon
+	began := time.Now()
+	status, _, err := f.do(t, f.request(t, "POST", "/unsafe/x", ""))
+	require.NoError(t, err)
+	require.Equal(t, 503, status)
+	require.Less(t, time.Since(began), 2*resumeWait)
+}
+
 // Guards against 401, 403 or 404 before any configuration was read.
 func TestUnknownConfigurationRefusesWithATimeToComeBack(t *testing.T) {
 	clock := &testClock{}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -67,7 +67,11 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if err := q.admit(); err != nil {
+	err := q.admit()
+	if err != nil && err.Kind == apierr.StaleReplica && g.state.awaitRead(r.Context()) {
+		err = q.admit()
+	}
+	if err != nil {
 		q.refuse(err)
 		return
 	}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -18,6 +19,7 @@
 	revokeMargin  = 500 * time.Millisecond  // for requests on their way to an endpoint
 	versionMargin = 1000 * time.Millisecond // for requests that wait at an endpoint
 	staleConfig   = 3200 * time.Millisecond // age from which a route or key may be newer than what is known
+	resumeWait    = 250 * time.Millisecond  // for the first read after a suspend; one that takes longer gets no answer
 	suspendGap    = 500 * time.Millisecond  // without a step of the process: it was suspended, or as good as that
 	refusingFor   = 250 * time.Millisecond  // an endpoint that refused gets no work for this long
 	unreachedFor  = time.Second             // one that could not be reached
@@ -47,6 +49,7 @@
 	rng         *rand.Rand
 	table       *forward.Table
 	fresh       forward.Freshness
+	confirmed   chan struct{} // closed and replaced when fresh changes
 	list        *forward.Endpoints
 	listKnown   bool
 	stepped     time.Duration      // last step of the process
@@ -65,7 +68,7 @@
 	return &state{
 		clock: clock, rng: rng, list: forward.NewEndpoints(), endpoints: map[string]*endpointState{}, rollout: forward.NewRollout(),
 		budgets: map[string]*retry.Budget{}, peers: newPeerLoads(), settings: s,
-		fresh: forward.Freshness{KeyLimit: ms(s.RevokeMs) - revokeMargin},
+		fresh: forward.Freshness{KeyLimit: ms(s.RevokeMs) - revokeMargin}, confirmed: make(chan struct{}),
 	}
 }
 
@@ -78,6 +81,35 @@
 	s.stepped = now
 }
 
+// confirm records a completed read of the operators' records.
+func (s *state) confirm(started time.Duration) {
+	s.fresh.Confirm(started)
+	close(s.confirmed)
+	s.confirmed = make(chan struct{})
+}
+
+// awaitRead waits for the first read after a suspend, for the requests that were at
+// this process's sockets meanwhile. It returns true when the read has completed.
+func (s *state) awaitRead(ctx context.Context) bool {
+	limit := time.NewTimer(resumeWait)
+	defer limit.Stop()
+	for {
+		s.mu.Lock()
+		resumed, done, changed := s.resumed > 0, s.fresh.ConfirmedSince(s.resumed), s.confirmed
+		s.mu.Unlock()
+		if !resumed || done {
+			return resumed && done
+		}
+		select {
+		case <-changed:
+		case <-limit.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // mayDeny tells whether what the configuration doesn't have may be answered with
 // 401 or 404: not while it may have been added without this process noticing. A read
 // that waits at the log shows what is added at once, but not while the process is
