Let an endpoint that doesn't follow its orders leave its place in a rollout

Where that place is the only one, the rollout stood still, all endpoints became too old, and half of the streams were refused (416 of 852 served without a fault in effect). Late orders did the same for up to 12 s.

Change: an endpoint that has not followed 2 s after it was first asked, by its own report, leaves its place to others and is tried again after 2 s; an order without effect is repeated after 1 s instead of 2 s.

Result: TestEndpointThatDoesntFollowHoldsUpNoOther fails before the change (a refusing or silent endpoint stops the others for good, a late one until 13.75 s).

--- a/core/forward/rollout.go
+++ b/core/forward/rollout.go
@@ -15,7 +15,9 @@
 	startPause  = 300 * time.Millisecond  // between two of one process, for the others to hear of the first
 	orderMemory = 5 * time.Second         // an endpoint that is no longer managed is forgotten
 	keptTargets = 8                       // versions of a model that are remembered
-	orderExpiry = 2 * time.Second         // an order without effect is repeated after this
+	orderExpiry = time.Second             // an order without effect is repeated after this
+	followLimit = 2 * time.Second         // an endpoint that doesn't follow leaves its place to others after this
+	asidePause  = 2 * time.Second         // and is tried again after this
 	reportPause = 300 * time.Millisecond  // between two reports of an endpoint that loads
 	noticePause = 250 * time.Millisecond  // until all processes know that an endpoint is being emptied
 	emptyLimit  = 2500 * time.Millisecond // for long prompts to end before the order, which waits for the rest
@@ -27,7 +29,8 @@
 type Rollout struct {
 	targets map[string][]target // by rising version
 	orders  map[string]*ordering
-	started time.Duration // the last rollout on an endpoint began
+	started time.Duration            // the last rollout on an endpoint began
+	aside   map[string]time.Duration // endpoints that didn't follow, and until when others go first
 }
 
 type target struct {
@@ -50,8 +53,10 @@
 type ordering struct {
 	stage   stage
 	since   time.Duration // of the stage
+	began   time.Duration // of asking
 	managed time.Duration // last seen as managed by this process
 	asked   time.Duration
+	busy    time.Duration // it followed its order, as it said last
 	report  Report
 	have    bool
 }
@@ -82,7 +87,7 @@
 
 // NewRollout returns a rollout without targets.
 func NewRollout() *Rollout {
-	return &Rollout{targets: map[string][]target{}, orders: map[string]*ordering{}}
+	return &Rollout{targets: map[string][]target{}, orders: map[string]*ordering{}, aside: map[string]time.Duration{}}
 }
 
 // Name records at now that a version was named, at the earliest at the time named.
@@ -166,6 +171,9 @@
 		return true
 	}
 	o.report, o.have = rep, true
+	if rep.Busy {
+		o.busy = now
+	}
 	return false
 }
 
@@ -193,8 +201,16 @@
 	for service, f := range fleets {
 		changing[service], loading[service] = f.Claimed, f.Loading
 	}
+	for id, until := range r.aside {
+		if now >= until+orderMemory {
+			delete(r.aside, id)
+		}
+	}
 	for _, m := range managed {
-		if o := r.orders[m.Endpoint.ID]; o != nil {
+		if o := r.orders[m.Endpoint.ID]; o != nil && o.stuck(now) {
+			delete(r.orders, m.Endpoint.ID)
+			r.aside[m.Endpoint.ID] = now + asidePause
+		} else if o != nil {
 			changing[m.Endpoint.Service]++
 			if o.stage != emptying {
 				loading[m.Endpoint.Service]++
@@ -214,7 +230,7 @@
 		if o == nil {
 			f := fleets[service]
 			_, _, behind := r.needed(m.Endpoint.Models)
-			if !behind || changing[service] >= max(1, int(changeShare*float64(f.Total))) || now < r.started+startPause {
+			if !behind || changing[service] >= max(1, int(changeShare*float64(f.Total))) || now < r.started+startPause || now < r.aside[m.Endpoint.ID] {
 				continue
 			}
 			changing[service]++
@@ -227,7 +243,7 @@
 				continue
 			}
 			loading[service]++
-			o.stage, o.since = asking, now
+			o.stage, o.since, o.began = asking, now, now
 		}
 		if s, ok := o.step(r, m, now); ok {
 			steps = append(steps, s)
@@ -245,6 +261,12 @@
 	return v
 }
 
+// stuck tells whether an endpoint has not followed for so long that others should
+// have its place. Its orders stay conditional, so that a late one does no harm.
+func (o *ordering) stuck(now time.Duration) bool {
+	return o.stage != emptying && now >= max(o.began, o.busy)+followLimit
+}
+
 // empty tells whether an endpoint that gets no long prompts may be changed now.
 func (o *ordering) empty(m Managed, now time.Duration) bool {
 	return now >= o.since+noticePause && m.Long == 0 || now >= o.since+emptyLimit
@@ -252,6 +274,9 @@
 
 func (o *ordering) step(r *Rollout, m Managed, now time.Duration) (Step, bool) {
 	mayOrder := m.Certain || o.report.Seq == m.Seq
+	if o.have && !mayOrder {
+		o.began = now // this process waits, not the endpoint
+	}
 	if o.have && !o.report.Busy && mayOrder && (o.stage == asking || now >= o.since+orderExpiry) {
 		if model, version, ok := r.needed(o.report.Models); ok {
 			o.have = false
--- a/core/forward/rollout_test.go
+++ b/core/forward/rollout_test.go
@@ -215,3 +215,63 @@
 		}
 	}
 }
+
+// Guards against a rollout that stands still because one endpoint ignores its orders,
+// gives no report, or carries orders out late: the others must have the version in
+// time, and the late one once it follows. Found by the forwarding soak, seed 100 with
+// --only "ignores orders while".
+func TestEndpointThatDoesntFollowHoldsUpNoOther(t *testing.T) {
+	const n, late, load = 4, 9 * time.Second, 1500 * time.Millisecond
+	for _, how := range []string{"refuses", "silent", "late"} {
+		es := fleetOf(n, 1)
+		r := NewRollout()
+		r.Name(WeightVersion{"m", 2}, 0, 0)
+		until, seq := map[string]time.Duration{}, map[string]int64{}
+		done := map[string]time.Duration{}
+		out := 0
+		for now := time.Duration(0); now < 25*time.Second; now += 50 * time.Millisecond {
+			loading := 0
+			for i := range es {
+				e := &es[i]
+				if u, ok := until[e.ID]; ok && now >= u && e.Models[0].Version == 1 {
+					e.Models[0].Version = 2
+					done[e.ID] = now
+				}
+				if all, _ := r.Loading(e.ID, now); all {
+					loading++
+				}
+			}
+			out = max(out, loading)
+			var managed []Managed
+			for _, e := range es {
+				managed = append(managed, Managed{Endpoint: e, Certain: true})
+			}
+			for _, s := range r.Next(managed, map[string]Fleet{"s": {Total: n}}, now) {
+				id := s.Endpoint.ID
+				bad := id == "e00"
+				if !s.Order {
+					if bad && how == "silent" {
+						continue
+					}
+					busy := until[id]-load <= now && now < until[id]
+					r.Reported(id, Report{Models: s.Endpoint.Models, Busy: busy, Seq: seq[id]}, now)
+					continue
+				}
+				r.Sent(id, now)
+				switch {
+				case !bad:
+					seq[id]++
+					until[id] = now + load
+				case how == "late" && until[id] == 0:
+					until[id] = now + late + load
+				}
+			}
+		}
+		for _, e := range es[1:] {
+			require.Positive(t, done[e.ID], "%s: %s", how, e.ID)
+			require.Less(t, done[e.ID], 9*time.Second, "%s: %s", how, e.ID)
+		}
+		require.Equal(t, how == "late", done["e00"] > 0, how)
+		require.LessOrEqual(t, out, 1, "%s: as many as the share allows", how)
+	}
+}
