--- a/bench/cmd/forwardsoak/main.go
+++ b/bench/cmd/forwardsoak/main.go
@@ -15,11 +15,19 @@
 	"github.com/galenaweir/galenaweir/platform/soak"
 )
 
+// Loopback networks of runs: soaks that run beside each other would take each other's
+// free ports.
+const (
+	firstNet = 73
+	nets     = 100
+)
+
 type options struct {
 	Seed    uint64 `long:"seed" default:"1" description:"first seed"`
 	Seeds   uint64 `long:"seeds" default:"1" description:"number of seeds"`
 	AtOnce  int    `long:"at-once" default:"4" description:"seeds that run at the same time"`
 	Seconds int    `long:"seconds" default:"20" description:"length of a run"`
+	Only    string `long:"only" description:"only faults whose name contains this"`
 	Bin     string `long:"bin" default:"bin" description:"folder of the programs"`
 }
 
@@ -57,7 +65,7 @@
 			var broken []string
 			if err == nil {
 				broken, err = soak.Run(context.Background(), soak.Options{
-					Seed: seed, Bin: o.Bin, Folder: dir, Host: fmt.Sprintf("127.71.%d.1", place+1), Length: time.Duration(o.Seconds) * time.Second, Out: os.Stdout,
+					Seed: seed, Bin: o.Bin, Folder: dir, Host: fmt.Sprintf("127.%d.%d.1", firstNet+os.Getpid()%nets, place+1), Length: time.Duration(o.Seconds) * time.Second, Out: os.Stdout, Only: o.Only,
 				})
 			}
 			mu.Lock()
