Let a new member of the group wait for the whole pause between holders

A process that is an endpoint's only owner but not past the pause may give an order where it has heard of none within the pause; one that has just joined had not heard of entry-1's, as peers report to members only, and the server had refused that order, so that its count of orders showed nothing.

Change: this early path is closed to a member until a lease and the pause after its membership began, also after a lapse.

Result: TestNewMemberWaitsForTheWholePause fails without the check.

--- a/core/forward/ownership.go
+++ b/core/forward/ownership.go
@@ -22,6 +22,7 @@
 
 	generation int64
 	renewed    time.Duration // sent time of the last join under the newest confirmed list
+	steady     time.Duration // a member without a break since then
 	read       *epoch        // a list that no join has confirmed yet
 	epochs     []epoch       // confirmed ones, oldest first
 }
@@ -49,6 +50,9 @@
 	e := *o.read
 	e.confirmed = sent
 	o.read = nil
+	if len(o.epochs) == 0 {
+		o.steady = sent
+	}
 	o.epochs = append(o.epochs, e)
 	for len(o.epochs) > 1 && o.epochs[1].confirmed <= sent-o.wait() {
 		o.epochs = o.epochs[1:]
@@ -99,9 +103,10 @@
 }
 
 // OwnsAlone tells whether no other process can give orders to the endpoint any
-// more; one may have done so within the pause between two holders.
+// more; one may have done so within the pause between two holders, which a member
+// hears of. One that has just joined has not heard of all of them.
 func (o *Ownership) OwnsAlone(endpoint string, now time.Duration) bool {
-	return o.ownsFor(endpoint, o.Lease+soloMargin, now)
+	return now >= o.steady+o.wait() && o.ownsFor(endpoint, o.Lease+soloMargin, now)
 }
 
 // soloMargin covers an order on its way at the end of its sender's lease.
--- a/core/forward/rollout_test.go
+++ b/core/forward/rollout_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/galenaweir/galenaweir/core/rendezvous"
 )
 
 // Guards against requests on weights that are too old because a newer version,
@@ -138,6 +140,39 @@
 	}
 }
 
+// Guards against an order within the pause by a process that has just joined, as it
+// has not heard of the orders of the one before. Found by the forwarding soak, seed 2027.
+func TestNewMemberWaitsForTheWholePause(t *testing.T) {
+	const handover, lease = 3200 * time.Millisecond, 700 * time.Millisecond
+	owned := func(o *Ownership, from, until time.Duration, generation int64, members []string, id string) (alone time.Duration) {
+		alone = -1
+		for now := from; now < until; now += 50 * time.Millisecond {
+			o.Joined(generation, now)
+			if !o.Current(generation) {
+				o.Listed(generation, members)
+			}
+			if alone < 0 && o.OwnsAlone(id, now) {
+				alone = now
+			}
+		}
+		return alone
+	}
+	a, b := &Ownership{Self: "a", Lease: lease, Handover: handover}, &Ownership{Self: "b", Lease: lease, Handover: handover}
+	id := "" // of an endpoint that is b's while both are members
+	for i := 0; id == ""; i++ {
+		if rendezvous.Owner(rendezvous.Key(fmt.Append(nil, i)), []string{"a", "b"}) == "b" {
+			id = fmt.Sprint(i)
+		}
+	}
+	require.Positive(t, owned(a, 0, 10*time.Second, 1, []string{"a"}, id))
+	alone := owned(b, 10*time.Second, 20*time.Second, 2, []string{"a", "b"}, id)
+	require.GreaterOrEqual(t, alone, 10*time.Second+lease+handover)
+	owned(a, 10*time.Second, 11*time.Second, 2, []string{"a", "b"}, id) // the end of its lease
+	require.EqualValues(t, -1, owned(a, 11*time.Second, 20*time.Second, 2, []string{"a", "b"}, id))
+	alone = owned(a, 20*time.Second, 30*time.Second, 3, []string{"a"}, id)
+	require.Less(t, alone, 22*time.Second, "a member that has heard of all orders need not wait so long")
+}
+
 // Guards against the same under any schedule of cuts and suspends: each seed draws
 // when members lose the log, when they are suspended, and how late they read the
 // list of members.
