Read the operators' records each second, so that keys stay valid when the log is lost

Cause: a read that waits 1.4 s at the log proves its start only when it ends, so that the age of the configuration is between 1.4 and 2.8 s as the log is lost, and keys were refused between 2.1 and 3.5 s later. Users expect service for the first 3 s.

Change: such a read waits 1 s.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -15,10 +15,10 @@
 // Reading the log. Each call is priced and counted against the platform's rate
 // limit, so that reads wait at the log for records.
 const (
-	operatorWait  = 1400 * time.Millisecond // a read that waits shows that nothing newer is there; the age reaches twice as much
-	endpointShare = 0.4                     // of the time within which a leaving endpoint is to be known, between two reads
-	readSlack     = 800 * time.Millisecond  // beyond the wait, for the answer
-	lostAfter     = 2                       // failed reads in a row before the log counts as lost
+	operatorWait  = time.Second            // a read that waits shows that nothing newer is there; the age reaches twice as much
+	endpointShare = 0.4                    // of the time within which a leaving endpoint is to be known, between two reads
+	readSlack     = 800 * time.Millisecond // beyond the wait, for the answer
+	lostAfter     = 2                      // failed reads in a row before the log counts as lost
 )
 
 // reader follows one feed.
