Check the deployment files before a rollout

Cause: a mistake in deploy/system.toml or in the template of the settings showed only where the platform built or started the entries.

Change: make deploy-check (part of lint): fields that are not known, the program that the build makes, shares, templates, the port of the metrics, and the settings that the template gives when it is filled with samples.

The entry's own code doesn't change.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 # netcgo links the resolver of the C library, as for any other program.
 TAGS := -tags netcgo
 
-.PHONY: ledger soak-forward names build demo test unit lint tidy generate apt-tools modelcheck measure capacity load faults fuzz soak
+.PHONY: deploy-check ledger soak-forward names build demo test unit lint tidy generate apt-tools modelcheck measure capacity load faults fuzz soak
 
 build:
 	go build $(TAGS) -o bin/ ./cmd/... ./standin/cmd/... ./bench/cmd/...
@@ -39,11 +39,15 @@
 unit: build
 	go test -race $(TAGS) $(SKIP) $(PACKAGES)
 
-lint: generate names
+lint: generate names deploy-check
 	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); echo 'run gofmt -w on these files'; exit 1; }
 	go vet $(PACKAGES)
 	go tool staticcheck $(PACKAGES)
 
+# Checks the files by which the platform deploys the system.
+deploy-check:
+	go run ./bench/cmd/deploycheck
+
 # Names that only the users' platform uses stand in platform/ alone.
 PLATFORM_NAMES := X-Server-Seal|X-Kv-|Kv-From|X-Expect-(Instance|Version)|X-Prompt-Prefix|X-Token-Count|X-Cache-Salt|X-Tenant|X-Not-Run|X-Weight-Versions|X-Instance-Id|X-Request-Priority|X-Deadline-Ms|/kv-|/log-(append|read|newest|join|leave|commit|owners|trim)|keyed\.(op|servers|status)|pathPrefix|kvCapacityTokens|kvTokenBytes|coldLeftMs|switchMode|nodeName|machineClass
 names:
