--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -173,6 +173,16 @@
 	return resp.StatusCode, string(body), err
 }
 
+// status returns the status of a request with a key.
+func (f *fixture) status(t *testing.T, path, key string) int {
+	t.Helper()
+	r := f.request(t, "POST", path, "")
+	r.Header.Set("Test-Key", key)
+	n, _, err := f.do(t, r)
+	require.NoError(t, err)
+	return n
+}
+
 // Guards against requests that reach an endpoint in another form than the caller
 // sent, or with the caller's key.
 func TestRequestIsForwardedAsItIs(t *testing.T) {
@@ -377,13 +387,7 @@
 func TestOldConfigurationRefusesKeys(t *testing.T) {
 	e := serveRaw(t, answerOK("answer"))
 	f := newFixture(t, e)
-	status := func(path, key string) int {
-		r := f.request(t, "POST", path, "")
-		r.Header.Set("Test-Key", key)
-		n, _, err := f.do(t, r)
-		require.NoError(t, err)
-		return n
-	}
+	status := func(path, key string) int { return f.status(t, path, key) }
 	require.True(t, f.Ready())
 	require.Equal(t, 200, status("/unsafe/x", "key"))
 	require.Equal(t, 401, status("/unsafe/x", "unknown"))
@@ -428,13 +432,7 @@
 // soak, seed 1016.
 func TestResumedProcessDeniesNothing(t *testing.T) {
 	f := newFixture(t, serveRaw(t, answerOK("answer")))
-	status := func(path, key string) int {
-		r := f.request(t, "POST", path, "")
-		r.Header.Set("Test-Key", key)
-		n, _, err := f.do(t, r)
-		require.NoError(t, err)
-		return n
-	}
+	status := func(path, key string) int { return f.status(t, path, key) }
 	require.Equal(t, 401, status("/unsafe/x", "new"))
 	before := f.clock.read()
 	f.clock.advance(2 * time.Second)
