--- a/spec/freshness.pml
+++ b/spec/freshness.pml
@@ -9,8 +9,8 @@
  *
  * Processes may also take a peer's age: a process asks with a stamp of its own
  * clock, the peer answers with the version and the age of its configuration, and
- * the age counts from the stamp. The product doesn't do so yet; the model shows
- * the conditions.
+ * the age counts from the stamp. The product doesn't do so; the model shows
+ * the conditions (docs/decisions/0009-users-machines.md).
  *
  * Safety: no key is accepted BOUND ticks after its removal was confirmed; a
  * process never goes back to an older configuration.
