Judge the time of a log line by the users' targets

The bound had no source. Ruled out: load; three runs on the idle machine have a slowest line of 32, 40 and 106 ms, six beside twelve busy loops one of 23 to 35 ms. Eight writers that do nothing else wait for each other's time slices; 95% of the lines take 10 to 21 microseconds in each run.

Change: 95% of the lines take less than a hundredth of the target between tokens (0.32 ms), and none takes the target of a first token (1.6 s). The first is stricter than before for nearly all lines, the second finds one that is blocked.

--- a/process/logs_test.go
+++ b/process/logs_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -13,9 +14,13 @@
 	"github.com/stretchr/testify/require"
 )
 
-// A line must not keep its request waiting longer than this, whoever reads the
-// output.
-const maxLineTime = 50 * time.Millisecond
+// Whoever reads the output, a line takes a hundredth of the pause between two tokens
+// at most (32 ms in 95% of cases), and none keeps its request waiting for the time of
+// a first token (1.6 s), as a line that is blocked does.
+const (
+	lineTime95  = 320 * time.Microsecond
+	maxLineTime = 1600 * time.Millisecond
+)
 
 // Guards against requests that wait for a log line, a process that doesn't end, and
 // lines that are cut or lost without a count, while nobody reads standard output.
@@ -31,20 +36,24 @@
 	const writers, lines = 8, 2000
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	var slowest time.Duration
+	var times []time.Duration
 	for i := range writers {
 		wg.Go(func() {
 			for n := range lines {
 				began := time.Now()
 				log.Info().Str("event", "request").Str("request", fmt.Sprint(i, " ", n)).Msg("request ended")
+				took := time.Since(began)
 				mu.Lock()
-				slowest = max(slowest, time.Since(began))
+				times = append(times, took)
 				mu.Unlock()
 			}
 		})
 	}
 	wg.Wait()
-	require.Less(t, slowest, maxLineTime)
+	slices.Sort(times)
+	require.Less(t, times[len(times)*95/100], lineTime95)
+	require.Less(t, times[len(times)-1], maxLineTime)
+	t.Log("lines at 50, 95, 100%:", times[len(times)/2], times[len(times)*95/100], times[len(times)-1])
 	requests := q.left[requestLines].Load()
 	require.Positive(t, requests, "the pipe was never full")
 	log.Error().Str("event", "log_lost").Msg("lines on what the process believes find room")
