Keep a store's clock when a list does not state it

Cause: a store's events state its clock, its lists need not. ApplyList took the missing value for 0, so until the next events, up to 0.4 s after each list, a fetch was sent with a deadline decades ago, and its parts were read instead. Each owner lists its stores every 10 s. Change: a list without a clock leaves the known one; no part is fetched, and none deleted, while the clock is unknown. TestListWithoutClockKeepsTheKnownOne fails without it.

--- a/core/forward/stores.go
+++ b/core/forward/stores.go
@@ -96,6 +96,7 @@
 	nextEvent      int64
 	readAt         time.Duration
 	clockOffsetMs  float64 // how far the store's clock is ahead of this process's clock
+	clockKnown     bool
 	saveFrom       time.Duration
 	held           map[uint64]StoredPart
 	partial        map[uint64]partialPart
@@ -141,7 +142,7 @@
 		return false
 	}
 	first := v.epoch == 0
-	v.epoch, v.synced, v.usedTokens = epoch, false, 0
+	v.epoch, v.synced, v.usedTokens, v.clockKnown = epoch, false, 0, false
 	clear(v.held)
 	clear(v.partial)
 	clear(v.pending)
@@ -156,7 +157,9 @@
 func (v *StoreView) ApplyList(l StoreList, started, now time.Duration) bool {
 	restarted := v.resetOnRestart(l.Epoch, now)
 	v.synced, v.nextEvent, v.readAt = true, l.Next, started
-	v.clockOffsetMs = l.ClockMs - milliseconds(now)
+	if l.ClockMs != 0 { // a list without the clock does not change what is known of it
+		v.clockOffsetMs, v.clockKnown = l.ClockMs-milliseconds(now), true
+	}
 	clear(v.held)
 	v.usedTokens = 0
 	for _, p := range l.Held {
@@ -184,7 +187,7 @@
 		return true, true
 	}
 	v.readAt, v.nextEvent = started, e.Next
-	v.clockOffsetMs = e.ClockMs - milliseconds(now)
+	v.clockOffsetMs, v.clockKnown = e.ClockMs-milliseconds(now), true
 	for _, ev := range e.Events {
 		if ev.Added {
 			v.add(ev.Part)
@@ -228,8 +231,11 @@
 // about to be written.
 func (v *StoreView) UsedTokens() int { return v.usedTokens + v.reservedTokens }
 
-// ClockMs returns the store's clock in ms at the given time.
-func (v *StoreView) ClockMs(at time.Duration) float64 { return v.clockOffsetMs + milliseconds(at) }
+// ClockMs returns the store's clock in ms at the given time, and false if the store has
+// not stated it yet.
+func (v *StoreView) ClockMs(at time.Duration) (float64, bool) {
+	return v.clockOffsetMs + milliseconds(at), v.clockKnown
+}
 
 // canSave reports whether a part may be written to the store now.
 func (v *StoreView) canSave(k uint64, tokens int, now time.Duration) bool {
@@ -343,7 +349,7 @@
 		k := PartKey(salt, part.ID)
 		pending := false
 		for _, v := range stores {
-			if _, ok := v.held[k]; ok && v.fresh(now) {
+			if _, ok := v.held[k]; ok && v.clockKnown && v.fresh(now) {
 				if ms := v.fetchMs(part.Tokens, now); plan.Fetch[i].Store == nil || ms < plan.Fetch[i].Ms {
 					plan.Fetch[i] = Source{v.Address, v, ms}
 				}
--- a/core/forward/stores_test.go
+++ b/core/forward/stores_test.go
@@ -11,7 +11,7 @@
 
 func newListedStore(name string, capacity int, parts ...StoredPart) *StoreView {
 	v := NewStoreView(Service{Name: name, StoreAddress: name, CapacityTokens: capacity, NoAutoEviction: true})
-	v.ApplyList(StoreList{Epoch: 1, Next: 5, Held: parts}, 0, 0)
+	v.ApplyList(StoreList{Epoch: 1, Next: 5, ClockMs: 1000, Held: parts}, 0, 0)
 	return v
 }
 
@@ -44,6 +44,26 @@
 	require.Nil(t, plan.Fetch[1].Store, "the store restarted empty")
 }
 
+// Guards against fetches whose deadline on the store's clock has passed already, because a
+// list, which may not state the clock, replaced what earlier events told of it.
+func TestListWithoutClockKeepsTheKnownOne(t *testing.T) {
+	v := NewStoreView(Service{Name: "s", StoreAddress: "s", CapacityTokens: 10_000})
+	held := StoreList{Epoch: 1, Next: 5, Held: []StoredPart{{salt, "a", 500}}}
+	v.ApplyList(held, 0, 0)
+	_, known := v.ClockMs(0)
+	require.False(t, known)
+	require.Nil(t, PlanStores([]*StoreView{v}, newTwoPartPrompt(), salt, 0).Fetch[0].Store, "a fetch would have no deadline")
+	v.ApplyEvents(StoreEvents{Epoch: 1, Next: 5, ClockMs: 70_000}, time.Second, time.Second)
+	v.ApplyList(held, 2*time.Second, 2*time.Second)
+	ms, known := v.ClockMs(2 * time.Second)
+	require.True(t, known)
+	require.InDelta(t, 71_000, ms, 1)
+	require.Equal(t, v, PlanStores([]*StoreView{v}, newTwoPartPrompt(), salt, 2*time.Second).Fetch[0].Store)
+	v.ApplyList(StoreList{Epoch: 2}, 3*time.Second, 3*time.Second)
+	_, known = v.ClockMs(3 * time.Second)
+	require.False(t, known, "a restarted store may run on another host")
+}
+
 // Guards against saving a part to a restarted store again while a process that has
 // not noticed the restart may still fetch the previous copy.
 func TestRestartedStoreGetsNothingUntilAllHaveNoticed(t *testing.T) {
--- a/gateway/stores.go
+++ b/gateway/stores.go
@@ -42,7 +42,8 @@
 		if f.Store == nil {
 			continue
 		}
-		if ms := int64(f.Store.ClockMs(now + forward.FetchWindow)); until == 0 || ms < until {
+		clockMs, _ := f.Store.ClockMs(now + forward.FetchWindow) // a part is only fetched from a store whose clock is known
+		if ms := int64(clockMs); until == 0 || ms < until {
 			until = ms
 		}
 	}
@@ -244,9 +245,10 @@
 	now := s.clock()
 	parts := v.RetiredParts(func(model string, version int64) bool { return s.rollout.Deletable(model, version, now) })
 	parts = append(parts, v.AbandonedParts(now)...)
-	epoch, until := v.Epoch(), int64(v.ClockMs(now+deleteValidity))
+	clockMs, clockKnown := v.ClockMs(now + deleteValidity)
+	epoch, until := v.Epoch(), int64(clockMs)
 	s.mu.Unlock()
-	if len(parts) == 0 {
+	if len(parts) == 0 || !clockKnown {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, deleteTimeout)
