--- a/core/forward/endpoints.go
+++ b/core/forward/endpoints.go
@@ -9,6 +9,12 @@
 // again. Live endpoints renew their entries within about two seconds.
 const lapseGracePeriod = 2200 * time.Millisecond
 
+// Records from before a return of the log from an older copy.
+const (
+	reorderWindow = 15 * time.Second // after the return: older records may still be written again
+	maxDeparted   = 4096             // departed endpoints to remember, the oldest are forgotten first
+)
+
 // EndpointList is the list of endpoints as read from the log.
 type EndpointList struct {
 	current     map[string]Endpoint
@@ -17,6 +23,15 @@
 	lost        bool
 	regainedAt  time.Duration
 	outageEnded bool // an outage has ended, so lapseGracePeriod may still apply
+	returned    bool // the log has returned from an older copy
+	returnedAt  time.Duration
+	departed    map[string]departedEntry
+}
+
+// departedEntry is the last known entry of an endpoint that was removed from the list.
+type departedEntry struct {
+	endpoint Endpoint
+	at       time.Duration
 }
 
 // lapsedEntry is an entry that lapsed during an outage of the log.
@@ -27,7 +42,7 @@
 
 // NewEndpointList returns an empty list.
 func NewEndpointList() *EndpointList {
-	return &EndpointList{current: map[string]Endpoint{}, lapsed: map[string]lapsedEntry{}}
+	return &EndpointList{current: map[string]Endpoint{}, lapsed: map[string]lapsedEntry{}, departed: map[string]departedEntry{}}
 }
 
 // LogLost records that the log can't be read.
@@ -47,9 +62,44 @@
 	return true
 }
 
+// LogReturned records that the log has returned from an older copy. Entries that it lacks
+// now may be written again, and entries that are older than the known ones have no effect.
+func (e *EndpointList) LogReturned(now time.Duration) {
+	e.returned, e.returnedAt = true, now
+	e.lost, e.outageEnded, e.regainedAt = false, true, now
+}
+
+// superseded reports whether an entry is older than what is known of the endpoint. Within
+// one incarnation, an endpoint that drains never becomes ready again.
+func (e *EndpointList) superseded(p *Endpoint, now time.Duration) bool {
+	if !e.returned || now >= e.returnedAt+reorderWindow {
+		return false
+	}
+	known, listed := e.current[p.ID]
+	if !listed {
+		d, ok := e.departed[p.ID]
+		if !ok {
+			return false
+		}
+		known = d.endpoint
+	}
+	switch {
+	case p.StartedUnixMs != known.StartedUnixMs:
+		return p.StartedUnixMs < known.StartedUnixMs
+	case known.Draining && !p.Draining:
+		return true
+	case p.Heartbeat != known.Heartbeat:
+		return p.Heartbeat < known.Heartbeat
+	}
+	return !listed
+}
+
 // Apply applies changes in log order.
 func (e *EndpointList) Apply(changes []EndpointChange, now time.Duration) {
 	for _, c := range changes {
+		if c.Endpoint != nil && e.superseded(c.Endpoint, now) {
+			continue
+		}
 		if c.Endpoint != nil {
 			e.current[c.ID] = *c.Endpoint
 			delete(e.lapsed, c.ID)
@@ -79,11 +129,29 @@
 func (e *EndpointList) remove(id string, lapsed bool, now time.Duration) {
 	old, ok := e.current[id]
 	delete(e.current, id)
+	if ok {
+		e.recordDeparture(old, now)
+	}
 	if ok && lapsed && !old.Draining && e.outageEnded && now < e.regainedAt+lapseGracePeriod {
 		e.lapsed[id] = lapsedEntry{old, e.regainedAt + lapseGracePeriod}
 	}
 }
 
+// recordDeparture remembers a removed entry, so that an older copy of the log can't bring it
+// back.
+func (e *EndpointList) recordDeparture(p Endpoint, now time.Duration) {
+	if len(e.departed) >= maxDeparted {
+		oldest, at := "", time.Duration(math.MaxInt64)
+		for id, d := range e.departed {
+			if d.at < at || d.at == at && id < oldest {
+				oldest, at = id, d.at
+			}
+		}
+		delete(e.departed, oldest)
+	}
+	e.departed[p.ID] = departedEntry{p, now}
+}
+
 // Each calls f for every endpoint that accepts new requests.
 func (e *EndpointList) Each(now time.Duration, f func(Endpoint)) {
 	for _, p := range e.current {
--- a/core/forward/faults_test.go
+++ b/core/forward/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"os"
 	"testing"
 	"time"
@@ -45,9 +46,10 @@
 	joinSent         time.Duration
 	joinPending      bool
 	joinApplied      bool // the log has applied the join, but the answer has not arrived
-	joinedGeneration int64
+	joinedGeneration Generation
 	listPending      bool
 	listRead         bool
+	listEra          Era
 	list             []string
 	rollout          *Rollout
 }
@@ -62,8 +64,26 @@
 // simGroup simulates the group of processes in the log.
 type simGroup struct {
 	now        time.Duration
-	generation int64
+	generation Generation
 	joined     map[string]time.Duration
+	copied     groupCopy
+}
+
+// groupCopy is the state of the group in an older copy of the log.
+type groupCopy struct {
+	number int64
+	joined map[string]time.Duration
+}
+
+func (g *simGroup) copyState() { g.copied = groupCopy{g.generation.Number, maps.Clone(g.joined)} }
+
+// returnFromCopy replaces the group by its state in the copy, whose leases have not run out.
+func (g *simGroup) returnFromCopy() {
+	g.generation = Generation{Era: g.generation.Era + 1, Number: g.copied.number}
+	g.joined = map[string]time.Duration{}
+	for name := range g.copied.joined {
+		g.joined[name] = g.now
+	}
 }
 
 func (g *simGroup) tick(d time.Duration) {
@@ -71,14 +91,14 @@
 	for name, at := range g.joined {
 		if g.now >= at+testMemberTTL {
 			delete(g.joined, name)
-			g.generation++
+			g.generation.Number++
 		}
 	}
 }
 
-func (g *simGroup) join(name string) int64 {
+func (g *simGroup) join(name string) Generation {
 	if _, ok := g.joined[name]; !ok {
-		g.generation++
+		g.generation.Number++
 	}
 	g.joined[name] = g.now
 	return g.generation
@@ -93,13 +113,14 @@
 }
 
 // Guards against two owners that send orders to an endpoint within the handover
-// pause. Runs Ownership under suspends, lost connections, restarts, late or lost
-// calls, and several membership changes in a row. spec/holders.pml models the same
+// pause or with the same token. Runs Ownership under suspends, lost connections, restarts,
+// late or lost calls, several membership changes in a row, and returns of the log from an
+// older copy in which it gives out its generations again. spec/holders.pml models the same
 // protocol.
 func TestOwnersUnderFaults(t *testing.T) {
 	orders := 0
 	rapid.Check(t, func(rt *rapid.T) {
-		g := &simGroup{joined: map[string]time.Duration{}}
+		g := &simGroup{joined: map[string]time.Duration{}, copied: groupCopy{joined: map[string]time.Duration{}}}
 		var ms []*simMember
 		for _, name := range []string{"a", "b", "c"} {
 			m := &simMember{name: name}
@@ -172,21 +193,29 @@
 			},
 			"log reads the list": func(t *rapid.T) {
 				if m := pick(t); m.listPending && !m.listRead {
-					m.listRead, m.list = true, g.members()
+					m.listRead, m.list, m.listEra = true, g.members(), g.generation.Era
 				}
 			},
 			"answer of the list": func(t *rapid.T) {
 				if m := pick(t); m.listPending && m.listRead {
 					m.listPending = false
-					m.ownership.RecordMembers(m.joinedGeneration, m.list)
+					if m.listEra == m.joinedGeneration.Era {
+						m.ownership.RecordMembers(m.joinedGeneration, m.list)
+					}
 				}
 			},
 			"call lost": func(t *rapid.T) {
 				m := pick(t)
 				m.joinPending, m.listPending = false, false
 			},
-			"restart": func(t *rapid.T) { pick(t).restart() },
-			"order":   func(t *rapid.T) { order(pick(t)) },
+			"restart":       func(t *rapid.T) { pick(t).restart() },
+			"log is copied": func(*rapid.T) { g.copyState() },
+			"log returns": func(t *rapid.T) {
+				if oneInTen(t) {
+					g.returnFromCopy()
+				}
+			},
+			"order": func(t *rapid.T) { order(pick(t)) },
 		})
 	})
 	require.Greater(t, orders, 1000, "the runs sent too few orders")
--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -123,6 +123,7 @@
 	WarmUpRemaining time.Duration // remaining time until the endpoint has warmed up
 	Models          []ModelState
 	StartedUnixMs   int64 // Unix time in ms, 0 if unknown
+	Heartbeat       int64 // number of the heartbeat since the start, 0 if unknown
 }
 
 // EndpointChange replaces the entry of an endpoint. Endpoint is nil if the entry was
--- a/core/forward/ownership.go
+++ b/core/forward/ownership.go
@@ -13,6 +13,10 @@
 // member by rendezvous hashing, so a member that joins or leaves moves only its own
 // share of the endpoints.
 //
+// After the log has returned from an older copy, generations are given out again, so a
+// generation is identified together with its era, and no member list of an earlier era
+// entitles to an order.
+//
 // A process uses a member list only for the duration of a lease, counted from when it
 // sent its last join that returned the list's generation. A new owner of an endpoint
 // first waits until the previous owner's lease has expired and the handover pause has
@@ -22,23 +26,41 @@
 	Lease    time.Duration // how long a join entitles to send orders
 	Handover time.Duration // pause between the orders of two consecutive owners
 
-	generation  int64
+	generation  Generation
 	renewedAt   time.Duration // send time of the last join that returned the newest confirmed generation
 	memberSince time.Duration // start of the current uninterrupted membership
 	unconfirmed *memberList   // member list whose generation has not been returned by a join since it was read
 	confirmed   []memberList  // confirmed member lists, oldest first
 }
 
+// Generation identifies a member list of the group.
+type Generation struct {
+	Era    Era
+	Number int64 // increases with each membership change of an era
+}
+
+// generationBits is the number of bits of a fencing token that hold the generation's
+// number; the era is above them.
+const generationBits = 32
+
+// fencingToken returns a number that increases with each generation, also across eras.
+func (g Generation) fencingToken() int64 { return int64(g.Era)<<generationBits | g.Number }
+
 // memberList is the list of members in one generation of the group.
 type memberList struct {
-	generation  int64
+	generation  Generation
 	confirmedAt time.Duration
 	members     []string
 }
 
 // RecordJoin records the result of a join that was sent at the given time. It reports
-// whether this confirmed a new member list.
-func (o *Ownership) RecordJoin(generation int64, sent time.Duration) bool {
+// whether this confirmed a new member list. A join that was answered in an older era has no
+// effect.
+func (o *Ownership) RecordJoin(generation Generation, sent time.Duration) bool {
+	if generation.Era < o.generation.Era {
+		return false
+	}
+	o.RecordEra(generation.Era)
 	if n := len(o.confirmed); n > 0 && generation != o.confirmed[n-1].generation && sent >= o.renewedAt+o.Lease {
 		o.confirmed = nil // another member may have owned the endpoints in between
 	}
@@ -63,13 +85,24 @@
 	return true
 }
 
+// RecordEra records an era of the log. A newer one ends the use of all member lists.
+func (o *Ownership) RecordEra(era Era) {
+	if era > o.generation.Era {
+		o.generation = Generation{Era: era}
+		o.unconfirmed, o.confirmed = nil, nil
+	}
+}
+
 // RecordMembers records the member list that was read after a join returned the generation.
-func (o *Ownership) RecordMembers(generation int64, members []string) {
+func (o *Ownership) RecordMembers(generation Generation, members []string) {
+	if generation.Era < o.generation.Era {
+		return
+	}
 	o.unconfirmed = &memberList{generation: generation, members: slices.Sorted(slices.Values(members))}
 }
 
 // KnowsMembers reports whether the members of the generation are known.
-func (o *Ownership) KnowsMembers(generation int64) bool {
+func (o *Ownership) KnowsMembers(generation Generation) bool {
 	return o.unconfirmed != nil && o.unconfirmed.generation == generation ||
 		len(o.confirmed) > 0 && o.confirmed[len(o.confirmed)-1].generation == generation
 }
@@ -86,7 +119,7 @@
 }
 
 // Generation returns the newest generation.
-func (o *Ownership) Generation() int64 { return o.generation }
+func (o *Ownership) Generation() Generation { return o.generation }
 
 // FencingToken returns the fencing token for orders: the generation of the member list in
 // use. Two owners of an endpoint never use the same token.
@@ -94,7 +127,7 @@
 	if len(o.confirmed) == 0 {
 		return 0
 	}
-	return o.confirmed[len(o.confirmed)-1].generation
+	return o.confirmed[len(o.confirmed)-1].generation.fencingToken()
 }
 
 func (o *Ownership) handoverWait() time.Duration { return o.Lease + o.Handover }
--- a/core/forward/rollout.go
+++ b/core/forward/rollout.go
@@ -60,10 +60,18 @@
 
 type target struct {
 	version   int64
+	previous  int64         // version that was the newest when this one was set, 0 if none, unknownVersion if unknown
 	setAt     time.Duration // earliest time at which the version may have been set
 	learnedAt time.Duration // when this process learned of it, not before it was set
 }
 
+// unknownVersion stands for a previous version that is not known.
+const unknownVersion = -1
+
+// UnknownNamingTime is the time of a target that may have been set long ago: the period
+// in which older versions are allowed counts as over.
+const UnknownNamingTime = -time.Hour
+
 // stage is the progress of the update of one endpoint.
 type stage int
 
@@ -119,32 +127,94 @@
 	return &Rollout{targets: map[string][]target{}, updates: map[string]*endpointUpdate{}, deferredUntil: map[string]time.Duration{}}
 }
 
-// AddTarget adds a target version, which was set at setAt or later and is learned now.
-// It returns false if the version is not newer than the current target.
+// AddTarget adds a target version that was read from the log. It was set at setAt or
+// later and is learned now; setAt is UnknownNamingTime for a version that the first read
+// found. It returns false if the version is not newer than the current target.
 func (r *Rollout) AddTarget(w WeightVersion, setAt, now time.Duration) bool {
 	ts := r.targets[w.Model]
-	if len(ts) > 0 && ts[len(ts)-1].version >= w.Version {
-		return false
+	previous := int64(0)
+	if n := len(ts); n > 0 {
+		if previous = ts[n-1].version; previous >= w.Version {
+			return false
+		}
 	}
-	if len(ts) == maxTargets {
-		ts = ts[1:]
+	if setAt == UnknownNamingTime {
+		previous = unknownVersion
 	}
-	r.targets[w.Model] = append(ts, target{w.Version, setAt, now})
+	r.insertTarget(w.Model, target{w.Version, previous, setAt, now})
 	return true
 }
 
+// insertTarget adds a target in the order of versions and drops the oldest beyond
+// maxTargets.
+func (r *Rollout) insertTarget(model string, t target) {
+	ts := r.targets[model]
+	i, _ := slices.BinarySearchFunc(ts, t.version, func(t target, v int64) int { return cmp.Compare(t.version, v) })
+	ts = slices.Insert(ts, i, t)
+	if len(ts) > maxTargets {
+		ts = slices.Delete(ts, 0, 1)
+	}
+	r.targets[model] = ts
+}
+
+// Naming tells when a weight version was named, as far as known.
+type Naming struct {
+	WeightVersion
+	Previous int64         // version that was the newest before, 0 if none
+	SetAt    time.Duration // earliest time at which the version may have been named
+}
+
+// RecordNaming adds what a peer, or an earlier run of the deployment, knew of a target. It
+// reports whether the version is newer than all targets before. All known times are lower
+// bounds, so the latest is the closest.
+func (r *Rollout) RecordNaming(n Naming, now time.Duration) bool {
+	ts := r.targets[n.Model]
+	i, found := slices.BinarySearchFunc(ts, n.Version, func(t target, v int64) int { return cmp.Compare(t.version, v) })
+	if !found {
+		r.insertTarget(n.Model, target{n.Version, n.Previous, n.SetAt, now})
+		return i == len(ts)
+	}
+	t := &ts[i]
+	if t.previous == unknownVersion {
+		t.previous = n.Previous
+	}
+	t.setAt = max(t.setAt, n.SetAt)
+	return false
+}
+
+// Namings returns the targets that were named after the given time.
+func (r *Rollout) Namings(after time.Duration) []Naming {
+	var out []Naming
+	for model, ts := range r.targets {
+		for _, t := range ts {
+			if t.setAt > after && t.previous != unknownVersion {
+				out = append(out, Naming{WeightVersion{model, t.version}, t.previous, t.setAt})
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b Naming) int {
+		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Version, b.Version))
+	})
+	return out
+}
+
+// NamingsUnknown reports whether the naming time of a target is not known.
+func (r *Rollout) NamingsUnknown() bool {
+	for _, ts := range r.targets {
+		if slices.ContainsFunc(ts, func(t target) bool { return t.setAt == UnknownNamingTime }) {
+			return true
+		}
+	}
+	return false
+}
+
 // OutdatedSince reports whether the endpoint's version of the model is older than a target
 // version, and when the first such target was set. Each version has its own deadline,
 // which a newer target does not extend.
 func (r *Rollout) OutdatedSince(models []ModelState, model string) (time.Duration, bool) {
 	for _, m := range models {
-		if m.Name != model {
-			continue
-		}
-		for _, t := range r.targets[model] {
-			if t.version > m.Version {
-				return t.setAt, true
-			}
+		if m.Name == model {
+			return r.RetiredSince(model, m.Version)
 		}
 	}
 	return 0, false
--- a/core/forward/rollout_test.go
+++ b/core/forward/rollout_test.go
@@ -96,7 +96,7 @@
 	for _, n := range names {
 		owners[n] = &Ownership{Self: n, Lease: lease, Handover: handover}
 	}
-	generation, members := int64(1), names
+	generation, members := Generation{Number: 1}, names
 	lastOrder, lastOwner, lastFence := map[string]time.Duration{}, map[string]string{}, map[string]int64{}
 	orders := 0
 	for now := time.Duration(0); now < 40*time.Second; now += step {
@@ -107,7 +107,7 @@
 			}
 		}
 		if len(alive) != len(members) {
-			generation, members = generation+1, alive
+			generation.Number, members = generation.Number+1, alive
 		}
 		for i, n := range names {
 			c, isCut := cutOff[n]
@@ -147,10 +147,11 @@
 	const handover, lease = 3200 * time.Millisecond, 700 * time.Millisecond
 	firstSoleOwnership := func(o *Ownership, from, until time.Duration, generation int64, members []string, id string) (alone time.Duration) {
 		alone = -1
+		g := Generation{Number: generation}
 		for now := from; now < until; now += 50 * time.Millisecond {
-			o.RecordJoin(generation, now)
-			if !o.KnowsMembers(generation) {
-				o.RecordMembers(generation, members)
+			o.RecordJoin(g, now)
+			if !o.KnowsMembers(g) {
+				o.RecordMembers(g, members)
 			}
 			if alone < 0 && o.IsSoleOwner(id, now) {
 				alone = now
@@ -188,20 +189,20 @@
 			joined                      time.Duration // last join as recorded by the log
 			isMember                    bool
 			readAt                      time.Duration
-			readGeneration              int64
+			readGeneration              Generation
 		}
 		ms := map[string]*member{}
 		for _, n := range names {
 			ms[n] = &member{o: &Ownership{Self: n, Lease: lease, Handover: handover}}
 		}
-		generation := int64(1)
+		generation := Generation{Number: 1}
 		lastOrder, lastOwner, lastFence := map[string]time.Duration{}, map[string]string{}, map[string]int64{}
 		for now := time.Duration(0); now < 60*time.Second; now += step {
 			for _, n := range names {
 				m := ms[n]
 				if m.isMember && now >= m.joined+ttl {
 					m.isMember = false
-					generation++
+					generation.Number++
 				}
 				if rng.IntN(400) == 0 {
 					m.cutOffUntil = now + time.Duration(rng.IntN(6000))*time.Millisecond
@@ -218,7 +219,7 @@
 				if now >= m.cutOffUntil && rng.IntN(5) == 0 {
 					if !m.isMember {
 						m.isMember = true
-						generation++
+						generation.Number++
 					}
 					m.joined = now
 					m.o.RecordJoin(generation, now)
--- a/core/forward/stores.go
+++ b/core/forward/stores.go
@@ -384,12 +384,17 @@
 }
 
 // RetiredSince reports whether a newer version than the given one is a target, and
-// since when.
+// since when the first such version is. That time is unknown if a version between the two
+// may have been named that this process does not know.
 func (r *Rollout) RetiredSince(model string, version int64) (time.Duration, bool) {
 	for _, t := range r.targets[model] {
-		if t.version > version {
-			return t.setAt, true
+		if t.version <= version {
+			continue
+		}
+		if t.previous == unknownVersion || t.previous > version {
+			return UnknownNamingTime, true
 		}
+		return t.setAt, true
 	}
 	return 0, false
 }
--- /dev/null
+++ b/gateway/era_test.go
@@ -0,0 +1,230 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaweir/galenaweir/core/forward"
+)
+
+// scriptedFeed answers each read with the next batch of a script, and with an error at the
+// script's end.
+type scriptedFeed struct {
+	mu     sync.Mutex
+	newest []Batch[forward.OperatorChange]
+	reads  []Batch[forward.OperatorChange]
+	froms  []int64 // offsets of the reads
+}
+
+var errScriptEnds = errors.New("the script has ended")
+
+func (s *scriptedFeed) Newest(context.Context) (Batch[forward.OperatorChange], error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return next(&s.newest)
+}
+
+func (s *scriptedFeed) Read(_ context.Context, from int64, _ time.Duration) (Batch[forward.OperatorChange], error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.froms = append(s.froms, from)
+	return next(&s.reads)
+}
+
+func next(script *[]Batch[forward.OperatorChange]) (Batch[forward.OperatorChange], error) {
+	if len(*script) == 0 {
+		return Batch[forward.OperatorChange]{}, errScriptEnds
+	}
+	b := (*script)[0]
+	*script = (*script)[1:]
+	return b, nil
+}
+
+func configRecord(version int64, keys ...string) forward.OperatorChange {
+	return forward.OperatorChange{Config: &forward.Config{Version: version, Customers: []forward.Customer{{Name: "c", Keys: keys}}}}
+}
+
+func batch(era forward.Era, next int64, records ...forward.OperatorChange) Batch[forward.OperatorChange] {
+	return Batch[forward.OperatorChange]{Records: records, Next: next, Era: era}
+}
+
+// poll runs the reader once per step of a script and returns the errors.
+func pollAll(t *testing.T, g *Gateway, r *feedReader[forward.OperatorChange], n int, step func()) []error {
+	t.Helper()
+	var errs []error
+	for range n {
+		step()
+		err := r.poll(t.Context(), g.clock(), 0)
+		if errors.Is(err, errLogReturned) {
+			r.hasOffset = false
+		}
+		errs = append(errs, err)
+	}
+	return errs
+}
+
+func newReader(g *Gateway, f Feed[forward.OperatorChange]) *feedReader[forward.OperatorChange] {
+	return &feedReader[forward.OperatorChange]{name: "operators", feed: f, clock: g.clock, observeEra: g.observeEra, apply: g.applyOperators}
+}
+
+func newGateway(t *testing.T) (*Gateway, *testClock) {
+	t.Helper()
+	clock := &testClock{}
+	return New(Options{Settings: testSettings(), Clock: clock.start(time.Hour), HeaderCodec: testHeaderCodec{}, WallClock: func() time.Time { return time.UnixMilli(clock.read().Milliseconds()) }}), clock
+}
+
+// Guards against a reader that goes on at its old offset after the log has returned from an
+// older copy, and so misses the records that were given the offsets again; and against
+// silence that counts as proof while the log lacks what this process knows.
+func TestReaderRereadsAfterTheLogReturned(t *testing.T) {
+	g, clock := newGateway(t)
+	f := &scriptedFeed{
+		newest: []Batch[forward.OperatorChange]{batch(1, 5, configRecord(6)), batch(2, 3, configRecord(5))},
+		reads:  []Batch[forward.OperatorChange]{batch(1, 6, configRecord(7)), batch(2, 6), batch(1, 7, configRecord(9)), batch(2, 3), batch(2, 4, configRecord(8))},
+	}
+	r := newReader(g, f)
+	age := func() time.Duration {
+		a, _ := g.state.freshness.Age(clock.read())
+		return a
+	}
+	errs := pollAll(t, g, r, 3, func() { clock.advance(time.Second) })
+	require.Equal(t, []error{nil, nil, errLogReturned}, errs)
+	require.EqualValues(t, 7, g.state.table.Config.Version)
+
+	errs = pollAll(t, g, r, 3, func() { clock.advance(time.Second) })
+	require.Equal(t, []error{nil, errStaleAnswer, nil}, errs)
+	require.EqualValues(t, 7, g.state.table.Config.Version, "neither the older copy nor a late answer of the older era changes it")
+	require.Equal(t, []int64{5, 6, 3, 3}, f.froms, "reading continues from the end of the older copy")
+	require.Equal(t, 4*time.Second, age(), "reads of a log without version 7 prove nothing")
+	require.False(t, g.Ready())
+
+	clock.advance(time.Second)
+	require.NoError(t, r.poll(t.Context(), clock.read(), 0))
+	require.EqualValues(t, 8, g.state.table.Config.Version)
+	require.Zero(t, age())
+}
+
+// Guards against a weight version that counts as named when it is written again after the
+// log returned, although it was named before.
+func TestRewrittenWeightsKeepTheirBound(t *testing.T) {
+	g, clock := newGateway(t)
+	f := &scriptedFeed{
+		newest: []Batch[forward.OperatorChange]{batch(1, 5, configRecord(6)), batch(2, 3, configRecord(5))},
+		reads:  []Batch[forward.OperatorChange]{batch(1, 5), batch(2, 6), batch(2, 4, forward.OperatorChange{Weights: &forward.WeightVersion{Model: "m", Version: 2}})},
+	}
+	r := newReader(g, f)
+	pollAll(t, g, r, 2, func() { clock.advance(time.Second) })
+	lastProof := clock.read()
+	pollAll(t, g, r, 2, func() { clock.advance(time.Second) })
+	started := clock.read()
+	clock.advance(time.Second) // the long poll waited for the record
+	b, err := f.Read(t.Context(), 3, 0)
+	require.NoError(t, err)
+	g.applyOperators(b.Records, started, false)
+	since, outdated := g.state.rollout.RetiredSince("m", 1)
+	require.True(t, outdated)
+	require.Equal(t, lastProof, since)
+}
+
+// Guards against a process that starts between the return and the rewriting of the log, and
+// that denies by an older configuration, or serves by it, while its peers have a newer one.
+func TestStartingProcessWaitsForWhatItsPeersKnow(t *testing.T) {
+	f := newFixture(t, serveRaw(t, respondOK("answer")))
+	f.observeEra("operators", 0)
+	status := func(path, key string) int { return f.status(t, path, key) }
+	require.Equal(t, 200, status("/unsafe/x", "key"), "a log that never returns from an older copy")
+	f.state.eras = forward.EraTracker{}
+	f.state.startup = forward.Startup{}
+	f.observeEra("operators", 3)
+	refused := func() {
+		t.Helper()
+		require.False(t, f.Ready())
+		require.Equal(t, 503, status("/unsafe/x", "key"))
+		require.Equal(t, 503, status("/unsafe/x", "unknown"))
+		require.Equal(t, 503, status("/nowhere/x", "key"))
+	}
+	refused() // no peer has told what it knows
+	f.applyFacts(&factsMessage{Protocol: factsProtocol, Member: "10.0.0.2:7", Config: 2})
+	refused()
+	newer := *f.state.table.Config
+	newer.Version = 2
+	f.applyOperators([]forward.OperatorChange{{Config: &newer}}, f.clock.read(), false)
+	require.True(t, f.Ready())
+	require.Equal(t, 200, status("/unsafe/x", "key"))
+	require.Equal(t, 401, status("/unsafe/x", "unknown"))
+}
+
+// Guards against facts of a peer that are too young because they waited in the socket's
+// buffer while this process was suspended, and against facts out of range.
+func TestFactsOfAPeer(t *testing.T) {
+	g, clock := newGateway(t)
+	g.applyOperators([]forward.OperatorChange{{Weights: &forward.WeightVersion{Model: "m", Version: 2}}}, clock.read(), true)
+	facts := &factsMessage{Protocol: factsProtocol, Member: "10.0.0.2:7", Config: 7, Named: []factNaming{
+		{"m", 2, 1, 3000}, {"m", -1, 0, 0}, {"m", 5, -1, 0}, {"m", 5, 0, -1},
+	}}
+	g.applyFacts(&factsMessage{Member: "10.0.0.2:7"})
+	clock.advance(4 * time.Second)
+	g.applyFacts(facts)
+	require.True(t, g.state.rollout.NamingsUnknown(), "resumed just now")
+	for range 10 {
+		clock.advance(reportTTL / 4)
+		g.state.recordActivity(clock.read())
+	}
+	g.applyFacts(facts)
+	since, _ := g.state.rollout.RetiredSince("m", 1)
+	require.Equal(t, clock.read()-3*time.Second-namingTransitMargin, since)
+	require.EqualValues(t, 2, g.state.rollout.NewestTargets()["m"])
+	require.EqualValues(t, 7, g.state.peerConfigVersion(clock.read()))
+	require.Zero(t, g.state.peerConfigVersion(clock.read()+factsTTL))
+}
+
+// memoryNamings is a NamingStore in memory.
+type memoryNamings struct{ saved []forward.StoredNaming }
+
+func (m *memoryNamings) Save(_ context.Context, n forward.StoredNaming) error {
+	m.saved = append(m.saved, n)
+	return nil
+}
+
+func (m *memoryNamings) Load(context.Context) ([]forward.StoredNaming, error) { return m.saved, nil }
+
+// Guards against a full outage of the endpoints when all processes restart during a
+// rollout. Load pattern: a version is named, all processes are lost two seconds later, and
+// none of the endpoints has the version yet.
+func TestRestartOfAllProcessesKeepsTheUseOfOlderWeights(t *testing.T) {
+	const endpoints = 12
+	namings := &memoryNamings{}
+	g, clock := newGateway(t)
+	g.namingStore = namings
+	g.applyOperators(nil, clock.read(), true)
+	g.applyOperators([]forward.OperatorChange{{Weights: &forward.WeightVersion{Model: "m", Version: 2}}}, clock.read(), false)
+	require.Len(t, g.namingsToSave, 1)
+	clock.advance(100 * time.Millisecond)
+	require.NoError(t, g.saveNaming(t.Context(), <-g.namingsToSave))
+
+	clock.advance(2 * time.Second)
+	restarted := New(Options{Settings: testSettings(), Clock: clock.read, HeaderCodec: testHeaderCodec{}, NamingStore: namings, WallClock: g.wallClock})
+	restarted.applyOperators([]forward.OperatorChange{{Weights: &forward.WeightVersion{Model: "m", Version: 2}}}, clock.read(), true)
+	var changes []forward.EndpointChange
+	for i := range endpoints {
+		id := string(rune('a' + i))
+		changes = append(changes, forward.EndpointChange{ID: id, Endpoint: &forward.Endpoint{ID: id, Service: "s", Models: []forward.ModelState{{Name: "m", Version: 1}}}})
+	}
+	restarted.applyEndpoints(changes, clock.read(), true)
+	usable := func() (n int) {
+		for _, c := range restarted.state.candidates("s", &forward.Prompt{Model: "m"}, nil, clock.read()) {
+			n += boolInt(!c.Excluded && c.Usable)
+		}
+		return n
+	}
+	require.Zero(t, usable())
+	require.False(t, restarted.applyNamings(namings.saved), "no store's clock is known, so the ages are upper bounds")
+	require.Equal(t, endpoints, usable())
+	clock.advance(milliseconds(testSettings().VersionMs) - versionMargin - 7*time.Second)
+	require.Zero(t, usable(), "the bound holds")
+}
--- /dev/null
+++ b/gateway/facts.go
@@ -0,0 +1,325 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/galenaweir/galenaweir/core/forward"
+	"github.com/galenaweir/galenaweir/core/rendezvous"
+	"github.com/galenaweir/galenaweir/wait"
+)
+
+// Facts that entries tell each other because the log may not hold them, or not in time: the
+// version of the configuration in force, and when weight versions were named.
+const (
+	factsInterval    = time.Second            // between two messages to all peers
+	factsAskInterval = 100 * time.Millisecond // between the questions of a starting process
+	maxFactsAsks     = 50                     // questions of a starting process
+	factsTTL         = 3 * time.Second        // a peer's facts are used for this long
+	factsProtocol    = "galenaweir-facts-1"
+)
+
+// Records of namings in the log.
+const (
+	maxNamingsToSave    = 16
+	namingSavers        = 3 // members that save the same naming, so that it is saved although some fail
+	namingAttempts      = 5
+	namingRetryPause    = 300 * time.Millisecond
+	namingTimeout       = 600 * time.Millisecond
+	namingCheckPause    = 50 * time.Millisecond
+	endpointClockWait   = 2 * time.Second // how long to wait for a store's clock after the records were read
+	namingTransitMargin = 100 * time.Millisecond
+)
+
+// factsMessage is the message with an entry's facts.
+type factsMessage struct {
+	Protocol string
+	Member   string
+	Ask      bool // the sender has just started and wants the receiver's facts
+	Config   int64
+	Named    boundedList[factNaming]
+}
+
+// factNaming is a weight version that was named less than the version bound ago.
+type factNaming struct {
+	Model    string
+	Version  int64
+	Previous int64
+	AgeMs    int64 // upper bound of the time since it was named
+}
+
+// knownFacts is what a peer last said.
+type knownFacts struct {
+	config     int64
+	receivedAt time.Duration
+}
+
+// peerConfigVersion returns the newest configuration version that a peer has in force.
+func (s *state) peerConfigVersion(now time.Duration) int64 {
+	newest := int64(0)
+	for m, f := range s.peerFacts {
+		if now-f.receivedAt >= factsTTL {
+			delete(s.peerFacts, m)
+			continue
+		}
+		newest = max(newest, f.config)
+	}
+	return newest
+}
+
+// startState returns whether this process, if it has just started, may serve. The caller
+// holds the state's mutex.
+func (g *Gateway) startState(now time.Duration) forward.StartState {
+	s := g.state
+	members := s.peerLoads.members
+	hasPeers := len(members) != 1 || members[0] != g.memberID // true until the members are known
+	gaveUp := s.startup.GaveUp
+	st := s.startup.Check(s.eras.Newest(), hasPeers, len(s.peerFacts) > 0, s.knowledge().ConfigVersion, s.peerConfigVersion(now), now)
+	if s.startup.GaveUp && !gaveUp {
+		log.Warn().Str("event", "peers_ahead").Int64("config", s.knowledge().ConfigVersion).Int64("peers", s.peerConfigVersion(now)).Msg("peers have a newer configuration that the log doesn't hold; serving with the older one")
+	}
+	return st
+}
+
+// exchangeFacts tells the peers this process's facts until ctx is done, at first with the
+// question for theirs.
+func (g *Gateway) exchangeFacts(ctx context.Context) {
+	for asked := 0; ; asked++ {
+		s := g.state
+		s.mu.Lock()
+		asks := asked < maxFactsAsks && (len(s.peerFacts) == 0 && !s.startup.Complete() && s.eras.Newest() > 0 || s.rollout.NamingsUnknown())
+		members := slices.DeleteFunc(slices.Clone(s.peerLoads.members), func(m string) bool { return m == g.memberID })
+		s.mu.Unlock()
+		for _, m := range members {
+			g.sendFacts(m, asks)
+		}
+		pause := factsInterval
+		if asks {
+			pause = factsAskInterval
+		}
+		due := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+			due.Stop()
+			return
+		case <-due.C:
+		case <-g.factsRequests:
+			due.Stop()
+			wait.For(ctx, minReportSpacing)
+		}
+	}
+}
+
+// announceNamings tells the peers of a new target and saves it in the log. The naming time
+// is unknown for a target that the first read found, which is not announced.
+func (g *Gateway) announceNamings(namedAt time.Duration) {
+	if namedAt == forward.UnknownNamingTime {
+		return
+	}
+	for _, n := range g.state.rollout.Namings(namedAt - 1) {
+		g.requestSaveNaming(n)
+	}
+	select {
+	case g.factsRequests <- struct{}{}:
+	default: // a message is already requested
+	}
+}
+
+func (g *Gateway) sendFacts(member string, ask bool) {
+	to, err := netip.ParseAddrPort(member)
+	if err != nil || g.peerConn == nil {
+		return // not the address of an entry
+	}
+	s := g.state
+	s.mu.Lock()
+	now := s.clock()
+	f := factsMessage{Protocol: factsProtocol, Member: g.memberID, Ask: ask, Config: s.knowledge().ConfigVersion}
+	for _, n := range s.rollout.Namings(now - milliseconds(s.settings.VersionMs)) {
+		f.Named = append(f.Named, factNaming{n.Model, n.Version, n.Previous, (now - n.SetAt).Milliseconds()})
+	}
+	s.mu.Unlock()
+	var b bytes.Buffer
+	e := msgpack.NewEncoder(&b)
+	e.UseArrayEncodedStructs(true)
+	if err := e.Encode(&f); err != nil || b.Len() > maxDatagram {
+		log.Error().Str("event", "facts_failed").Int("bytes", b.Len()).Err(err).Msg("cannot encode the facts for peers")
+		return
+	}
+	_, _ = g.peerConn.WriteToUDPAddrPort(b.Bytes(), to) // a lost message is replaced by the next one
+}
+
+// isFacts reports whether a datagram is a message with facts.
+func isFacts(data []byte) bool {
+	return bytes.Contains(data[:min(len(data), 2*len(factsProtocol))], []byte(factsProtocol))
+}
+
+// receiveFacts applies a message with a peer's facts and answers its question. It reports
+// whether the message is valid.
+func (g *Gateway) receiveFacts(data []byte) bool {
+	var f factsMessage
+	if msgpack.Unmarshal(data, &f) != nil || f.Protocol != factsProtocol || f.Member == g.memberID {
+		return false
+	}
+	g.applyFacts(&f)
+	if f.Ask {
+		g.sendFacts(f.Member, false)
+	}
+	return true
+}
+
+func (g *Gateway) applyFacts(f *factsMessage) {
+	s := g.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	s.recordActivity(now)
+	s.peerFacts[f.Member] = knownFacts{config: f.Config, receivedAt: now}
+	if s.resumedAt > 0 && now < s.resumedAt+reportTTL {
+		return // the message may have been in the socket's buffer during the suspension, so its ages are too low
+	}
+	for _, n := range f.Named {
+		if n.Version <= 0 || n.Previous < 0 || n.AgeMs < 0 || n.AgeMs > s.settings.VersionMs {
+			continue
+		}
+		naming := forward.Naming{WeightVersion: forward.WeightVersion{Model: n.Model, Version: n.Version}, Previous: n.Previous, SetAt: now - milliseconds(n.AgeMs) - namingTransitMargin}
+		if s.rollout.RecordNaming(naming, now) {
+			log.Info().Str("event", "weights_named").Str("model", n.Model).Int64("version", n.Version).Str("peer", f.Member).Int64("age_ms", n.AgeMs).Msg("a peer told of a weight version")
+		}
+	}
+}
+
+// requestSaveNaming has a naming saved in the log, if this process is among the members
+// that save it.
+func (g *Gateway) requestSaveNaming(n forward.Naming) {
+	members := g.state.peerLoads.members
+	savers := rendezvous.Top(rendezvous.Key([]byte(n.Model)), members, namingSavers)
+	if len(members) > 0 && !slices.Contains(savers, g.memberID) {
+		return
+	}
+	select {
+	case g.namingsToSave <- n:
+	default:
+		log.Warn().Str("event", "naming_dropped").Str("model", n.Model).Int64("version", n.Version).Msg("too many namings wait to be saved; after a restart of all entries, older weights are not used")
+	}
+}
+
+// stamp returns the current time on clocks that continue when all processes restart. The
+// caller holds the state's mutex.
+func (g *Gateway) stamp(now time.Duration) forward.Stamp {
+	t := forward.Stamp{UnixMs: g.wallClock().UnixMilli()}
+	for _, v := range g.state.stores {
+		if ms, known := v.ClockMs(now); known {
+			t.EndpointClockMs = ms
+			break
+		}
+	}
+	return t
+}
+
+// saveNamings saves namings in the log until ctx is done.
+func (g *Gateway) saveNamings(ctx context.Context) {
+	for {
+		var n forward.Naming
+		select {
+		case <-ctx.Done():
+			return
+		case n = <-g.namingsToSave:
+		}
+		var err error
+		for range namingAttempts {
+			if err = g.saveNaming(ctx, n); err == nil || !wait.For(ctx, namingRetryPause) {
+				break
+			}
+		}
+		if err == nil {
+			log.Info().Str("event", "naming_saved").Str("model", n.Model).Int64("version", n.Version).Msg("saved in the log when the weight version was named")
+		} else if ctx.Err() == nil {
+			log.Warn().Str("event", "naming_unsaved").Str("model", n.Model).Int64("version", n.Version).Err(err).Msg("cannot save when the weight version was named; after a restart of all entries, older weights are not used")
+		}
+	}
+}
+
+func (g *Gateway) saveNaming(ctx context.Context, n forward.Naming) error {
+	if g.namingStore == nil {
+		return nil
+	}
+	s := g.state
+	s.mu.Lock()
+	now := s.clock()
+	stored := forward.StoredNaming{WeightVersion: n.WeightVersion, Previous: n.Previous, At: g.stamp(now).Before(now - n.SetAt)}
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, namingTimeout)
+	defer cancel()
+	return g.namingStore.Save(ctx, stored)
+}
+
+// recoverNamings reads from the log when the weight versions were named that the first read
+// found, so that a restart of all processes does not end the use of older weights early.
+func (g *Gateway) recoverNamings(ctx context.Context) {
+	if g.namingStore == nil {
+		return
+	}
+	s := g.state
+	read, unknown := false, false
+	for !read {
+		if !wait.For(ctx, namingCheckPause) {
+			return
+		}
+		s.mu.Lock()
+		_, read = s.freshness.Age(s.clock())
+		unknown = s.rollout.NamingsUnknown()
+		s.mu.Unlock()
+	}
+	if !unknown {
+		return
+	}
+	stored, err := g.loadNamings(ctx)
+	if err != nil {
+		if ctx.Err() == nil {
+			log.Warn().Str("event", "namings_unread").Err(err).Msg("cannot read when weight versions were named; older weights are not used")
+		}
+		return
+	}
+	log.Info().Str("event", "namings_read").Int("count", len(stored)).Msg("read from the log when weight versions were named")
+	for waited := time.Duration(0); waited < endpointClockWait; waited += namingCheckPause {
+		if g.applyNamings(stored) || !wait.For(ctx, namingCheckPause) {
+			return
+		}
+	}
+}
+
+func (g *Gateway) loadNamings(ctx context.Context) (stored []forward.StoredNaming, err error) {
+	for range namingAttempts {
+		attempt, cancel := context.WithTimeout(ctx, namingTimeout)
+		stored, err = g.namingStore.Load(attempt)
+		cancel()
+		if err == nil || !wait.For(ctx, namingRetryPause) {
+			return stored, err
+		}
+	}
+	return nil, err
+}
+
+// applyNamings applies namings that were saved in the log. It reports whether a store's
+// clock was known, which gives the exact ages.
+func (g *Gateway) applyNamings(stored []forward.StoredNaming) bool {
+	s := g.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	stamp := g.stamp(now)
+	for _, n := range stored {
+		naming := n.Naming(stamp, now)
+		s.rollout.RecordNaming(naming, now)
+		if stamp.EndpointClockMs != 0 && naming.SetAt > now-milliseconds(s.settings.VersionMs) {
+			log.Info().Str("event", "naming_recovered").Str("model", n.Model).Int64("version", n.Version).Dur("age_ms", now-naming.SetAt).Msg("read from the log when the weight version was named")
+		}
+	}
+	return stamp.EndpointClockMs != 0
+}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -30,10 +30,18 @@
 	pollPause  time.Duration // pause between reads
 	apply      func(records []T, started time.Duration, snapshot bool)
 	onFailure  func(now time.Duration)
+	observeEra func(feed string, e forward.Era) forward.EraOrder
 	nextOffset int64
 	hasOffset  bool
+	era        forward.Era // era of the log that nextOffset belongs to
 }
 
+// Errors of reads whose answer belongs to another era of the log than the reader's offset.
+var (
+	errStaleAnswer = errors.New("the answer is from before the log returned from an older copy")
+	errLogReturned = errors.New("the log has returned from an older copy")
+)
+
 // run reads until ctx is done.
 func (r *feedReader[T]) run(ctx context.Context, s *state) {
 	failures := 0
@@ -52,6 +60,11 @@
 			wait.For(ctx, r.pollPause)
 			continue
 		}
+		if errors.Is(err, errLogReturned) {
+			r.hasOffset = false // offsets were given out again
+			log.Warn().Str("event", "feed_reread").Str("feed", r.name).Int64("era", int64(r.era)).Int64("offset", r.nextOffset).Msg("the log has returned from an older copy; reading the newest record of each key")
+			continue
+		}
 		if errors.Is(err, ErrTrimmed) && r.hasOffset {
 			r.hasOffset = false // start again from the newest records
 			log.Warn().Str("event", "log_trimmed").Str("feed", r.name).Int64("offset", r.nextOffset).Msg("records were trimmed; reading the newest record of each key")
@@ -89,22 +102,31 @@
 	if !r.hasOffset {
 		ctx, cancel := context.WithTimeout(ctx, 2*readTimeoutMargin)
 		defer cancel()
-		records, next, err := r.feed.Newest(ctx)
+		batch, err := r.feed.Newest(ctx)
 		if err != nil {
 			return err
 		}
-		r.nextOffset, r.hasOffset = next, true
-		r.apply(records, started, true)
+		if r.observeEra(r.name, batch.Era) == forward.EraStale {
+			return errStaleAnswer
+		}
+		r.nextOffset, r.era, r.hasOffset = batch.Next, batch.Era, true
+		r.apply(batch.Records, started, true)
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, pollWait+readTimeoutMargin)
 	defer cancel()
-	records, next, err := r.feed.Read(ctx, r.nextOffset, pollWait)
+	batch, err := r.feed.Read(ctx, r.nextOffset, pollWait)
 	if err != nil {
 		return err
 	}
-	r.nextOffset = next
-	r.apply(records, started, false)
+	if r.observeEra(r.name, batch.Era) == forward.EraStale {
+		return errStaleAnswer
+	}
+	if batch.Era != r.era {
+		return errLogReturned
+	}
+	r.nextOffset = batch.Next
+	r.apply(batch.Records, started, false)
 	return nil
 }
 
@@ -112,9 +134,41 @@
 // records.
 const maxReadLatency = 300 * time.Millisecond
 
-// unknownNamingTime is the naming time assumed for weight versions that were named before this
-// process first read the log: the period in which older versions are allowed may be over.
-const unknownNamingTime = -time.Hour
+// observeEra compares the era of an answer of the log with the newest known one. When the
+// log has returned from an older copy, its member lists and the absence of records in it
+// prove nothing until they have been read again.
+func (g *Gateway) observeEra(feed string, e forward.Era) forward.EraOrder {
+	s := g.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.eras.Newest()
+	order := s.eras.Observe(e)
+	switch order {
+	case forward.EraRisen:
+		now := s.clock()
+		s.catchUp.Begin(now)
+		s.endpointList.LogReturned(now)
+		s.listedCache = nil
+		g.ownership.RecordEra(e)
+		log.Warn().Str("event", "log_returned").Str("feed", feed).Int64("era_before", int64(before)).Int64("era", int64(e)).
+			Msg("the log has returned from an older copy; records, endpoints and members are read again, and no orders are sent until the handover pause has passed")
+		for _, n := range s.rollout.Namings(now - milliseconds(s.settings.VersionMs)) {
+			g.requestSaveNaming(n)
+		}
+	case forward.EraStale:
+		log.Warn().Str("event", "log_answer_stale").Str("feed", feed).Int64("era", int64(e)).Int64("newest", int64(before)).Msg("the answer's era is older than the newest one, or skips others and is not confirmed; the answer is ignored")
+	}
+	return order
+}
+
+// knowledge returns how new the operators' records are that this process knows.
+func (s *state) knowledge() forward.Knowledge {
+	k := forward.Knowledge{Weights: s.rollout.NewestTargets()}
+	if s.table != nil {
+		k.ConfigVersion = s.table.Config.Version
+	}
+	return k
+}
 
 // applyOperators applies the operators' records: configurations and named weight versions.
 func (g *Gateway) applyOperators(records []forward.OperatorChange, started time.Duration, _ bool) {
@@ -122,10 +176,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
-	namedAt := unknownNamingTime
+	namedAt := forward.UnknownNamingTime
 	if age, known := s.freshness.Age(now); known {
 		namedAt = now - age // lower bound: the last read that proved nothing newer
-		if now-started > maxReadLatency {
+		if now-started > maxReadLatency && !s.catchUp.Pending() {
 			namedAt = max(namedAt, now-maxReadLatency) // the long poll returned as soon as there was a record
 		}
 	}
@@ -134,14 +188,27 @@
 		case r.Err != nil:
 			log.Error().Str("event", "operator_record_rejected").Err(r.Err).Msg("cannot parse an operators' record; the previous one stays in force")
 		case r.Config != nil:
+			s.catchUp.RecordConfig(r.Config.Version)
 			g.applyConfig(r.Config, now-started)
 		case r.Weights != nil:
+			s.catchUp.RecordWeights(*r.Weights)
 			if s.rollout.AddTarget(*r.Weights, namedAt, now) {
 				log.Info().Str("event", "weights_named").Str("model", r.Weights.Model).Int64("version", r.Weights.Version).Msg("a weight version was named")
+				g.announceNamings(namedAt)
 			}
 		}
 	}
-	s.confirmRead(started)
+	known := s.knowledge()
+	known.ConfigVersion = max(known.ConfigVersion, s.peerConfigVersion(now))
+	switch ended, complete := s.catchUp.Check(known, now); {
+	case ended && complete:
+		log.Info().Str("event", "log_caught_up").Int64("era", int64(s.eras.Newest())).Int64("config", known.ConfigVersion).Msg("the log holds all known records again")
+	case ended:
+		log.Warn().Str("event", "log_not_rewritten").Int64("era", int64(s.eras.Newest())).Int64("config", known.ConfigVersion).Msg("the log still lacks records that were known before its return; its reads count as complete again")
+	}
+	if !s.catchUp.Pending() {
+		s.confirmRead(started)
+	}
 }
 
 func (g *Gateway) applyConfig(c *forward.Config, age time.Duration) {
--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/galenaweir/galenaweir/core/forward"
 )
 
 // Guards against events that are split, merged or lost when a stream arrives in fragments,
@@ -66,6 +68,24 @@
 	})
 }
 
+// Guards against messages with facts, from any sender, that crash the process or name a
+// version of the future as known.
+func FuzzFacts(f *testing.F) {
+	f.Add([]byte("\x95\xb2" + factsProtocol + "\xa1a\xc2\x07\x91\x94\xa1m\x02\x01\x05"))
+	f.Add([]byte("\x95\xb2" + factsProtocol + "\xa1a\xc3\x07\xdf\xff\xff\xff\xff"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		clock := &testClock{}
+		g := New(Options{Settings: testSettings(), Clock: clock.start(time.Hour), Seed: 1, HeaderCodec: testHeaderCodec{}})
+		if !isFacts(data) || !g.receiveFacts(data) {
+			return
+		}
+		for _, n := range g.state.rollout.Namings(forward.UnknownNamingTime) {
+			require.Positive(t, n.Version)
+			require.LessOrEqual(t, n.SetAt, clock.read())
+		}
+	})
+}
+
 // Guards against settings that crash the process instead of being rejected.
 func FuzzSettings(f *testing.F) {
 	f.Add([]byte(`{"id":"a","host":"10.0.0.1", // comment
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,6 +49,8 @@
 	GroupClient     GroupClient
 	EndpointControl EndpointControl
 	StoreClient     StoreClient
+	NamingStore     NamingStore
+	WallClock       func() time.Time // time of day, time.Now if nil
 }
 
 // Gateway forwards callers' requests to endpoints.
@@ -61,6 +63,10 @@
 	groupClient     GroupClient
 	endpointControl EndpointControl
 	storeClient     StoreClient
+	namingStore     NamingStore
+	wallClock       func() time.Time
+	namingsToSave   chan forward.Naming
+	factsRequests   chan struct{}
 	state           *state
 	pool            *connPool
 	ownership       forward.Ownership // guarded by the state's mutex
@@ -83,7 +89,12 @@
 func New(o Options) *Gateway {
 	s := o.Settings
 	member := netip.AddrPortFrom(netip.MustParseAddr(s.Host), uint16(s.PeerPorts[0])).String()
+	wallClock := o.WallClock
+	if wallClock == nil {
+		wallClock = time.Now
+	}
 	return &Gateway{
+		namingStore: o.NamingStore, wallClock: wallClock, namingsToSave: make(chan forward.Naming, maxNamingsToSave), factsRequests: make(chan struct{}, 1),
 		settings: s, clock: o.Clock, headerCodec: o.HeaderCodec, operators: o.Operators, endpoints: o.Endpoints, groupClient: o.GroupClient, endpointControl: o.EndpointControl, storeClient: o.StoreClient,
 		state: newState(s, o.Clock, rand.New(rand.NewPCG(o.Seed, o.Seed))), pool: newConnPool(o.Clock),
 		ownership:          forward.Ownership{Self: member, Lease: orderLease, Handover: milliseconds(s.OrderHandoverMs) + orderTransitTime},
@@ -105,8 +116,9 @@
 	s := g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	age, known := s.freshness.Age(s.clock())
-	return known && s.table != nil && s.endpointListRead && age < maxReadyConfigAge
+	now := s.clock()
+	age, known := s.freshness.Age(now)
+	return known && g.startState(now) == forward.StartComplete && s.table != nil && s.endpointListRead && age < maxReadyConfigAge
 }
 
 // Run serves requests until ctx is done, then drains within the grace period.
@@ -135,7 +147,7 @@
 	}
 	background, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){g.followOperators, g.followEndpoints, g.maintainMembership, g.sendReports, g.runRollouts, g.followStores, g.cleanStores} {
+	for _, f := range []func(context.Context){g.followOperators, g.followEndpoints, g.maintainMembership, g.sendReports, g.runRollouts, g.followStores, g.cleanStores, g.exchangeFacts, g.saveNamings, g.recoverNamings} {
 		wg.Go(func() { f(background) })
 	}
 	log.Info().Str("event", "started").Str("callers", g.settings.CallerAddress).Str("ready", g.settings.ReadyAddress).Str("log", g.settings.LogAddress).Msg("serving")
@@ -221,12 +233,12 @@
 }
 
 func (g *Gateway) followOperators(ctx context.Context) {
-	r := feedReader[forward.OperatorChange]{name: "operators", feed: g.operators, clock: g.clock, pollWait: operatorPollWait, apply: g.applyOperators}
+	r := feedReader[forward.OperatorChange]{name: "operators", feed: g.operators, clock: g.clock, observeEra: g.observeEra, pollWait: operatorPollWait, apply: g.applyOperators}
 	r.run(ctx, g.state)
 }
 
 func (g *Gateway) followEndpoints(ctx context.Context) {
-	r := feedReader[forward.EndpointChange]{name: "endpoints", feed: g.endpoints, clock: g.clock, pollPause: time.Duration(endpointPollShare * float64(milliseconds(g.settings.DrainMs))), apply: g.applyEndpoints, onFailure: func(now time.Duration) {
+	r := feedReader[forward.EndpointChange]{name: "endpoints", feed: g.endpoints, clock: g.clock, observeEra: g.observeEra, pollPause: time.Duration(endpointPollShare * float64(milliseconds(g.settings.DrainMs))), apply: g.applyEndpoints, onFailure: func(now time.Duration) {
 		g.state.mu.Lock()
 		defer g.state.mu.Unlock()
 		g.state.endpointList.LogLost(now)
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -57,25 +57,39 @@
 	ParseResponse(status int, h http.Header) ResponseInfo
 }
 
+// Batch is a set of records that was read from the log.
+type Batch[T any] struct {
+	Records []T
+	Next    int64       // offset from which Read continues
+	Era     forward.Era // era of the log that the records and Next belong to
+}
+
 // Feed reads a log of keyed records.
 type Feed[T any] interface {
-	// Newest returns the newest record of each key and the offset from which Read continues.
-	Newest(ctx context.Context) (records []T, next int64, err error)
+	// Newest returns the newest record of each key.
+	Newest(ctx context.Context) (Batch[T], error)
 	// Read returns the records from an offset on. If there are none, it waits for up to
 	// the given time for one.
-	Read(ctx context.Context, from int64, wait time.Duration) (records []T, next int64, err error)
+	Read(ctx context.Context, from int64, wait time.Duration) (Batch[T], error)
+}
+
+// MemberList is the list of the members of a group.
+type MemberList struct {
+	Era     forward.Era
+	Members []string
 }
 
-// JoinResult is the result of joining a group.
-type JoinResult struct {
-	Generation int64 // increases with each membership change
+// NamingStore keeps in the log when weight versions were named.
+type NamingStore interface {
+	Save(ctx context.Context, n forward.StoredNaming) error
+	Load(ctx context.Context) ([]forward.StoredNaming, error)
 }
 
 // GroupClient manages membership of processes in groups that are stored in the platform's log.
 type GroupClient interface {
-	Join(ctx context.Context, group, member string, generation int64, lease time.Duration) (JoinResult, error)
+	Join(ctx context.Context, group, member string, generation int64, lease time.Duration) (forward.Generation, error)
 	Leave(ctx context.Context, group, member string) error
-	Members(ctx context.Context, group string) ([]string, error)
+	Members(ctx context.Context, group string) (MemberList, error)
 }
 
 // StoreClient is a client of the cache stores, which are identified by their address.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -291,6 +291,12 @@
 			}
 			return
 		}
+		if isFacts(buf[:n]) {
+			if !g.receiveFacts(buf[:n]) {
+				g.rejectedReports.Add(1)
+			}
+			continue
+		}
 		var r loadReport
 		if msgpack.Unmarshal(buf[:n], &r) != nil || r.Protocol != reportProtocol || r.Member == g.memberID {
 			g.rejectedReports.Add(1)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -121,6 +121,9 @@
 	if s.table == nil || !known {
 		return apierr.NewRetryable(apierr.NotReady, apierr.NotRun, notReadyRetryAfter, "no configuration has been read yet", "send the request again")
 	}
+	if q.g.startState(now) != forward.StartComplete {
+		return apierr.NewRetryable(apierr.NotReady, apierr.NotRun, notReadyRetryAfter, "this entry has just started and its peers may have a newer configuration", "send the request again on a new connection; it reaches another entry")
+	}
 	q.accessLog.configVersion, q.accessLog.configAge = s.table.Config.Version, age
 	if !q.r.ProtoAtLeast(1, 1) && q.r.Header.Get("Content-Length") == "" && methodHasBody(q.r.Method) {
 		// net/http ignores chunked encoding in HTTP/1.0: the request would be forwarded
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -29,46 +29,52 @@
 	for ctx.Err() == nil {
 		sentAt := g.clock()
 		m, err := g.join(ctx)
-		if err == nil && g.recordJoin(m, sentAt) && g.readMembers(ctx, m.Generation) {
+		if err == nil && g.recordJoin(m, sentAt) && g.readMembers(ctx, m) {
 			continue // the next join confirms that the list is current
 		}
 		wait.For(ctx, joinInterval)
 	}
 }
 
-func (g *Gateway) join(ctx context.Context) (JoinResult, error) {
+func (g *Gateway) join(ctx context.Context) (forward.Generation, error) {
 	g.state.mu.Lock()
 	generation := g.ownership.Generation()
 	g.state.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	return g.groupClient.Join(ctx, groupName, g.memberID, generation, memberLease)
+	return g.groupClient.Join(ctx, groupName, g.memberID, generation.Number, memberLease)
 }
 
 // recordJoin records the result of a join that was sent at the given time. It reports whether
 // the members of a new generation have to be read.
-func (g *Gateway) recordJoin(m JoinResult, sentAt time.Duration) bool {
+func (g *Gateway) recordJoin(m forward.Generation, sentAt time.Duration) bool {
+	if g.observeEra("group", m.Era) == forward.EraStale {
+		return false
+	}
 	s := g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if g.ownership.RecordJoin(m.Generation, sentAt) {
+	if g.ownership.RecordJoin(m, sentAt) {
 		s.peerLoads.members = g.ownership.Members()
-		log.Info().Str("event", "members").Int64("generation", m.Generation).Int("count", len(s.peerLoads.members)).Msg("group of entries changed")
+		log.Info().Str("event", "members").Int64("era", int64(m.Era)).Int64("generation", m.Number).Int("count", len(s.peerLoads.members)).Msg("group of entries changed")
 	}
-	return !g.ownership.KnowsMembers(m.Generation)
+	return !g.ownership.KnowsMembers(m)
 }
 
-func (g *Gateway) readMembers(ctx context.Context, generation int64) bool {
+func (g *Gateway) readMembers(ctx context.Context, generation forward.Generation) bool {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	members, err := g.groupClient.Members(ctx, groupName)
+	list, err := g.groupClient.Members(ctx, groupName)
+	if err == nil && list.Era != generation.Era {
+		err = errStaleAnswer
+	}
 	if err != nil {
 		log.Warn().Str("event", "members_unread").Err(err).Msg("cannot read the group members; retrying after the next join")
 		return false
 	}
 	g.state.mu.Lock()
 	defer g.state.mu.Unlock()
-	g.ownership.RecordMembers(generation, members)
+	g.ownership.RecordMembers(generation, list.Members)
 	return true
 }
 
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -49,6 +49,10 @@
 	rng              *rand.Rand
 	table            *forward.Table
 	freshness        forward.Freshness
+	eras             forward.EraTracker
+	catchUp          forward.CatchUp
+	startup          forward.Startup
+	peerFacts        map[string]knownFacts
 	readConfirmed    chan struct{} // closed and replaced when freshness changes
 	endpointList     *forward.EndpointList
 	endpointListRead bool
@@ -66,7 +70,7 @@
 
 func newState(s Settings, clock Clock, rng *rand.Rand) *state {
 	return &state{
-		clock: clock, rng: rng, endpointList: forward.NewEndpointList(), endpoints: map[string]*endpointState{}, rollout: forward.NewRollout(),
+		clock: clock, rng: rng, endpointList: forward.NewEndpointList(), endpoints: map[string]*endpointState{}, peerFacts: map[string]knownFacts{}, rollout: forward.NewRollout(),
 		retryBudgets: map[string]*retry.Budget{}, peerLoads: newPeerLoads(), settings: s,
 		freshness: forward.Freshness{MaxKeyAge: milliseconds(s.RevokeMs) - revokeMargin}, readConfirmed: make(chan struct{}),
 	}
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -27,7 +27,8 @@
 	Endpoints      int               `json:"endpoints"`
 	Usable         int               `json:"usable"` // endpoints that are healthy and not loading weights
 	Members        int               `json:"members"`
-	Generation     int64             `json:"generation"` // generation of the member list, the fencing token of orders
+	Generation     int64             `json:"generation"` // fencing token of orders: era and generation of the member list
+	Era            int64             `json:"era"`        // newest era of the log, 0 if it numbers none
 	OwnedEndpoints []string          `json:"holds"`      // endpoints that this process may send orders to
 	Rollouts       map[string]string `json:"rollouts"`   // rollout stage by endpoint, for rollouts of this process
 	InFlight       int64             `json:"in_flight"`
@@ -41,7 +42,7 @@
 	defer s.mu.Unlock()
 	now := s.clock()
 	st := Status{
-		ID: g.settings.ID, Ready: ready, WeightVersions: s.rollout.NewestTargets(), Members: len(s.peerLoads.members), Generation: g.ownership.Generation(),
+		ID: g.settings.ID, Ready: ready, WeightVersions: s.rollout.NewestTargets(), Members: len(s.peerLoads.members), Generation: g.ownership.FencingToken(), Era: int64(s.eras.Newest()),
 		Rollouts: s.rollout.Stages(), InFlight: g.inFlight.Load(), OwnedEndpoints: []string{},
 	}
 	if age, known := s.freshness.Age(now); known {
@@ -73,10 +74,11 @@
 func ReadEntryStatuses(ctx context.Context, groups GroupClient, port int) ([]EntryStatus, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	members, err := groups.Members(ctx, groupName)
+	list, err := groups.Members(ctx, groupName)
 	if err != nil {
 		return nil, fmt.Errorf("read group members from the log: %w", err)
 	}
+	members := list.Members
 	slices.Sort(members)
 	out := make([]EntryStatus, len(members))
 	var wg sync.WaitGroup
@@ -133,11 +135,11 @@
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	p := PublishedVersions{WeightVersions: map[string]int64{}}
-	changes, _, err := operators.Newest(ctx)
+	batch, err := operators.Newest(ctx)
 	if err != nil {
 		return p, fmt.Errorf("read operators' records from the log: %w", err)
 	}
-	for _, c := range changes {
+	for _, c := range batch.Records {
 		switch {
 		case c.Config != nil:
 			p.ConfigVersion = c.Config.Version
