Relay load reports, delete retired parts on time after a restart

Change: a report crosses to each other failure domain once and is passed on there by a peer that changes with each report, where the domain has three peers or more that can; the record of a naming also holds the latest time at which the version may have been named, from which deletion counts.

--- a/core/forward/naming_test.go
+++ b/core/forward/naming_test.go
@@ -23,6 +23,9 @@
 	} {
 		t.Run(name, func(t *testing.T) { require.Equal(t, c.want, c.now.ElapsedSince(c.then)) })
 	}
+	require.Equal(t, 5*time.Second, stamp(9000, 50_400).MinElapsedSince(stamp(4000, 45_000)))
+	require.Zero(t, stamp(0, 48_000).MinElapsedSince(stamp(4000, 45_000)))
+	require.Equal(t, 2*time.Second, stamp(0, 52_000).MinElapsedSince(stamp(4000, 45_000)))
 	require.Equal(t, stamp(3000, 44_000), stamp(4000, 45_000).Before(time.Second))
 	require.Equal(t, stamp(0, 44_000), stamp(0, 45_000).Before(time.Second))
 }
@@ -39,21 +42,39 @@
 	require.True(t, r.NamingsUnknown())
 	require.Empty(t, r.Namings(0))
 
-	require.False(t, r.RecordNaming(Naming{WeightVersion{"m", 3}, 2, now - 4*time.Second}, now))
+	require.False(t, r.RecordNaming(Naming{WeightVersion{"m", 3}, 2, now - 4*time.Second, now - 3*time.Second}, now))
 	require.False(t, r.NamingsUnknown())
 	since, _ = r.RetiredSince("m", 2)
 	require.Equal(t, now-4*time.Second, since)
 	since, _ = r.RetiredSince("m", 1)
 	require.Equal(t, UnknownNamingTime, since, "version 2 was named at an unknown time")
-	require.False(t, r.RecordNaming(Naming{WeightVersion{"m", 2}, 0, now - 9*time.Second}, now))
+	require.False(t, r.RecordNaming(Naming{WeightVersion{"m", 2}, 0, now - 9*time.Second, now - 8*time.Second}, now))
 	since, _ = r.RetiredSince("m", 1)
 	require.Equal(t, now-9*time.Second, since)
 
-	require.False(t, r.RecordNaming(Naming{WeightVersion{"m", 3}, 2, now - 5*time.Second}, now), "an earlier lower bound")
+	require.False(t, r.RecordNaming(Naming{WeightVersion{"m", 3}, 2, now - 5*time.Second, now}, now), "an earlier lower bound")
 	since, _ = r.RetiredSince("m", 2)
 	require.Equal(t, now-4*time.Second, since)
-	require.True(t, r.RecordNaming(Naming{WeightVersion{"m", 4}, 3, now - time.Second}, now), "a version that only a peer has read")
+	require.True(t, r.RecordNaming(Naming{WeightVersion{"m", 4}, 3, now - time.Second, now}, now), "a version that only a peer has read")
 	require.EqualValues(t, 4, r.NewestTargets()["m"])
 	require.Len(t, r.Namings(now-5*time.Second), 2)
 	require.False(t, r.AddTarget(WeightVersion{"m", 4}, now, now))
 }
+
+// Guards against stores that stay full of parts of older weights after all processes have
+// restarted, so that no part of the newer ones can be saved. Load pattern: all processes are
+// lost during a rollout, and all prompts come with the newer weights.
+func TestRestartDoesNotPostponeTheDeletionOfRetiredParts(t *testing.T) {
+	now := time.Minute
+	r := NewRollout()
+	r.AddTarget(WeightVersion{"m", 2}, UnknownNamingTime, now)
+	deletable := func(after time.Duration) bool { return r.Deletable("m", 1, now+after) }
+	wait := r.RetireDelay + deleteMargin
+	require.False(t, deletable(wait-1))
+	require.True(t, deletable(wait))
+	r.RecordNaming(Naming{WeightVersion{"m", 2}, 0, now - 7*time.Second, now - 6*time.Second}, now)
+	require.False(t, deletable(wait-6*time.Second-1))
+	require.True(t, deletable(wait-6*time.Second))
+	r.RecordNaming(Naming{WeightVersion{"m", 2}, 0, now - 7*time.Second, now}, now)
+	require.True(t, deletable(wait-6*time.Second), "a later upper bound adds nothing")
+}
--- a/core/forward/rollout.go
+++ b/core/forward/rollout.go
@@ -65,7 +65,7 @@
 	version   int64
 	previous  int64         // version that was the newest when this one was set, 0 if none, unknownVersion if unknown
 	setAt     time.Duration // earliest time at which the version may have been set
-	learnedAt time.Duration // when this process learned of it, not before it was set
+	learnedAt time.Duration // when a process learned of it, not before it was set
 }
 
 // unknownVersion stands for a previous version that is not known.
@@ -178,23 +178,24 @@
 	WeightVersion
 	Previous int64         // version that was the newest before, 0 if none
 	SetAt    time.Duration // earliest time at which the version may have been named
+	KnownAt  time.Duration // latest time at which it may have been named
 }
 
 // RecordNaming adds what a peer, or an earlier run of the deployment, knew of a target. It
-// reports whether the version is newer than all targets before. All known times are lower
-// bounds, so the latest is the closest.
+// reports whether the version is newer than all targets before. Each time is a bound, so the
+// latest SetAt and the earliest KnownAt are the closest.
 func (r *Rollout) RecordNaming(n Naming, now time.Duration) bool {
 	ts := r.targets[n.Model]
 	i, found := slices.BinarySearchFunc(ts, n.Version, func(t target, v int64) int { return cmp.Compare(t.version, v) })
 	if !found {
-		r.insertTarget(n.Model, target{n.Version, n.Previous, n.SetAt, now})
+		r.insertTarget(n.Model, target{n.Version, n.Previous, n.SetAt, min(n.KnownAt, now)})
 		return i == len(ts)
 	}
 	t := &ts[i]
 	if t.previous == unknownVersion {
 		t.previous = n.Previous
 	}
-	t.setAt = max(t.setAt, n.SetAt)
+	t.setAt, t.learnedAt = max(t.setAt, n.SetAt), min(t.learnedAt, n.KnownAt)
 	return false
 }
 
@@ -204,7 +205,7 @@
 	for model, ts := range r.targets {
 		for _, t := range ts {
 			if t.setAt > after && t.previous != unknownVersion {
-				out = append(out, Naming{WeightVersion{model, t.version}, t.previous, t.setAt})
+				out = append(out, Naming{WeightVersion{model, t.version}, t.previous, t.setAt, t.learnedAt})
 			}
 		}
 	}
--- a/gateway/era_test.go
+++ b/gateway/era_test.go
@@ -165,7 +165,7 @@
 	g, clock := newGateway(t)
 	g.applyOperators([]forward.OperatorChange{{Weights: &forward.WeightVersion{Model: "m", Version: 2}}}, clock.read(), true)
 	facts := &factsMessage{Protocol: factsProtocol, Member: "10.0.0.2:7", Config: 7, Named: []factNaming{
-		{"m", 2, 1, 3000}, {"m", -1, 0, 0}, {"m", 5, -1, 0}, {"m", 5, 0, -1},
+		{"m", 2, 1, 3000, 2000}, {"m", -1, 0, 0, 0}, {"m", 5, -1, 0, 0}, {"m", 5, 0, 1, 2}, {"m", 5, 0, 3, -1},
 	}}
 	g.applyFacts(&factsMessage{Member: "10.0.0.2:7"})
 	clock.advance(4 * time.Second)
--- a/gateway/facts.go
+++ b/gateway/facts.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -41,7 +40,8 @@
 type factsMessage struct {
 	Protocol string
 	Member   string
-	Ask      bool // the sender has just started and wants the receiver's facts
+	Domain   string // failure domain of the sender, which passes reports on in it
+	Ask      bool   // the sender has just started and wants the receiver's facts
 	Config   int64
 	Named    boundedList[factNaming]
 }
@@ -52,12 +52,15 @@
 	Version  int64
 	Previous int64
 	AgeMs    int64 // upper bound of the time since it was named
+	KnownMs  int64 // lower bound of that time
 }
 
 // knownFacts is what a peer last said.
 type knownFacts struct {
 	config     int64
+	domain     string
 	receivedAt time.Duration
+	since      time.Duration // when the first message of an uninterrupted series arrived
 }
 
 // peerConfigVersion returns the newest configuration version that a peer has in force.
@@ -132,26 +135,20 @@
 }
 
 func (g *Gateway) sendFacts(member string, ask bool) {
-	to, err := netip.ParseAddrPort(member)
-	if err != nil || g.peerConn == nil {
-		return // not the address of an entry
-	}
 	s := g.state
 	s.mu.Lock()
 	now := s.clock()
-	f := factsMessage{Protocol: factsProtocol, Member: g.memberID, Ask: ask, Config: s.knowledge().ConfigVersion}
+	f := factsMessage{Protocol: factsProtocol, Member: g.memberID, Domain: s.settings.FailureDomain, Ask: ask, Config: s.knowledge().ConfigVersion}
 	for _, n := range s.rollout.Namings(now - milliseconds(s.settings.VersionMs)) {
-		f.Named = append(f.Named, factNaming{n.Model, n.Version, n.Previous, (now - n.SetAt).Milliseconds()})
+		f.Named = append(f.Named, factNaming{n.Model, n.Version, n.Previous, (now - n.SetAt).Milliseconds(), (now - n.KnownAt).Milliseconds()})
 	}
 	s.mu.Unlock()
-	var b bytes.Buffer
-	e := msgpack.NewEncoder(&b)
-	e.UseArrayEncodedStructs(true)
-	if err := e.Encode(&f); err != nil || b.Len() > maxDatagram {
-		log.Error().Str("event", "facts_failed").Int("bytes", b.Len()).Err(err).Msg("cannot encode the facts for peers")
+	data, err := encodeMessage(&f)
+	if err != nil || len(data) > maxDatagram {
+		log.Error().Str("event", "facts_failed").Int("bytes", len(data)).Err(err).Msg("cannot encode the facts for peers")
 		return
 	}
-	_, _ = g.peerConn.WriteToUDPAddrPort(b.Bytes(), to) // a lost message is replaced by the next one
+	g.sendDatagram(data, member)
 }
 
 // isFacts reports whether a datagram is a message with facts.
@@ -179,15 +176,20 @@
 	defer s.mu.Unlock()
 	now := s.clock()
 	s.recordActivity(now)
-	s.peerFacts[f.Member] = knownFacts{config: f.Config, receivedAt: now}
+	known, ok := s.peerFacts[f.Member]
+	if !ok || now >= known.receivedAt+factsTTL {
+		known.since = now
+	}
+	known.config, known.domain, known.receivedAt = f.Config, f.Domain, now
+	s.peerFacts[f.Member] = known
 	if s.resumedAt > 0 && now < s.resumedAt+reportTTL {
 		return // the message may have been in the socket's buffer during the suspension, so its ages are too low
 	}
 	for _, n := range f.Named {
-		if n.Version <= 0 || n.Previous < 0 || n.AgeMs < 0 || n.AgeMs > s.settings.VersionMs {
+		if n.Version <= 0 || n.Previous < 0 || n.KnownMs < 0 || n.AgeMs < n.KnownMs || n.AgeMs > s.settings.VersionMs {
 			continue
 		}
-		naming := forward.Naming{WeightVersion: forward.WeightVersion{Model: n.Model, Version: n.Version}, Previous: n.Previous, SetAt: now - milliseconds(n.AgeMs) - namingTransitMargin}
+		naming := forward.Naming{WeightVersion: forward.WeightVersion{Model: n.Model, Version: n.Version}, Previous: n.Previous, SetAt: now - milliseconds(n.AgeMs) - namingTransitMargin, KnownAt: now - milliseconds(n.KnownMs)}
 		if s.rollout.RecordNaming(naming, now) {
 			log.Info().Str("event", "weights_named").Str("model", n.Model).Int64("version", n.Version).Str("peer", f.Member).Int64("age_ms", n.AgeMs).Msg("a peer told of a weight version")
 		}
@@ -252,7 +254,8 @@
 	s := g.state
 	s.mu.Lock()
 	now := s.clock()
-	stored := forward.StoredNaming{WeightVersion: n.WeightVersion, Previous: n.Previous, At: g.stamp(now).Before(now - n.SetAt)}
+	stamp := g.stamp(now)
+	stored := forward.StoredNaming{WeightVersion: n.WeightVersion, Previous: n.Previous, At: stamp.Before(now - n.SetAt), KnownAt: stamp.Before(now - n.KnownAt)}
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, namingTimeout)
 	defer cancel()
--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -71,8 +71,11 @@
 // Guards against messages with facts, from any sender, that crash the process or name a
 // version of the future as known.
 func FuzzFacts(f *testing.F) {
-	f.Add([]byte("\x95\xb2" + factsProtocol + "\xa1a\xc2\x07\x91\x94\xa1m\x02\x01\x05"))
-	f.Add([]byte("\x95\xb2" + factsProtocol + "\xa1a\xc3\x07\xdf\xff\xff\xff\xff"))
+	valid, err := encodeMessage(&factsMessage{Protocol: factsProtocol, Member: "a", Domain: "d", Config: 7, Named: []factNaming{{"m", 2, 1, 5, 4}}})
+	require.NoError(f, err)
+	f.Add(valid)
+	f.Add(valid[:len(valid)-3])
+	f.Add([]byte("\x96\xb2" + factsProtocol + "\xa1a\xa1d\xc3\x07\xdf\xff\xff\xff\xff"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		clock := &testClock{}
 		g := New(Options{Settings: testSettings(), Clock: clock.start(time.Hour), Seed: 1, HeaderCodec: testHeaderCodec{}})
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -1,11 +1,9 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"net"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -193,24 +191,11 @@
 			log.Error().Str("event", "report_failed").Err(err).Msg("cannot encode the load report")
 			continue
 		}
-		for _, m := range members {
-			to, err := netip.ParseAddrPort(m)
-			if err != nil {
-				continue // not the address of an entry
-			}
-			_, _ = g.peerConn.WriteToUDPAddrPort(data, to) // a lost report is replaced by the next one
-		}
+		g.sendReport(data, members, seq)
 	}
 }
 
-// encodeReport encodes a report with structs as arrays, to keep the datagram small.
-func encodeReport(r *loadReport) ([]byte, error) {
-	var b bytes.Buffer
-	e := msgpack.NewEncoder(&b)
-	e.UseArrayEncodedStructs(true)
-	err := e.Encode(r)
-	return b.Bytes(), err
-}
+func encodeReport(r *loadReport) ([]byte, error) { return encodeMessage(r) }
 
 // awaitReportDue waits until a report is due and returns false when ctx is done. The placement
 // of a long prompt is reported immediately; otherwise peers would send theirs to the same
@@ -291,14 +276,18 @@
 			}
 			return
 		}
-		if isFacts(buf[:n]) {
-			if !g.receiveFacts(buf[:n]) {
+		data := buf[:n]
+		if isFacts(data) {
+			if !g.receiveFacts(data) {
 				g.rejectedReports.Add(1)
 			}
 			continue
 		}
+		if isRelay(data) {
+			data = g.passOn(data)
+		}
 		var r loadReport
-		if msgpack.Unmarshal(buf[:n], &r) != nil || r.Protocol != reportProtocol || r.Member == g.memberID {
+		if msgpack.Unmarshal(data, &r) != nil || r.Protocol != reportProtocol || r.Member == g.memberID {
 			g.rejectedReports.Add(1)
 			continue
 		}
