--- a/core/forward/admit_test.go
+++ b/core/forward/admit_test.go
@@ -57,7 +57,7 @@
 		}
 		cs := make([]Candidate, endpoints)
 		for i := range cs {
-			cs[i] = Candidate{Endpoint: Endpoint{ID: fmt.Sprint(i), FailureDomain: "a"}, Load: servers[i].load, UrgentLoad: servers[i].load, Usable: true}
+			cs[i] = Candidate{Endpoint: Endpoint{ID: fmt.Sprint(i), FailureDomain: "a"}, Load: servers[i].load, Usable: true}
 		}
 		c := Choose(PlacementRequest{Prompt: p, Engine: engine, FailureDomain: "a", Now: now, StartIndex: n}, cs)
 		if refuse && ShouldShed(c, latencyTarget) {
--- a/core/forward/choose.go
+++ b/core/forward/choose.go
@@ -55,7 +55,6 @@
 type Candidate struct {
 	Endpoint         Endpoint
 	Load             EndpointLoad // from all processes
-	UrgentLoad       EndpointLoad // the part of Load that is at least as urgent as the request
 	Residency        *Residency
 	Usable           bool // false while the endpoint is suspect, refuses requests or loads weights
 	Excluded         bool // already tried, or not allowed for this request
@@ -69,7 +68,6 @@
 	FailureDomain string  // failure domain of this process
 	Engine        *Engine
 	CacheGroup    string       // group of customers that share cached prompts
-	Priority      int          // 0 is the most urgent
 	Stores        []*StoreView // nil while fetching is not allowed
 	StartIndex    int          // index of the candidate to evaluate first, which wins ties
 	Now           time.Duration
@@ -172,12 +170,12 @@
 	recomputed := t.estimatePrefix(c, vp, &ch)
 	ch.RecomputedTokens = recomputed
 	prefillTokens := max(t.Prompt.Tokens-ch.CachedTokens-ch.FetchedTokens, 0)
-	ch.Load = RequestLoad{PrefillTokens: prefillTokens, MemoryTokens: t.Prompt.Tokens + outputEstimate(t.Prompt), LongRunning: t.Prompt.LongRunning(), Priority: t.Priority}
+	ch.Load = RequestLoad{PrefillTokens: prefillTokens, MemoryTokens: t.Prompt.Tokens + outputEstimate(t.Prompt), LongRunning: t.Prompt.LongRunning()}
 	ownWait := ch.FetchMs + float64(prefillTokens)/prefillTokensPerMs
-	urgentWait := t.queueMs(c.UrgentLoad, ch.Load)
-	ch.QueueWait = time.Duration(urgentWait * float64(time.Millisecond))
-	ch.ExpectedWait = time.Duration((urgentWait + ownWait) * float64(time.Millisecond))
-	cost += t.queueMs(c.Load, ch.Load) + ownWait + (evictionCostShare*float64(prefillTokens+ch.FetchedTokens)+recomputeCostShare*float64(recomputed))/prefillTokensPerMs + tieBreakSpreadMs*t.hashOrder(c.Endpoint.ID)
+	queueWait := t.queueMs(c.Load, ch.Load)
+	ch.QueueWait = time.Duration(queueWait * float64(time.Millisecond))
+	ch.ExpectedWait = time.Duration((queueWait + ownWait) * float64(time.Millisecond))
+	cost += queueWait + ownWait + (evictionCostShare*float64(prefillTokens+ch.FetchedTokens)+recomputeCostShare*float64(recomputed))/prefillTokensPerMs + tieBreakSpreadMs*t.hashOrder(c.Endpoint.ID)
 	return cost, ch
 }
 
--- a/core/forward/load.go
+++ b/core/forward/load.go
@@ -13,7 +13,6 @@
 	MemoryTokens  int  // tokens of KV cache memory held until the request ends
 	LongRunning   bool // the request is long-running
 	Started       bool // the first event has arrived
-	Priority      int  // 0 is the most urgent
 }
 
 // EndpointLoad is the sum of the unfinished requests on one endpoint.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -99,7 +99,7 @@
 	defer s.mu.Unlock()
 	now := s.clock()
 	others := 0
-	for _, c := range s.candidates(q.service.Name, nil, 0, q.tried, now) {
+	for _, c := range s.candidates(q.service.Name, nil, q.tried, now) {
 		others += boolInt(!c.Excluded && c.Usable)
 	}
 	return others > 0 && s.retryBudget(q.service.Name).CanSpend(now)
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -38,10 +38,9 @@
 	if left < minUsefulBudget {
 		return nil, q.placementError(apierr.NewRetryable(apierr.DeadlineUnmet, apierr.NotRun, overloadRetryAfter, "no time is left", "send the request with a longer deadline"))
 	}
-	priority := forward.EffectivePriority(q.route, q.customer)
-	cs := s.candidates(q.service.Name, q.call.Prompt, priority, q.tried, now)
+	cs := s.candidates(q.service.Name, q.call.Prompt, q.tried, now)
 	c := forward.Choose(forward.PlacementRequest{
-		Prompt: q.call.Prompt, FailureDomain: s.settings.FailureDomain, Engine: q.service.Engine, CacheGroup: q.cacheGroup, Priority: priority,
+		Prompt: q.call.Prompt, FailureDomain: s.settings.FailureDomain, Engine: q.service.Engine, CacheGroup: q.cacheGroup,
 		StartIndex: s.rng.IntN(len(cs) + 1),
 		Stores:     s.fetchableStores(now), Now: now,
 		Fetchable: func(model string, version int64) bool { return s.rollout.Fetchable(model, version, now) },
@@ -60,7 +59,6 @@
 	st := s.endpointState(p.endpoint.ID)
 	st.health.Allow(now)
 	st.load.Add(p.work)
-	s.priorityMix(q.service.Name).Record(p.work, now)
 	if pr := q.call.Prompt; pr != nil {
 		capacity := int(cacheMemoryShare * float64(q.service.Engine.CapacityTokens))
 		for i, part := range pr.Parts {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -31,7 +31,7 @@
 
 // endpointState is what this process knows about an endpoint in addition to its list entry.
 type endpointState struct {
-	load             forward.PriorityLoad
+	load             forward.EndpointLoad
 	health           forward.Health
 	residency        forward.Residency
 	observedVersions map[string]int64 // newest weight versions seen in responses and reports, by model
@@ -68,7 +68,6 @@
 	retryBudgets     map[string]*retry.Budget
 	stores           []*forward.StoreView
 	peerLoads        peerLoads
-	mixes            map[string]*forward.PriorityMix // by service
 	settings         Settings
 }
 
@@ -76,7 +75,7 @@
 	rollout := forward.NewRollout()
 	rollout.RetireDelay = forward.RetireDelayFor(milliseconds(s.VersionMs))
 	return &state{
-		clock: clock, rng: rng, endpointList: forward.NewEndpointList(), endpoints: map[string]*endpointState{}, peerFacts: map[string]knownFacts{}, mixes: map[string]*forward.PriorityMix{}, rollout: rollout,
+		clock: clock, rng: rng, endpointList: forward.NewEndpointList(), endpoints: map[string]*endpointState{}, peerFacts: map[string]knownFacts{}, rollout: rollout,
 		retryBudgets: map[string]*retry.Budget{}, peerLoads: newPeerLoads(), settings: s,
 		freshness: forward.Freshness{MaxKeyAge: milliseconds(s.RevokeMs) - revokeMargin}, readConfirmed: make(chan struct{}), storeRead: make(chan struct{}), resumes: make(chan struct{}, 1),
 	}
@@ -197,31 +196,18 @@
 	return models
 }
 
-// priorityMix returns the distribution of a service's load over the priorities.
-func (s *state) priorityMix(service string) *forward.PriorityMix {
-	m := s.mixes[service]
-	if m == nil {
-		m = &forward.PriorityMix{}
-		s.mixes[service] = m
-	}
-	return m
-}
-
-// candidates returns the endpoints of a service as placement candidates for a request of the
-// given priority.
-func (s *state) candidates(service string, p *forward.Prompt, priority int, tried map[string]bool, now time.Duration) []forward.Candidate {
+// candidates returns the endpoints of a service as placement candidates.
+func (s *state) candidates(service string, p *forward.Prompt, tried map[string]bool, now time.Duration) []forward.Candidate {
 	endpoints := s.listedEndpoints(now)
 	cs := make([]forward.Candidate, 0, len(endpoints))
-	mix := s.priorityMix(service)
 	for _, e := range endpoints {
 		if e.Service != service {
 			continue
 		}
 		st := s.endpointState(e.ID)
 		e.Models = st.withObservedVersions(e.Models)
-		peers := s.peerLoads.load(e.ID)
 		c := forward.Candidate{
-			Endpoint: e, Load: st.load.Plus(peers), UrgentLoad: st.load.UpTo(priority).Plus(mix.UpTo(priority, peers)), Residency: &st.residency,
+			Endpoint: e, Load: st.load.Plus(s.peerLoads.load(e.ID)), Residency: &st.residency,
 			Usable: st.health.Usable(now) && now >= st.loadingUntil, Excluded: tried[e.ID],
 		}
 		all, long := s.rollout.Blocked(e.ID, now)
