Take facts from members only, read the failure domain without the lock

A datagram from an address that belonged to a member before could name a weight version that the operators never named, and sendReport read the settings, which a reload replaces, without the lock. Change: facts of other senders are ignored; the domain comes from the settings at startup, like the addresses. Result: TestStartingProcessWaitsForWhatItsPeersKnow fails without the check.

--- a/gateway/era_test.go
+++ b/gateway/era_test.go
@@ -149,6 +149,9 @@
 		require.Equal(t, 503, status("/nowhere/x", "key"))
 	}
 	refused() // no peer has told what it knows
+	f.applyFacts(&factsMessage{Protocol: factsProtocol, Member: "10.0.0.2:7", Config: 1})
+	refused() // not a member
+	f.state.peerLoads.members = []string{f.memberID, "10.0.0.2:7"}
 	f.applyFacts(&factsMessage{Protocol: factsProtocol, Member: "10.0.0.2:7", Config: 2})
 	refused()
 	newer := *f.state.table.Config
@@ -167,6 +170,7 @@
 	facts := &factsMessage{Protocol: factsProtocol, Member: "10.0.0.2:7", Config: 7, Named: []factNaming{
 		{"m", 2, 1, 3000, 2000}, {"m", -1, 0, 0, 0}, {"m", 5, -1, 0, 0}, {"m", 5, 0, 1, 2}, {"m", 5, 0, 3, -1},
 	}}
+	g.state.peerLoads.members = []string{"10.0.0.2:7"}
 	g.applyFacts(&factsMessage{Member: "10.0.0.2:7"})
 	clock.advance(4 * time.Second)
 	g.applyFacts(facts)
--- a/gateway/facts.go
+++ b/gateway/facts.go
@@ -138,7 +138,7 @@
 	s := g.state
 	s.mu.Lock()
 	now := s.clock()
-	f := factsMessage{Protocol: factsProtocol, Member: g.memberID, Domain: s.settings.FailureDomain, Ask: ask, Config: s.knowledge().ConfigVersion}
+	f := factsMessage{Protocol: factsProtocol, Member: g.memberID, Domain: g.settings.FailureDomain, Ask: ask, Config: s.knowledge().ConfigVersion}
 	for _, n := range s.rollout.Namings(now - milliseconds(s.settings.VersionMs)) {
 		f.Named = append(f.Named, factNaming{n.Model, n.Version, n.Previous, (now - n.SetAt).Milliseconds(), (now - n.KnownAt).Milliseconds()})
 	}
@@ -176,6 +176,9 @@
 	defer s.mu.Unlock()
 	now := s.clock()
 	s.recordActivity(now)
+	if !slices.Contains(s.peerLoads.members, f.Member) {
+		return // not known as a member: its address may have belonged to one before
+	}
 	known, ok := s.peerFacts[f.Member]
 	if !ok || now >= known.receivedAt+factsTTL {
 		known.since = now
--- a/gateway/fanout.go
+++ b/gateway/fanout.go
@@ -46,7 +46,7 @@
 	s.mu.Lock()
 	domains := s.relayDomains(s.clock())
 	s.mu.Unlock()
-	f := forward.PlanFanout(g.memberID, s.settings.FailureDomain, peers, domains, seq)
+	f := forward.PlanFanout(g.memberID, g.settings.FailureDomain, peers, domains, seq)
 	for _, m := range f.Direct {
 		g.sendDatagram(data, m)
 	}
@@ -89,7 +89,7 @@
 	s.mu.Lock()
 	var neighbours []string
 	for m, f := range s.peerFacts {
-		if f.domain == s.settings.FailureDomain && m != g.memberID {
+		if f.domain == g.settings.FailureDomain && m != g.memberID {
 			neighbours = append(neighbours, m)
 		}
 	}
--- a/gateway/fanout_test.go
+++ b/gateway/fanout_test.go
@@ -42,6 +42,7 @@
 			c, m := listenUDP(t)
 			conns[m] = c
 			peers = append(peers, m)
+			g.state.peerLoads.members = peers
 			g.applyFacts(&factsMessage{Protocol: factsProtocol, Member: m, Domain: domain})
 		}
 	}
--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -79,6 +79,7 @@
 	f.Fuzz(func(t *testing.T, data []byte) {
 		clock := &testClock{}
 		g := New(Options{Settings: testSettings(), Clock: clock.start(time.Hour), Seed: 1, HeaderCodec: testHeaderCodec{}})
+		g.state.peerLoads.members = []string{"a"}
 		if !isFacts(data) || !g.receiveFacts(data) {
 			return
 		}
