--- a/gateway/era_test.go
+++ b/gateway/era_test.go
@@ -232,3 +232,25 @@
 	clock.advance(milliseconds(testSettings().VersionMs) - versionMargin - 7*time.Second)
 	require.Zero(t, usable(), "the bound holds")
 }
+
+// Guards against a full outage of the endpoints when a weight version is named while no
+// entry runs. Load pattern: all processes are lost, a version is named, and all start again
+// within seconds. The forwarding soak shows it with seed 503.
+func TestVersionNamedWhileNoEntryRuns(t *testing.T) {
+	namings := &memoryNamings{}
+	g, clock := newGateway(t)
+	g.namingStore = namings
+	g.applyOperators(nil, clock.read(), true)
+	g.applyOperators([]forward.OperatorChange{{Weights: &forward.WeightVersion{Model: "m", Version: 2}}}, clock.read(), false)
+	require.NoError(t, g.saveNaming(t.Context(), <-g.namingsToSave))
+	clock.advance(time.Minute)
+	g.applyOperators(nil, clock.read(), false) // the last proof that nothing newer was named
+
+	clock.advance(3 * time.Second)
+	restarted := New(Options{Settings: testSettings(), Clock: clock.read, HeaderCodec: testHeaderCodec{}, NamingStore: namings, WallClock: g.wallClock})
+	restarted.applyOperators([]forward.OperatorChange{{Weights: &forward.WeightVersion{Model: "m", Version: 3}}}, clock.read(), true)
+	restarted.applyNamings(namings.saved)
+	since, outdated := restarted.state.rollout.RetiredSince("m", 2)
+	require.True(t, outdated)
+	require.Greater(t, since, clock.read()-milliseconds(testSettings().VersionMs), "version 3 was named less than 3 s ago")
+}
