Log the naming bound in force and the weights of each attempt

Change: weights_named has age_ms and read_ms, naming_bounded says that a peer's bound was taken over, a request's line has weights_N and outdated_ms_N.

--- a/core/forward/choose.go
+++ b/core/forward/choose.go
@@ -56,10 +56,11 @@
 	Endpoint         Endpoint
 	Load             EndpointLoad // from all processes
 	Residency        *Residency
-	Usable           bool // false while the endpoint is suspect, refuses requests or loads weights
-	Excluded         bool // already tried, or not allowed for this request
-	Outdated         bool // has older weights than the target version
-	AvoidLongRunning bool // should get no long-running prompts, because it is about to load weights
+	Usable           bool          // false while the endpoint is suspect, refuses requests or loads weights
+	Excluded         bool          // already tried, or not allowed for this request
+	Outdated         bool          // has older weights than the target version
+	OutdatedSince    time.Duration // if Outdated, the earliest time at which the first newer version may have been set
+	AvoidLongRunning bool          // should get no long-running prompts, because it is about to load weights
 }
 
 // PlacementRequest describes a request to be placed.
--- a/core/forward/rollout.go
+++ b/core/forward/rollout.go
@@ -199,6 +199,17 @@
 	return false
 }
 
+// SetAt returns the earliest time at which a target version may have been set, and false if
+// the version is no target or the time is not known.
+func (r *Rollout) SetAt(w WeightVersion) (time.Duration, bool) {
+	for _, t := range r.targets[w.Model] {
+		if t.version == w.Version {
+			return t.setAt, t.setAt != UnknownNamingTime
+		}
+	}
+	return 0, false
+}
+
 // Namings returns the targets that were named after the given time.
 func (r *Rollout) Namings(after time.Duration) []Naming {
 	var out []Naming
--- a/gateway/accesslog.go
+++ b/gateway/accesslog.go
@@ -115,6 +115,12 @@
 		n := strconv.Itoa(i + 1)
 		e = e.Str("endpoint_"+n, a.placement.endpoint.ID).Dur("expected_ms_"+n, a.placement.choice.ExpectedWait).Int("cached_"+n, a.placement.choice.CachedTokens).Int("fetched_"+n, a.placement.choice.FetchedTokens).Int("read_"+n, a.placement.choice.RecomputedTokens).
 			Bool("suspect_"+n, a.placement.choice.Suspect).Dur("took_ms_"+n, a.duration)
+		if a.placement.choice.Version > 0 {
+			e = e.Int64("weights_"+n, a.placement.choice.Version)
+		}
+		if a.placement.outdatedFor > 0 {
+			e = e.Dur("outdated_ms_"+n, a.placement.outdatedFor)
+		}
 		if a.err != nil {
 			e = e.Bool("not_run_"+n, a.err.notRun).Bool("sent_"+n, a.err.sent).Str("failure_"+n, a.err.Error())
 		}
--- a/gateway/facts.go
+++ b/gateway/facts.go
@@ -193,12 +193,26 @@
 			continue
 		}
 		naming := forward.Naming{WeightVersion: forward.WeightVersion{Model: n.Model, Version: n.Version}, Previous: n.Previous, SetAt: now - milliseconds(n.AgeMs) - namingTransitMargin, KnownAt: now - milliseconds(n.KnownMs)}
-		if s.rollout.RecordNaming(naming, now) {
-			log.Info().Str("event", "weights_named").Str("model", n.Model).Int64("version", n.Version).Str("peer", f.Member).Int64("age_ms", n.AgeMs).Msg("a peer told of a weight version")
+		before, _ := s.rollout.SetAt(naming.WeightVersion)
+		newest := s.rollout.RecordNaming(naming, now)
+		if newest {
+			g.logNaming(log.Info().Str("event", "weights_named"), naming.WeightVersion, now).Str("peer", f.Member).Msg("a peer told of a weight version")
+		} else if after, _ := s.rollout.SetAt(naming.WeightVersion); after != before {
+			g.logNaming(log.Info().Str("event", "naming_bounded"), naming.WeightVersion, now).Str("peer", f.Member).Msg("a peer has a closer bound of when the weight version was named")
 		}
 	}
 }
 
+// logNaming adds a weight version to a line, with the longest time for which it may have been
+// named if that is known. The caller holds the state's mutex.
+func (g *Gateway) logNaming(e *log.Entry, w forward.WeightVersion, now time.Duration) *log.Entry {
+	e = e.Str("model", w.Model).Int64("version", w.Version)
+	if at, known := g.state.rollout.SetAt(w); known {
+		e = e.Dur("age_ms", now-at)
+	}
+	return e
+}
+
 // requestSaveNaming has a naming saved in the log, if this process is among the members
 // that save it.
 func (g *Gateway) requestSaveNaming(n forward.Naming) {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -193,7 +193,7 @@
 		case r.Weights != nil:
 			s.catchUp.RecordWeights(*r.Weights)
 			if s.rollout.AddTarget(*r.Weights, namedAt, now) {
-				log.Info().Str("event", "weights_named").Str("model", r.Weights.Model).Int64("version", r.Weights.Version).Msg("a weight version was named")
+				g.logNaming(log.Info().Str("event", "weights_named"), *r.Weights, now).Dur("read_ms", now-started).Msg("a weight version was named")
 				g.announceNamings(namedAt)
 			}
 		}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -22,7 +22,8 @@
 	maxConns        int // maximum connections of this process to the endpoint
 	choice          forward.Choice
 	placedAt        time.Duration
-	fetchDeadlineMs int64 // deadline of fetches, on the stores' clock
+	outdatedFor     time.Duration // longest time for which a newer weight version may have been set, 0 if none is
+	fetchDeadlineMs int64         // deadline of fetches, on the stores' clock
 }
 
 // place chooses an endpoint and adds the request to its load.
@@ -56,6 +57,9 @@
 		return nil, q.placementError(apierr.NewRetryable(apierr.Overloaded, apierr.NotRun, q.retryAfter(c.QueueWait), "the latency target can't be met", "send the request again later"))
 	}
 	p := &placement{endpoint: cs[c.Index].Endpoint, work: c.Load, choice: c, placedAt: now, maxConns: s.connLimit(q.service)}
+	if chosen := &cs[c.Index]; chosen.Outdated {
+		p.outdatedFor = now - chosen.OutdatedSince
+	}
 	st := s.endpointState(p.endpoint.ID)
 	st.health.Allow(now)
 	st.load.Add(p.work)
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -215,7 +215,7 @@
 		c.AvoidLongRunning = long || now < st.emptyingUntil
 		if p != nil {
 			since, behind := s.rollout.OutdatedSince(e.Models, p.Model)
-			c.Outdated = behind
+			c.Outdated, c.OutdatedSince = behind, since
 			c.Excluded = c.Excluded || behind && now >= since+milliseconds(s.settings.VersionMs)-versionMargin
 		}
 		cs = append(cs, c)
