--- /dev/null
+++ b/gateway/naming_test.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaweir/galenaweir/core/forward"
+)
+
+func weightsRecord(version int64) forward.OperatorChange {
+	return forward.OperatorChange{Weights: &forward.WeightVersion{Model: "m", Version: version}}
+}
+
+// advanceActive advances the clock in steps during which the process is active.
+func advanceActive(g *Gateway, clock *testClock, d time.Duration) {
+	for step := suspendThreshold / 2; d > 0; d -= step {
+		clock.advance(min(step, d))
+		g.state.recordActivity(clock.read())
+	}
+}
+
+// Guards against prompts that begin on older weights after the version bound because the
+// naming counts from when its record arrived: the answer of a long poll may have waited in
+// the socket while the process was suspended, or have been delayed on the way.
+func TestNamingIsNotDatedByTheArrivalOfItsRecord(t *testing.T) {
+	for name, c := range map[string]struct {
+		delay   time.Duration
+		elapse  func(g *Gateway, clock *testClock, d time.Duration)
+		waiting time.Duration // how long the poll had waited when the version was named
+	}{
+		"answer in time":                        {20 * time.Millisecond, advanceActive, 600 * time.Millisecond},
+		"suspended with an open poll":           {5 * time.Second, func(_ *Gateway, k *testClock, d time.Duration) { k.advance(d) }, 300 * time.Millisecond},
+		"suspended too shortly to be noticed":   {suspendThreshold - time.Millisecond, func(_ *Gateway, k *testClock, d time.Duration) { k.advance(d) }, 300 * time.Millisecond},
+		"answer sent again after a lost packet": {1500 * time.Millisecond, advanceActive, 300 * time.Millisecond},
+		"slow answer to a read without a wait":  {900 * time.Millisecond, advanceActive, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g, clock := newGateway(t)
+			g.state.recordActivity(clock.read())
+			proof := clock.read()
+			g.applyOperators(nil, proof, true)
+			advanceActive(g, clock, 400*time.Millisecond)
+			started := clock.read()
+			advanceActive(g, clock, c.waiting)
+			named := clock.read()
+			c.elapse(g, clock, c.delay)
+			g.applyOperators([]forward.OperatorChange{weightsRecord(2)}, started, false)
+
+			since, outdated := g.state.rollout.RetiredSince("m", 1)
+			require.True(t, outdated)
+			require.LessOrEqual(t, since, named)
+			require.GreaterOrEqual(t, since, proof, "a read proved that nothing newer was named")
+		})
+	}
+}
+
+// Guards against a naming time that becomes too late at all entries because one peer's facts
+// were delayed: by a suspension of the peer after it computed the ages, or on the way.
+func TestDelayedFactsDoNotPostponeTheVersionBound(t *testing.T) {
+	g, clock := newGateway(t)
+	g.state.recordActivity(clock.read())
+	g.state.peerLoads.members = []string{g.memberID, "10.0.0.2:7"}
+	g.applyEndpoints([]forward.EndpointChange{{ID: "e", Endpoint: &forward.Endpoint{ID: "e", Service: "s", Models: []forward.ModelState{{Name: "m", Version: 1}}}}}, clock.read(), true)
+	g.applyOperators(nil, clock.read(), true)
+	advanceActive(g, clock, 100*time.Millisecond)
+	named := clock.read()
+	g.applyOperators([]forward.OperatorChange{weightsRecord(2)}, named, false)
+	advanceActive(g, clock, time.Second)
+	facts := &factsMessage{Protocol: factsProtocol, Member: "10.0.0.2:7", Named: []factNaming{{"m", 2, 1, 1000, 900}, {"m", 3, 2, 0, 0}}}
+	advanceActive(g, clock, 4*time.Second) // until the message arrives
+	g.applyFacts(facts)
+
+	since, _ := g.state.rollout.RetiredSince("m", 1)
+	require.LessOrEqual(t, since, named)
+	require.EqualValues(t, 3, g.state.rollout.NewestTargets()["m"], "a version that only a peer has read")
+	since, _ = g.state.rollout.RetiredSince("m", 2)
+	require.LessOrEqual(t, since, named+time.Second, "version 3 was named before the peer sent its facts")
+	excluded := func() bool {
+		return g.state.candidates("s", &forward.Prompt{Model: "m"}, nil, clock.read())[0].Excluded
+	}
+	require.False(t, excluded())
+	clock.advance(named + milliseconds(testSettings().VersionMs) - versionMargin - clock.read())
+	require.True(t, excluded())
+}
