Date weight versions by proofs, not by the arrival of a record

Cause: callers got prompts that began on weights of version 1 up to 10.27 s after version 2 was acknowledged. An entry that stood still with an open long poll found the record 4.7 s later and dated the naming 0.3 s before that. Its facts carried the time to all other entries, which take the latest of the bounds. Change: a naming counts from the last read that showed nothing newer. Ages from a peer count only in an answer, dated from when the question was sent; a peer with a closer bound is asked. Facts get protocol 2. Conclusion: receipt time no longer stands for event time in namings. The proof is up to two polls old, so the bound can come up to 2 s early.

--- a/gateway/era_test.go
+++ b/gateway/era_test.go
@@ -163,25 +163,34 @@
 }
 
 // Guards against facts of a peer that are too young because they waited in the socket's
-// buffer while this process was suspended, and against facts out of range.
+// buffer while this process was suspended, and against facts out of range: only the ages in
+// an answer count, from when the question was sent.
 func TestFactsOfAPeer(t *testing.T) {
 	g, clock := newGateway(t)
 	g.applyOperators([]forward.OperatorChange{{Weights: &forward.WeightVersion{Model: "m", Version: 2}}}, clock.read(), true)
-	facts := &factsMessage{Protocol: factsProtocol, Member: "10.0.0.2:7", Config: 7, Named: []factNaming{
-		{"m", 2, 1, 3000, 2000}, {"m", -1, 0, 0, 0}, {"m", 5, -1, 0, 0}, {"m", 5, 0, 1, 2}, {"m", 5, 0, 3, -1},
-	}}
+	facts := func(answers time.Duration) *factsMessage {
+		return &factsMessage{Protocol: factsProtocol, Member: "10.0.0.2:7", Answers: answers.Milliseconds(), Config: 7, Named: []factNaming{
+			{"m", 2, 1, 3000, 2000}, {"m", -1, 0, 0, 0}, {"m", 5, -1, 0, 0}, {"m", 5, 0, 1, 2}, {"m", 5, 0, 3, -1}, {"m", 5, 0, 10_001, 0},
+		}}
+	}
 	g.state.peerLoads.members = []string{"10.0.0.2:7"}
-	g.applyFacts(&factsMessage{Member: "10.0.0.2:7"})
+	require.False(t, g.applyFacts(&factsMessage{Member: "10.0.0.2:7"}))
 	clock.advance(4 * time.Second)
-	g.applyFacts(facts)
-	require.True(t, g.state.rollout.NamingsUnknown(), "resumed just now")
-	for range 10 {
-		clock.advance(reportTTL / 4)
-		g.state.recordActivity(clock.read())
+	require.True(t, g.applyFacts(facts(0)), "the peer should be asked")
+	require.True(t, g.state.rollout.NamingsUnknown(), "the message has no question that bounds its age")
+	for name, answers := range map[string]time.Duration{
+		"a question of an earlier process": g.createdAt - time.Millisecond,
+		"a question that is too old":       clock.read() - factsAnswerLimit,
+		"a question of the future":         clock.read() + time.Millisecond,
+	} {
+		g.applyFacts(facts(answers))
+		require.True(t, g.state.rollout.NamingsUnknown(), name)
 	}
-	g.applyFacts(facts)
+	asked := clock.read()
+	clock.advance(factsAnswerLimit - time.Millisecond) // the process is suspended while the answer waits
+	require.False(t, g.applyFacts(facts(asked)), "nothing is left to ask for")
 	since, _ := g.state.rollout.RetiredSince("m", 1)
-	require.Equal(t, clock.read()-3*time.Second-namingTransitMargin, since)
+	require.Equal(t, asked-3*time.Second, since)
 	require.EqualValues(t, 2, g.state.rollout.NewestTargets()["m"])
 	require.EqualValues(t, 7, g.state.peerConfigVersion(clock.read()))
 	require.Zero(t, g.state.peerConfigVersion(clock.read()+factsTTL))
--- a/gateway/facts.go
+++ b/gateway/facts.go
@@ -21,19 +21,20 @@
 	factsAskInterval = 100 * time.Millisecond // between the questions of a starting process
 	maxFactsAsks     = 50                     // questions of a starting process
 	factsTTL         = 3 * time.Second        // a peer's facts are used for this long
-	factsProtocol    = "galenaweir-facts-1"
+	factsAnswerLimit = 2 * time.Second        // an answer to an older question is not used
+	minBoundGain     = 100 * time.Millisecond // a peer is asked for its bound of a naming only if that is closer by more
+	factsProtocol    = "galenaweir-facts-2"
 )
 
 // Records of namings in the log.
 const (
-	maxNamingsToSave    = 16
-	namingSavers        = 3 // members that save the same naming, so that it is saved although some fail
-	namingAttempts      = 5
-	namingRetryPause    = 300 * time.Millisecond
-	namingTimeout       = 600 * time.Millisecond
-	namingCheckPause    = 50 * time.Millisecond
-	endpointClockWait   = 2 * time.Second // how long to wait for a store's clock after the records were read
-	namingTransitMargin = 100 * time.Millisecond
+	maxNamingsToSave  = 16
+	namingSavers      = 3 // members that save the same naming, so that it is saved although some fail
+	namingAttempts    = 5
+	namingRetryPause  = 300 * time.Millisecond
+	namingTimeout     = 600 * time.Millisecond
+	namingCheckPause  = 50 * time.Millisecond
+	endpointClockWait = 2 * time.Second // how long to wait for a store's clock after the records were read
 )
 
 // factsMessage is the message with an entry's facts.
@@ -41,7 +42,8 @@
 	Protocol string
 	Member   string
 	Domain   string // failure domain of the sender, which passes reports on in it
-	Ask      bool   // the sender has just started and wants the receiver's facts
+	AskedAt  int64  // the sender wants the receiver's facts: its clock in ms, 0 if it does not
+	Answers  int64  // AskedAt of the message that this one answers, 0 if none
 	Config   int64
 	Named    boundedList[factNaming]
 }
@@ -90,8 +92,8 @@
 	return st
 }
 
-// exchangeFacts tells the peers this process's facts until ctx is done, at first with the
-// question for theirs.
+// exchangeFacts tells the peers this process's facts until ctx is done, and asks for theirs
+// while it lacks some.
 func (g *Gateway) exchangeFacts(ctx context.Context) {
 	for asked := 0; ; asked++ {
 		s := g.state
@@ -100,7 +102,11 @@
 		members := slices.DeleteFunc(slices.Clone(s.peerLoads.members), func(m string) bool { return m == g.memberID })
 		s.mu.Unlock()
 		for _, m := range members {
-			g.sendFacts(m, asks)
+			if asks {
+				g.askFacts(m)
+			} else {
+				g.sendFacts(m, 0, 0)
+			}
 		}
 		pause := factsInterval
 		if asks {
@@ -134,13 +140,24 @@
 	}
 }
 
-func (g *Gateway) sendFacts(member string, ask bool) {
+// askFacts sends a peer this process's facts and asks for the peer's.
+func (g *Gateway) askFacts(member string) {
+	now := g.clock()
+	g.state.mu.Lock()
+	g.state.lastFactsQuestion = now
+	g.state.mu.Unlock()
+	g.sendFacts(member, now.Milliseconds(), 0)
+}
+
+// sendFacts sends a peer this process's facts. It reads the clock for the ages after the
+// message that it answers has arrived, which lowerBound relies on.
+func (g *Gateway) sendFacts(member string, askedAt, answers int64) {
 	s := g.state
 	s.mu.Lock()
 	now := s.clock()
-	f := factsMessage{Protocol: factsProtocol, Member: g.memberID, Domain: g.settings.FailureDomain, Ask: ask, Config: s.knowledge().ConfigVersion}
+	f := factsMessage{Protocol: factsProtocol, Member: g.memberID, Domain: g.settings.FailureDomain, AskedAt: askedAt, Answers: answers, Config: s.knowledge().ConfigVersion}
 	for _, n := range s.rollout.Namings(now - milliseconds(s.settings.VersionMs)) {
-		f.Named = append(f.Named, factNaming{n.Model, n.Version, n.Previous, (now - n.SetAt).Milliseconds(), (now - n.KnownAt).Milliseconds()})
+		f.Named = append(f.Named, factNaming{n.Model, n.Version, n.Previous, (now - n.SetAt + time.Millisecond - 1).Milliseconds(), (now - n.KnownAt).Milliseconds()})
 	}
 	s.mu.Unlock()
 	data, err := encodeMessage(&f)
@@ -163,21 +180,41 @@
 	if msgpack.Unmarshal(data, &f) != nil || f.Protocol != factsProtocol || f.Member == g.memberID {
 		return false
 	}
-	g.applyFacts(&f)
-	if f.Ask {
-		g.sendFacts(f.Member, false)
+	ask := g.applyFacts(&f)
+	switch {
+	case f.AskedAt != 0:
+		g.sendFacts(f.Member, 0, f.AskedAt)
+	case ask:
+		g.askFacts(f.Member)
 	}
 	return true
 }
 
-func (g *Gateway) applyFacts(f *factsMessage) {
+// lowerBound returns the earliest time at which a version that a peer tells of may have been
+// named. An age that the peer sent by itself proves nothing, because the message may have
+// been delayed for any time. The age in an answer was computed after the question was sent.
+func (g *Gateway) lowerBound(f *factsMessage, n factNaming, now time.Duration) time.Duration {
+	askedAt := milliseconds(f.Answers)
+	if f.Answers > 0 && askedAt >= g.createdAt && askedAt <= now && askedAt > now-factsAnswerLimit {
+		return askedAt - milliseconds(n.AgeMs)
+	}
+	age, hasRead := g.state.freshness.Age(now)
+	if !hasRead || g.state.rollout.HasTarget(forward.WeightVersion{Model: n.Model, Version: n.Version}) {
+		return forward.UnknownNamingTime
+	}
+	return now - max(age, milliseconds(n.AgeMs)) // the last read showed that the version was not named yet
+}
+
+// applyFacts applies a peer's facts. It reports whether the peer should be asked for them,
+// because it may have a closer bound of when a version was named.
+func (g *Gateway) applyFacts(f *factsMessage) (ask bool) {
 	s := g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
 	s.recordActivity(now)
 	if !slices.Contains(s.peerLoads.members, f.Member) {
-		return // not known as a member: its address may have belonged to one before
+		return false // not known as a member: its address may have belonged to one before
 	}
 	known, ok := s.peerFacts[f.Member]
 	if !ok || now >= known.receivedAt+factsTTL {
@@ -185,22 +222,22 @@
 	}
 	known.config, known.domain, known.receivedAt = f.Config, f.Domain, now
 	s.peerFacts[f.Member] = known
-	if s.resumedAt > 0 && now < s.resumedAt+reportTTL {
-		return // the message may have been in the socket's buffer during the suspension, so its ages are too low
-	}
 	for _, n := range f.Named {
 		if n.Version <= 0 || n.Previous < 0 || n.KnownMs < 0 || n.AgeMs < n.KnownMs || n.AgeMs > s.settings.VersionMs {
 			continue
 		}
-		naming := forward.Naming{WeightVersion: forward.WeightVersion{Model: n.Model, Version: n.Version}, Previous: n.Previous, SetAt: now - milliseconds(n.AgeMs) - namingTransitMargin, KnownAt: now - milliseconds(n.KnownMs)}
+		naming := forward.Naming{WeightVersion: forward.WeightVersion{Model: n.Model, Version: n.Version}, Previous: n.Previous, SetAt: g.lowerBound(f, n, now), KnownAt: now - milliseconds(n.KnownMs)}
 		before, _ := s.rollout.SetAt(naming.WeightVersion)
 		newest := s.rollout.RecordNaming(naming, now)
+		after, known := s.rollout.SetAt(naming.WeightVersion)
 		if newest {
 			g.logNaming(log.Info().Str("event", "weights_named"), naming.WeightVersion, now).Str("peer", f.Member).Msg("a peer told of a weight version")
-		} else if after, _ := s.rollout.SetAt(naming.WeightVersion); after != before {
+		} else if after != before {
 			g.logNaming(log.Info().Str("event", "naming_bounded"), naming.WeightVersion, now).Str("peer", f.Member).Msg("a peer has a closer bound of when the weight version was named")
 		}
+		ask = ask || f.Answers == 0 && (!known || now-milliseconds(n.AgeMs) > after+minBoundGain)
 	}
+	return ask && now >= s.lastFactsQuestion+factsAskInterval
 }
 
 // logNaming adds a weight version to a line, with the longest time for which it may have been
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -130,10 +130,6 @@
 	return nil
 }
 
-// maxReadLatency is an upper bound for the response time of a log read that does not wait for
-// records.
-const maxReadLatency = 300 * time.Millisecond
-
 // observeEra compares the era of an answer of the log with the newest known one. When the
 // log has returned from an older copy, its member lists and the absence of records in it
 // prove nothing until they have been read again.
@@ -178,10 +174,7 @@
 	now := s.clock()
 	namedAt := forward.UnknownNamingTime
 	if age, known := s.freshness.Age(now); known {
-		namedAt = now - age // lower bound: the last read that proved nothing newer
-		if now-started > maxReadLatency && !s.catchUp.Pending() {
-			namedAt = max(namedAt, now-maxReadLatency) // the long poll returned as soon as there was a record
-		}
+		namedAt = now - age // the last read that showed nothing newer; the arrival of the record proves nothing, as its delay is not known
 	}
 	for _, r := range records {
 		switch {
--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -75,7 +75,7 @@
 	require.NoError(f, err)
 	f.Add(valid)
 	f.Add(valid[:len(valid)-3])
-	f.Add([]byte("\x96\xb2" + factsProtocol + "\xa1a\xa1d\xc3\x07\xdf\xff\xff\xff\xff"))
+	f.Add([]byte("\x97\xb2" + factsProtocol + "\xa1a\xa1d\x00\x00\x07\xdf\xff\xff\xff\xff"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		clock := &testClock{}
 		g := New(Options{Settings: testSettings(), Clock: clock.start(time.Hour), Seed: 1, HeaderCodec: testHeaderCodec{}})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,6 +57,7 @@
 type Gateway struct {
 	settings        Settings
 	clock           Clock
+	createdAt       time.Duration // on clock
 	headerCodec     HeaderCodec
 	operators       Feed[forward.OperatorChange]
 	endpoints       Feed[forward.EndpointChange]
@@ -95,7 +96,7 @@
 	}
 	return &Gateway{
 		namingStore: o.NamingStore, wallClock: wallClock, namingsToSave: make(chan forward.Naming, maxNamingsToSave), factsRequests: make(chan struct{}, 1),
-		settings: s, clock: o.Clock, headerCodec: o.HeaderCodec, operators: o.Operators, endpoints: o.Endpoints, groupClient: o.GroupClient, endpointControl: o.EndpointControl, storeClient: o.StoreClient,
+		settings: s, clock: o.Clock, createdAt: o.Clock(), headerCodec: o.HeaderCodec, operators: o.Operators, endpoints: o.Endpoints, groupClient: o.GroupClient, endpointControl: o.EndpointControl, storeClient: o.StoreClient,
 		state: newState(s, o.Clock, rand.New(rand.NewPCG(o.Seed, o.Seed))), pool: newConnPool(o.Clock),
 		ownership:          forward.Ownership{Self: member, Lease: orderLease, Handover: milliseconds(s.OrderHandoverMs) + orderTransitTime},
 		memberID:           member,
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -44,31 +44,32 @@
 
 // state holds everything that decisions about requests depend on. It is guarded by mu.
 type state struct {
-	mu               sync.Mutex
-	clock            Clock
-	rng              *rand.Rand
-	table            *forward.Table
-	freshness        forward.Freshness
-	eras             forward.EraTracker
-	catchUp          forward.CatchUp
-	startup          forward.Startup
-	peerFacts        map[string]knownFacts
-	readConfirmed    chan struct{} // closed and replaced when freshness changes
-	storeRead        chan struct{} // closed and replaced when a store has been read
-	resumes          chan struct{} // receives a value after each suspension
-	firstConfigAt    time.Duration // when the first configuration was read
-	endpointList     *forward.EndpointList
-	endpointListRead bool
-	lastActive       time.Duration      // last time at which the process was active
-	resumedAt        time.Duration      // end of the last suspension, 0 if none
-	listedCache      []forward.Endpoint // cached result of listedEndpoints, nil if invalid
-	listedCacheUntil time.Duration
-	endpoints        map[string]*endpointState
-	rollout          *forward.Rollout
-	retryBudgets     map[string]*retry.Budget
-	stores           []*forward.StoreView
-	peerLoads        peerLoads
-	settings         Settings
+	mu                sync.Mutex
+	clock             Clock
+	rng               *rand.Rand
+	table             *forward.Table
+	freshness         forward.Freshness
+	eras              forward.EraTracker
+	catchUp           forward.CatchUp
+	startup           forward.Startup
+	peerFacts         map[string]knownFacts
+	lastFactsQuestion time.Duration // when this process last asked a peer for its facts
+	readConfirmed     chan struct{} // closed and replaced when freshness changes
+	storeRead         chan struct{} // closed and replaced when a store has been read
+	resumes           chan struct{} // receives a value after each suspension
+	firstConfigAt     time.Duration // when the first configuration was read
+	endpointList      *forward.EndpointList
+	endpointListRead  bool
+	lastActive        time.Duration      // last time at which the process was active
+	resumedAt         time.Duration      // end of the last suspension, 0 if none
+	listedCache       []forward.Endpoint // cached result of listedEndpoints, nil if invalid
+	listedCacheUntil  time.Duration
+	endpoints         map[string]*endpointState
+	rollout           *forward.Rollout
+	retryBudgets      map[string]*retry.Budget
+	stores            []*forward.StoreView
+	peerLoads         peerLoads
+	settings          Settings
 }
 
 func newState(s Settings, clock Clock, rng *rand.Rand) *state {
