Check the version bound again before a prompt is sent

Cause: a prompt is placed within the version bound and sent after it when the process was suspended in between or connecting took long; only the key was checked again. Change: checkPlacement looks at the bound once the connection stands; the attempt counts as unsent and the request is placed anew. Result: TestPromptIsNotSentAfterTheVersionBound; with only the key checked it fails (the prompt is sent). Conclusion: what remains between decision and arrival is the endpoint's queue and one write.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -30,7 +30,7 @@
 		o.LastEventID = q.lastEventID
 	}
 	q.g.headerCodec.WriteRequest(m.header, o)
-	resp, xerr := q.g.exchange(ctx, &m, q.call.ID, p.endpoint, p.maxConns, q.checkKeyFreshness)
+	resp, xerr := q.g.exchange(ctx, &m, q.call.ID, p.endpoint, p.maxConns, func() error { return q.checkPlacement(p) })
 	if xerr == nil || xerr.sent {
 		q.sentAttempts++
 		q.allRefused = xerr != nil && xerr.notRun && (q.sentAttempts == 1 || q.allRefused)
@@ -56,8 +56,30 @@
 // too old to accept the caller's key.
 var errKeyStale = errors.New("a key may have been taken away since the request was placed")
 
-// checkKeyFreshness returns errKeyStale if a placed request may no longer be sent: this
-// process may have been suspended since, or connecting may have taken long.
+// errWeightsOutdated is returned when, after the request was placed, the time has ended within
+// which prompts may begin on the endpoint's weights.
+var errWeightsOutdated = errors.New("newer weights were named too long ago for the endpoint that the request was placed on")
+
+// checkPlacement returns an error if a placed request may no longer be sent to its endpoint:
+// this process may have been suspended since, or connecting may have taken long.
+func (q *request) checkPlacement(p *placement) error {
+	if err := q.checkKeyFreshness(); err != nil {
+		return err
+	}
+	if q.call.Prompt == nil {
+		return nil
+	}
+	s := q.g.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if since, outdated := s.rollout.RetiredSince(q.call.Prompt.Model, p.choice.Version); outdated && p.choice.Version > 0 && s.versionExpired(since, s.clock()) {
+		return errWeightsOutdated
+	}
+	return nil
+}
+
+// checkKeyFreshness returns errKeyStale if the configuration has become too old to accept the
+// caller's key.
 func (q *request) checkKeyFreshness() error {
 	if q.customer == nil || q.route.Public {
 		return nil
--- a/gateway/naming_test.go
+++ b/gateway/naming_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -84,3 +85,39 @@
 	clock.advance(named + milliseconds(testSettings().VersionMs) - versionMargin - clock.read())
 	require.True(t, excluded())
 }
+
+// Guards against a prompt that is placed within the version bound and sent after it, because
+// the process was suspended in between or connecting took long.
+func TestPromptIsNotSentAfterTheVersionBound(t *testing.T) {
+	f := newFixture(t, serveRaw(t, respondOK("answer")))
+	f.applyOperators([]forward.OperatorChange{weightsRecord(2)}, f.clock.read(), false)
+	bound := f.clock.read() + milliseconds(testSettings().VersionMs) - versionMargin
+	for name, c := range map[string]struct {
+		prompt  *forward.Prompt
+		version int64
+		want    error
+	}{
+		"older weights":   {&forward.Prompt{Model: "m"}, 1, errWeightsOutdated},
+		"named weights":   {&forward.Prompt{Model: "m"}, 2, nil},
+		"another model":   {&forward.Prompt{Model: "n"}, 1, nil},
+		"unknown weights": {&forward.Prompt{Model: "m"}, 0, nil},
+		"no prompt":       {nil, 0, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			q := &request{g: f.Gateway, call: RequestInfo{ID: "id", Prompt: c.prompt}, route: &forward.Route{Public: true}}
+			p := &placement{choice: forward.Choice{Version: c.version}}
+			f.clock.now.Store(int64(bound - 1))
+			require.NoError(t, q.checkPlacement(p))
+			f.clock.advance(1)
+			require.ErrorIs(t, q.checkPlacement(p), c.want)
+		})
+	}
+	e, _ := f.state.endpointList.Get("e0", f.clock.read())
+	q := &request{
+		g: f.Gateway, call: RequestInfo{ID: "id", Prompt: &forward.Prompt{Model: "m"}}, route: &forward.Route{Public: true},
+		service: &forward.Service{Engine: &forward.Engine{}}, msg: wireRequest{method: "POST", uri: "/", host: "h", header: http.Header{}},
+	}
+	xerr := q.sendTo(t.Context(), &placement{endpoint: e, maxConns: 1, choice: forward.Choice{Version: 1}})
+	require.ErrorIs(t, xerr, errWeightsOutdated)
+	require.False(t, xerr.sent)
+}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -124,7 +124,7 @@
 		st.health.RecordRefusal(now + misdirectedPause) // with a version in the request, the endpoint may just have other weights
 	case x.notRun:
 		st.health.RecordRefusal(now + refusalPause)
-	case !x.sent && x.err != errConnLimit && x.err != errKeyStale:
+	case !x.sent && x.err != errConnLimit && x.err != errKeyStale && x.err != errWeightsOutdated:
 		st.health.RecordRefusal(now + unreachablePause)
 		st.health.RecordFailure(now, s.rng)
 	case x.sent && remaining(q.deadline, now) > 0:
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -217,13 +217,19 @@
 		if p != nil {
 			since, behind := s.rollout.OutdatedSince(e.Models, p.Model)
 			c.Outdated, c.OutdatedSince = behind, since
-			c.Excluded = c.Excluded || behind && now >= since+milliseconds(s.settings.VersionMs)-versionMargin
+			c.Excluded = c.Excluded || behind && s.versionExpired(since, now)
 		}
 		cs = append(cs, c)
 	}
 	return cs
 }
 
+// versionExpired reports whether prompts may no longer begin on a weight version, given when
+// a newer one was named.
+func (s *state) versionExpired(namedAt, now time.Duration) bool {
+	return now >= namedAt+milliseconds(s.settings.VersionMs)-versionMargin
+}
+
 // observeVersion records a weight version that an endpoint has. A newer version invalidates
 // the endpoint's cached prompt parts.
 func (s *state) observeVersion(id, model string, version int64) {
