Bound the clocks of saved namings on both sides

Cause: A saved naming and its recovery took the endpoints' clock as of the arrival of a store's answer, and the time of day after the process's clock. An answer that waited in the socket of a suspended process, or a suspension between the two readings, made the clock early or the stamp late, so that a restarted process took the naming for later than it was and placed requests on older weights past the bound. Found by reading, in the search for further places where a late answer counts as new. Change: EndpointClock bounds the clock by the beginning and the arrival of the answer. Instant carries the earliest and the latest stamp, with the time of day read before and after the process's clock. The lower bound of a naming uses the one that makes it earlier, the upper bound the other. Conclusion: A pause makes a recovered naming earlier, never later. Where no store's clock is known, the time of day with its error of 5 s still leaves little of the bound.

--- a/core/forward/naming.go
+++ b/core/forward/naming.go
@@ -12,6 +12,9 @@
 // instants, differ from the true difference.
 const maxWallClockError = 5 * time.Second
 
+// stampRounding covers the fractions of a millisecond that two stamps leave out.
+const stampRounding = 2 * time.Millisecond
+
 // Before returns the stamp of an instant that is earlier by d.
 func (s Stamp) Before(d time.Duration) Stamp {
 	if s.EndpointClockMs != 0 {
@@ -52,6 +55,22 @@
 	return elapsed, elapsed >= 0 && (elapsed-s.onWallClock(earlier)).Abs() <= maxWallClockError
 }
 
+// Instant is a time of a process with bounds for the clocks that continue when all
+// processes restart. Each clock is at least at Earliest and at most at Latest, apart from
+// the error of the time of day.
+type Instant struct {
+	Time             time.Duration
+	Earliest, Latest Stamp
+}
+
+// NotAfter returns a stamp that is not after the time t, which is before the instant.
+func (i Instant) NotAfter(t time.Duration) Stamp {
+	return i.Earliest.Before(i.Time - t + stampRounding)
+}
+
+// NotBefore returns a stamp that is not before the time t, which is before the instant.
+func (i Instant) NotBefore(t time.Duration) Stamp { return i.Latest.Before(i.Time - t - stampRounding) }
+
 // StoredNaming is the record of when a weight version was named, which lets processes that
 // start after all others have stopped know how long older versions may still be used.
 type StoredNaming struct {
@@ -61,11 +80,10 @@
 	KnownAt  Stamp // latest time at which it may have been named
 }
 
-// Naming converts the record, given the current time on the stamp's clocks and on the
-// process's clock.
-func (n *StoredNaming) Naming(stamp Stamp, now time.Duration) Naming {
+// Naming converts the record to the process's clock, given the current instant.
+func (n *StoredNaming) Naming(now Instant) Naming {
 	return Naming{
 		WeightVersion: n.WeightVersion, Previous: n.Previous,
-		SetAt: now - stamp.ElapsedSince(n.At), KnownAt: now - stamp.MinElapsedSince(n.KnownAt),
+		SetAt: now.Time - now.Latest.ElapsedSince(n.At), KnownAt: now.Time - now.Earliest.MinElapsedSince(n.KnownAt),
 	}
 }
--- a/core/forward/stores.go
+++ b/core/forward/stores.go
@@ -94,8 +94,7 @@
 	epoch          int64
 	nextEvent      int64
 	readAt         time.Duration
-	clockOffsetMs  float64 // how far the store's clock is ahead of this process's clock
-	clockKnown     bool
+	clock          EndpointClock
 	saveFrom       time.Duration
 	held           map[uint64]StoredPart
 	partial        map[uint64]partialPart
@@ -145,7 +144,7 @@
 		return false
 	}
 	first := v.epoch == 0
-	v.epoch, v.synced, v.usedTokens, v.clockKnown = epoch, false, 0, false
+	v.epoch, v.synced, v.usedTokens, v.clock = epoch, false, 0, EndpointClock{}
 	clear(v.held)
 	clear(v.partial)
 	clear(v.pending)
@@ -161,7 +160,7 @@
 	restarted := v.resetOnRestart(l.Epoch, now)
 	v.synced, v.nextEvent, v.readAt = true, l.Next, started
 	if l.ClockMs != 0 { // a list without the clock does not change what is known of it
-		v.clockOffsetMs, v.clockKnown = l.ClockMs-milliseconds(now), true
+		v.clock.Observe(l.ClockMs, started, now)
 	}
 	clear(v.held)
 	v.usedTokens = 0
@@ -190,7 +189,7 @@
 		return true, true
 	}
 	v.readAt, v.nextEvent = started, e.Next
-	v.clockOffsetMs, v.clockKnown = e.ClockMs-milliseconds(now), true
+	v.clock.Observe(e.ClockMs, started, now)
 	for _, ev := range e.Events {
 		if ev.Added {
 			v.add(ev.Part)
@@ -234,12 +233,16 @@
 // about to be written.
 func (v *StoreView) UsedTokens() int { return v.usedTokens + v.reservedTokens }
 
-// ClockMs returns the store's clock in ms at the given time, and false if the store has
-// not stated it yet.
+// ClockMs returns the earliest time in ms that the store's clock may show at the given time,
+// and false if the store has not stated it yet.
 func (v *StoreView) ClockMs(at time.Duration) (float64, bool) {
-	return v.clockOffsetMs + milliseconds(at), v.clockKnown
+	ms, _, known := v.clock.Bounds(at)
+	return ms, known
 }
 
+// Clock returns the store's clock.
+func (v *StoreView) Clock() EndpointClock { return v.clock }
+
 // canSave reports whether a part may be written to the store now.
 func (v *StoreView) canSave(k uint64, tokens int, now time.Duration) bool {
 	if !v.fresh(now) || now < v.saveFrom {
@@ -363,7 +366,7 @@
 		k := PartKey(salt, part.ID)
 		pending := false
 		for _, v := range stores {
-			if _, ok := v.held[k]; ok && v.clockKnown && v.fresh(now) {
+			if _, ok := v.held[k]; ok && v.clock.known && v.fresh(now) {
 				s := Source{v.Address, v, v.fetchMs(part.Tokens, now), v.queueMs(now)}
 				if old := plan.Fetch[i]; old.Store == nil || s.Ms+s.QueueMs < old.Ms+old.QueueMs {
 					plan.Fetch[i] = s
--- a/gateway/era_test.go
+++ b/gateway/era_test.go
@@ -233,6 +233,24 @@
 	require.Zero(t, usable(), "the bound holds")
 }
 
+// Guards against older weights that are used past their bound after a restart, because a
+// process was suspended between reading its clock and the time of day.
+func TestSuspensionDoesNotPostponeASavedNaming(t *testing.T) {
+	namings := &memoryNamings{}
+	g, clock := newGateway(t)
+	g.namingStore = namings
+	named := clock.read()
+	unixMs := func() int64 { return clock.read().Milliseconds() }
+	g.wallClock = func() time.Time {
+		clock.advance(2 * time.Second)
+		defer clock.advance(2 * time.Second)
+		return time.UnixMilli(unixMs())
+	}
+	require.NoError(t, g.saveNaming(t.Context(), forward.Naming{WeightVersion: forward.WeightVersion{Model: "m", Version: 2}, SetAt: named, KnownAt: named + time.Second}))
+	require.LessOrEqual(t, namings.saved[0].At.UnixMs, named.Milliseconds())
+	require.GreaterOrEqual(t, namings.saved[0].KnownAt.UnixMs, (named + time.Second).Milliseconds())
+}
+
 // Guards against a full outage of the endpoints when a weight version is named while no
 // entry runs. Load pattern: all processes are lost, a version is named, and all start again
 // within seconds. The forwarding soak shows it with seed 503.
--- a/gateway/facts.go
+++ b/gateway/facts.go
@@ -214,17 +214,21 @@
 	}
 }
 
-// stamp returns the current time on clocks that continue when all processes restart. The
-// caller holds the state's mutex.
-func (g *Gateway) stamp(now time.Duration) forward.Stamp {
-	t := forward.Stamp{UnixMs: g.wallClock().UnixMilli()}
+// instant returns the current time with bounds for the clocks that continue when all
+// processes restart. The time of day is read on both sides of the process's clock, because
+// the process may be suspended between two readings. The caller holds the state's mutex.
+func (g *Gateway) instant() forward.Instant {
+	before := g.wallClock().UnixMilli()
+	now := g.state.clock()
+	i := forward.Instant{Time: now, Earliest: forward.Stamp{UnixMs: before}, Latest: forward.Stamp{UnixMs: g.wallClock().UnixMilli()}}
 	for _, v := range g.state.stores {
-		if ms, known := v.ClockMs(now); known {
-			t.EndpointClockMs = ms
+		clock := v.Clock()
+		if earliest, latest, known := clock.Bounds(now); known {
+			i.Earliest.EndpointClockMs, i.Latest.EndpointClockMs = earliest, latest
 			break
 		}
 	}
-	return t
+	return i
 }
 
 // saveNamings saves namings in the log until ctx is done.
@@ -256,9 +260,8 @@
 	}
 	s := g.state
 	s.mu.Lock()
-	now := s.clock()
-	stamp := g.stamp(now)
-	stored := forward.StoredNaming{WeightVersion: n.WeightVersion, Previous: n.Previous, At: stamp.Before(now - n.SetAt), KnownAt: stamp.Before(now - n.KnownAt)}
+	now := g.instant()
+	stored := forward.StoredNaming{WeightVersion: n.WeightVersion, Previous: n.Previous, At: now.NotAfter(n.SetAt), KnownAt: now.NotBefore(n.KnownAt)}
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, namingTimeout)
 	defer cancel()
@@ -318,14 +321,14 @@
 	s := g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.clock()
-	stamp := g.stamp(now)
+	now := g.instant()
+	clockKnown := now.Latest.EndpointClockMs != 0
 	for _, n := range stored {
-		naming := n.Naming(stamp, now)
-		s.rollout.RecordNaming(naming, now)
-		if stamp.EndpointClockMs != 0 && naming.SetAt > now-milliseconds(s.settings.VersionMs) {
-			log.Info().Str("event", "naming_recovered").Str("model", n.Model).Int64("version", n.Version).Dur("age_ms", now-naming.SetAt).Msg("read from the log when the weight version was named")
+		naming := n.Naming(now)
+		s.rollout.RecordNaming(naming, now.Time)
+		if clockKnown && naming.SetAt > now.Time-milliseconds(s.settings.VersionMs) {
+			log.Info().Str("event", "naming_recovered").Str("model", n.Model).Int64("version", n.Version).Dur("age_ms", now.Time-naming.SetAt).Msg("read from the log when the weight version was named")
 		}
 	}
-	return stamp.EndpointClockMs != 0
+	return clockKnown
 }
