Let stalled updates of expired endpoints hold no places

Each endpoint that ignores its orders held one of three places for 2 s and was then put off, so that others waited up to 12 s for a place, while all of them were excluded from prompts anyway. Change: once an endpoint's weights have expired, a stalled update goes on outside of the limits, and a peer's stalled one is no longer counted. Result: TestStalledUpdatesOfExpiredEndpointsHoldNoPlaces; without the change it fails (e04 is left on version 1).

--- a/core/forward/rollout.go
+++ b/core/forward/rollout.go
@@ -96,6 +96,9 @@
 	lastBusy          time.Duration // when the endpoint last reported that it was carrying out an order
 	report            EndpointReport
 	hasReport         bool
+	// uncounted exempts an update that has stalled from the limits, while the endpoint gets no
+	// prompts anyway: it takes nothing out of use, and must not delay the updates of others.
+	uncounted bool
 }
 
 // ManagedEndpoint is an endpoint that this process may send orders to.
@@ -106,6 +109,8 @@
 	// OrderSeq is the number of accepted orders that all processes know of. It is used if
 	// another process may have sent an order within the handover pause.
 	OrderSeq int64
+	// Expired is set if the endpoint gets no prompts because its weights are too old.
+	Expired bool
 }
 
 // EndpointReport is the state that an endpoint reports.
@@ -327,7 +332,8 @@
 
 // NextSteps returns the steps that are due for the managed endpoints. It limits the share
 // of a service's endpoints that are updated at a time, and further limits the share
-// that gets no requests.
+// that gets no requests. An endpoint that does not carry out its order gives way to others,
+// or is updated beside them once its weights have expired.
 func (r *Rollout) NextSteps(managed []ManagedEndpoint, fleets map[string]FleetCounts, now time.Duration) []RolloutStep {
 	slices.SortFunc(managed, func(a, b ManagedEndpoint) int {
 		return cmp.Or(cmp.Compare(oldestVersion(a.Endpoint), oldestVersion(b.Endpoint)), cmp.Compare(a.LongRunning, b.LongRunning), cmp.Compare(a.Endpoint.ID, b.Endpoint.ID))
@@ -342,15 +348,23 @@
 		}
 	}
 	for _, m := range managed {
-		if u := r.updates[m.Endpoint.ID]; u != nil && u.stalled(now) {
+		u := r.updates[m.Endpoint.ID]
+		if u == nil {
+			continue
+		}
+		u.lastManaged = now
+		switch {
+		case m.Expired && (u.uncounted || u.stalled(now)):
+			u.uncounted = true
+		case u.stalled(now):
 			delete(r.updates, m.Endpoint.ID)
 			r.deferredUntil[m.Endpoint.ID] = now + deferralPeriod
-		} else if u != nil {
+		default:
+			u.uncounted = false
 			changing[m.Endpoint.Service]++
 			if u.stage != emptying {
 				loading[m.Endpoint.Service]++
 			}
-			u.lastManaged = now
 		}
 	}
 	for id, u := range r.updates {
@@ -362,6 +376,10 @@
 	for _, m := range managed {
 		service := m.Endpoint.Service
 		u := r.updates[m.Endpoint.ID]
+		if u == nil && m.Expired && now < r.deferredUntil[m.Endpoint.ID] {
+			u = &endpointUpdate{stage: awaitingReport, stageSince: now, awaitedSince: now, lastManaged: now, uncounted: true}
+			r.updates[m.Endpoint.ID] = u
+		}
 		if u == nil {
 			f := fleets[service]
 			_, _, behind := r.pendingTarget(m.Endpoint.Models)
--- a/core/forward/rollout_test.go
+++ b/core/forward/rollout_test.go
@@ -312,3 +312,47 @@
 		require.LessOrEqual(t, maxLoading, 1, "%s: too many endpoints loading at once", behavior)
 	}
 }
+
+// Guards against endpoints that are left on old weights because others, whose orders are lost
+// or carried out late, hold the places of the rollout. Load pattern: two of three endpoints
+// carry out none of their first orders, so that each place is held by one of them.
+func TestStalledUpdatesOfExpiredEndpointsHoldNoPlaces(t *testing.T) {
+	const n, loadTime, bound, orderDelay = 12, time.Second, 9 * time.Second, 4 * time.Second
+	es := newFleet(n, 1)
+	r := NewRollout()
+	r.AddTarget(WeightVersion{"m", 2}, 0, 0)
+	loadedAt := map[string]time.Duration{}
+	for now := time.Duration(0); now < bound+2*orderDelay; now += 50 * time.Millisecond {
+		var managed []ManagedEndpoint
+		inService := 0
+		for i := range es {
+			e := &es[i]
+			if at, ok := loadedAt[e.ID]; ok && now >= at {
+				e.Models[0].Version = 2
+			}
+			all, _ := r.Blocked(e.ID, now)
+			inService += boolInt(!all)
+			managed = append(managed, ManagedEndpoint{Endpoint: *e, HandoverDone: true, Expired: now >= bound && e.Models[0].Version == 1})
+		}
+		if now < bound {
+			require.GreaterOrEqual(t, inService, n-n/3, "at %v", now)
+		}
+		for _, s := range r.NextSteps(managed, map[string]FleetCounts{"s": {Total: n}}, now) {
+			id := s.Endpoint.ID
+			if !s.IsOrder {
+				r.RecordReport(id, EndpointReport{Models: s.Endpoint.Models, Busy: now >= loadedAt[id]-loadTime && now < loadedAt[id]}, now)
+				continue
+			}
+			r.RecordOrderSent(id, now)
+			switch {
+			case id >= "e08":
+				loadedAt[id] = now + loadTime
+			case now >= bound && loadedAt[id] == 0:
+				loadedAt[id] = now + orderDelay + loadTime
+			}
+		}
+	}
+	for _, e := range es {
+		require.EqualValues(t, 2, e.Models[0].Version, e.ID)
+	}
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -326,8 +326,11 @@
 	}
 	for _, h := range r.Loading {
 		if id, ok := byHash[h]; ok {
-			s.endpointState(id).loadingUntil = now + reportTTL/2
-			s.endpointState(id).lastPeerChange = now
+			st := s.endpointState(id)
+			if now >= st.loadingUntil {
+				st.loadingSince = now
+			}
+			st.loadingUntil, st.lastPeerChange = now+reportTTL/2, now
 		}
 	}
 	for _, h := range r.Emptying {
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -22,6 +22,7 @@
 	rolloutInterval  = 50 * time.Millisecond
 	orderTimeout     = 800 * time.Millisecond
 	orderTransitTime = 200 * time.Millisecond // from the decision to the arrival of the order
+	peerStallTimeout = 2 * time.Second        // a peer's update of an endpoint whose weights have expired counts towards the limits for this long
 )
 
 // maintainMembership maintains this process's membership in the group of entries until ctx is done.
@@ -109,17 +110,18 @@
 		e.Models = s.endpointState(e.ID).withObservedVersions(e.Models)
 		f := fleets[e.Service]
 		f.Total++
-		if st := s.endpointState(e.ID); now < st.loadingUntil || now < st.emptyingUntil {
+		st, expired := s.endpointState(e.ID), s.weightsExpired(e.Models, now)
+		stalled := expired && now >= st.loadingSince+peerStallTimeout
+		if loading := now < st.loadingUntil; (loading || now < st.emptyingUntil) && !stalled {
 			f.PeerUpdating++
-			f.PeerLoading += boolInt(now < st.loadingUntil)
+			f.PeerLoading += boolInt(loading)
 		}
 		fleets[e.Service] = f
 		if len(e.Models) == 0 || !g.ownership.IsSoleOwner(e.ID, now) {
 			continue
 		}
-		st := s.endpointState(e.ID)
 		m := forward.ManagedEndpoint{
-			Endpoint: e, LongRunning: st.load.LongRunning + s.peerLoads.load(e.ID).LongRunning, HandoverDone: g.ownership.Owns(e.ID, now), OrderSeq: st.orderCount,
+			Endpoint: e, LongRunning: st.load.LongRunning + s.peerLoads.load(e.ID).LongRunning, HandoverDone: g.ownership.Owns(e.ID, now), OrderSeq: st.orderCount, Expired: expired,
 		}
 		if !m.HandoverDone && st.lastPeerChange > 0 && now < st.lastPeerChange+milliseconds(g.settings.OrderHandoverMs) {
 			continue
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -37,6 +37,7 @@
 	observedVersions map[string]int64 // newest weight versions seen in responses and reports, by model
 	started          int64            // Started of the list entry; another value means a restart
 	loadingUntil     time.Duration    // loading weights by a peer's order until then
+	loadingSince     time.Duration    // when a peer first reported that
 	emptyingUntil    time.Duration    // emptied by a peer before loading weights: gets no long prompts until then
 	lastPeerChange   time.Duration    // when a peer last reported that the endpoint is loading weights or being emptied for it
 	orderCount       int64            // number of orders that the endpoint has accepted, as far as known
@@ -230,6 +231,14 @@
 	return now >= namedAt+milliseconds(s.settings.VersionMs)-versionMargin
 }
 
+// weightsExpired reports whether prompts may no longer begin on any of an endpoint's models.
+func (s *state) weightsExpired(models []forward.ModelState, now time.Duration) bool {
+	return len(models) > 0 && !slices.ContainsFunc(models, func(m forward.ModelState) bool {
+		since, outdated := s.rollout.RetiredSince(m.Name, m.Version)
+		return !outdated || !s.versionExpired(since, now)
+	})
+}
+
 // observeVersion records a weight version that an endpoint has. A newer version invalidates
 // the endpoint's cached prompt parts.
 func (s *state) observeVersion(id, model string, version int64) {
