Take no closer bound for a version that it does not cover

An entry that stood still from before version 2 until after version 3 reads only version 3 and believes that it followed version 1. A peer's closer naming time of version 3 was then used for endpoints on version 1, up to 10 s too late. Change: RecordNaming takes over the newest known predecessor with the bound.

--- a/core/forward/rollout.go
+++ b/core/forward/rollout.go
@@ -197,8 +197,8 @@
 		return i == len(ts)
 	}
 	t := &ts[i]
-	if t.previous == unknownVersion {
-		t.previous = n.Previous
+	if n.Previous < n.Version {
+		t.previous = max(t.previous, n.Previous) // SetAt bounds no version between n.Previous and this one
 	}
 	t.setAt, t.learnedAt = max(t.setAt, n.SetAt), min(t.learnedAt, n.KnownAt)
 	return false
--- a/gateway/naming_test.go
+++ b/gateway/naming_test.go
@@ -121,3 +121,26 @@
 	require.ErrorIs(t, xerr, errWeightsOutdated)
 	require.False(t, xerr.sent)
 }
+
+// Guards against a newer version's naming time that is taken for that of a version in between,
+// which this process has never read and which its peers no longer tell of.
+func TestCloserBoundOfANewerVersionDoesNotCoverAnOlderOne(t *testing.T) {
+	const peer = "10.0.0.2:7"
+	g, clock := newGateway(t)
+	g.state.peerLoads.members = []string{peer}
+	g.applyOperators([]forward.OperatorChange{weightsRecord(1)}, clock.read(), true)
+	clock.advance(time.Second)
+	named2 := clock.read()
+	clock.advance(11 * time.Second) // suspended; version 3 is named and replaces the record of version 2
+	g.applyOperators([]forward.OperatorChange{weightsRecord(3)}, clock.read(), true)
+	since, _ := g.state.rollout.RetiredSince("m", 1)
+	require.LessOrEqual(t, since, named2)
+	facts := &factsMessage{Protocol: factsProtocol, Member: peer, Named: []factNaming{{"m", 3, 2, 1000, 1000}}}
+	require.True(t, g.applyFacts(facts))
+	facts.Answers = clock.read().Milliseconds()
+	g.applyFacts(facts)
+	since, _ = g.state.rollout.RetiredSince("m", 1)
+	require.LessOrEqual(t, since, named2)
+	since, _ = g.state.rollout.RetiredSince("m", 2)
+	require.Equal(t, clock.read()-time.Second, since)
+}
