Treat reads as proof only of what they can show

A version that a peer told of counted from this process's last read even if that read could not show it: a newer version had replaced its record, the first read found a newer one, or the log had returned from an older copy without it. Facts or a record that were delayed by 4 s made the bound 4 to 5 s late. Change: a peer's facts date only versions newer than all known ones. For the version bound after a return of the log, nothing later than the last proof before it counts as proof. This also covers the residual of the return of the log: a record that no entry had read counts from before the return, not from its rewriting. Conclusion: versions named within the bound after a return count early.

--- a/core/forward/rollout.go
+++ b/core/forward/rollout.go
@@ -204,11 +204,6 @@
 	return false
 }
 
-// HasTarget reports whether a version is a target.
-func (r *Rollout) HasTarget(w WeightVersion) bool {
-	return slices.ContainsFunc(r.targets[w.Model], func(t target) bool { return t.version == w.Version })
-}
-
 // SetAt returns the earliest time at which a target version may have been set, and false if
 // the version is no target or the time is not known.
 func (r *Rollout) SetAt(w WeightVersion) (time.Duration, bool) {
--- a/gateway/facts.go
+++ b/gateway/facts.go
@@ -198,11 +198,10 @@
 	if f.Answers > 0 && askedAt >= g.createdAt && askedAt <= now && askedAt > now-factsAnswerLimit {
 		return askedAt - milliseconds(n.AgeMs)
 	}
-	age, hasRead := g.state.freshness.Age(now)
-	if !hasRead || g.state.rollout.HasTarget(forward.WeightVersion{Model: n.Model, Version: n.Version}) {
-		return forward.UnknownNamingTime
+	if n.Version <= g.state.rollout.NewestTargets()[n.Model] {
+		return forward.UnknownNamingTime // a read shows only the newest version, so it proves nothing about an older one
 	}
-	return now - max(age, milliseconds(n.AgeMs)) // the last read showed that the version was not named yet
+	return min(g.state.namingProof(now), now-milliseconds(n.AgeMs))
 }
 
 // applyFacts applies a peer's facts. It reports whether the peer should be asked for them,
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -142,6 +142,7 @@
 	switch order {
 	case forward.EraRisen:
 		now := s.clock()
+		s.proofBeforeReturn, s.returnedAt = s.namingProof(now), now
 		s.catchUp.Begin(now)
 		s.endpointList.LogReturned(now)
 		s.listedCache = nil
@@ -172,10 +173,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
-	namedAt := forward.UnknownNamingTime
-	if age, known := s.freshness.Age(now); known {
-		namedAt = now - age // the last read that showed nothing newer; the arrival of the record proves nothing, as its delay is not known
-	}
+	namedAt := s.namingProof(now) // the arrival of the record proves nothing, as its delay is not known
 	for _, r := range records {
 		switch {
 		case r.Err != nil:
--- a/gateway/naming_test.go
+++ b/gateway/naming_test.go
@@ -144,3 +144,55 @@
 	since, _ = g.state.rollout.RetiredSince("m", 2)
 	require.Equal(t, clock.read()-time.Second, since)
 }
+
+// Guards against a version that counts from the arrival of a peer's delayed facts, because the
+// process's reads are taken as proof that it was not named before although they can't show it.
+func TestReadsProveNothingAboutVersionsTheyCannotShow(t *testing.T) {
+	const peer = "10.0.0.2:7"
+	weights := func(v int64) []forward.OperatorChange { return []forward.OperatorChange{weightsRecord(v)} }
+	for name, run := range map[string]func(g *Gateway, clock *testClock) (named2 time.Duration){
+		"a newer version has replaced the record": func(g *Gateway, clock *testClock) time.Duration {
+			g.applyOperators(weights(1), clock.read(), true)
+			clock.advance(time.Second)
+			named := clock.read()
+			clock.advance(time.Second)
+			g.applyOperators(weights(3), clock.read(), true)
+			return named
+		},
+		"the first read finds a newer version": func(g *Gateway, clock *testClock) time.Duration {
+			named := clock.read()
+			clock.advance(time.Second)
+			g.applyOperators(weights(3), clock.read(), true)
+			return named
+		},
+		"the log returned without the record": func(g *Gateway, clock *testClock) time.Duration {
+			g.observeEra("operators", 1)
+			g.applyOperators(weights(1), clock.read(), true)
+			clock.advance(time.Second)
+			named := clock.read()
+			clock.advance(time.Second)
+			g.observeEra("operators", 2)
+			g.applyOperators(weights(1), clock.read(), true)
+			return named
+		},
+	} {
+		for _, source := range []string{"facts", "record"} {
+			t.Run(name+", "+source, func(t *testing.T) {
+				g, clock := newGateway(t)
+				g.state.peerLoads.members = []string{peer}
+				named2 := run(g, clock)
+				facts := &factsMessage{Protocol: factsProtocol, Member: peer, Named: []factNaming{{"m", 2, 1, 1000, 1000}}}
+				clock.advance(4 * time.Second) // until the message arrives or the record is written again
+				g.applyOperators(nil, clock.read(), false)
+				if source == "facts" {
+					g.applyFacts(facts)
+				} else {
+					g.applyOperators(weights(2), clock.read(), false)
+				}
+				since, outdated := g.state.rollout.RetiredSince("m", 1)
+				require.True(t, outdated)
+				require.LessOrEqual(t, since, named2)
+			})
+		}
+	}
+}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -52,6 +52,8 @@
 	freshness         forward.Freshness
 	eras              forward.EraTracker
 	catchUp           forward.CatchUp
+	proofBeforeReturn time.Duration // namingProof when the log last returned from an older copy
+	returnedAt        time.Duration // when that was, 0 if never
 	startup           forward.Startup
 	peerFacts         map[string]knownFacts
 	lastFactsQuestion time.Duration // when this process last asked a peer for its facts
@@ -239,6 +241,20 @@
 	})
 }
 
+// namingProof returns a time at which no version was named that is newer than the known ones:
+// the start of the last read that showed none. Reads of a log that has returned from an older
+// copy may lack versions that were named before, so for the version bound they prove nothing.
+func (s *state) namingProof(now time.Duration) time.Duration {
+	age, known := s.freshness.Age(now)
+	if !known {
+		return forward.UnknownNamingTime
+	}
+	if s.returnedAt > 0 && now < s.returnedAt+milliseconds(s.settings.VersionMs) {
+		return min(now-age, s.proofBeforeReturn)
+	}
+	return now - age
+}
+
 // observeVersion records a weight version that an endpoint has. A newer version invalidates
 // the endpoint's cached prompt parts.
 func (s *state) observeVersion(id, model string, version int64) {
