Count the expected wait against the version bound

A prompt begins with its first token; placement accepted any wait at an endpoint on old weights and left it to the margin of one second. Change: an endpoint on old weights is no candidate if the expected wait ends after the bound less the margin; the same before sending. Conclusion: the margin now covers the error of the estimate only.

--- a/core/forward/choose.go
+++ b/core/forward/choose.go
@@ -60,6 +60,7 @@
 	Excluded         bool          // already tried, or not allowed for this request
 	Outdated         bool          // has older weights than the target version
 	OutdatedSince    time.Duration // if Outdated, the earliest time at which the first newer version may have been set
+	ExpiresAt        time.Duration // if Outdated, prompts must begin on its weights before this time
 	AvoidLongRunning bool          // should get no long-running prompts, because it is about to load weights
 }
 
@@ -107,6 +108,9 @@
 			continue
 		}
 		cost, choice := t.cost(c, &plans)
+		if c.Outdated && t.Now+choice.ExpectedWait >= c.ExpiresAt {
+			continue // the prompt begins with its first token, after the wait
+		}
 		if !c.Usable {
 			cost += suspectPenaltyMs
 		}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -72,7 +72,7 @@
 	s := q.g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if since, outdated := s.rollout.RetiredSince(q.call.Prompt.Model, p.choice.Version); outdated && p.choice.Version > 0 && s.versionExpired(since, s.clock()) {
+	if since, outdated := s.rollout.RetiredSince(q.call.Prompt.Model, p.choice.Version); outdated && p.choice.Version > 0 && s.clock()+p.choice.ExpectedWait >= s.versionExpiry(since) {
 		return errWeightsOutdated
 	}
 	return nil
--- a/gateway/naming_test.go
+++ b/gateway/naming_test.go
@@ -105,8 +105,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			q := &request{g: f.Gateway, call: RequestInfo{ID: "id", Prompt: c.prompt}, route: &forward.Route{Public: true}}
-			p := &placement{choice: forward.Choice{Version: c.version}}
-			f.clock.now.Store(int64(bound - 1))
+			const wait = 300 * time.Millisecond
+			p := &placement{choice: forward.Choice{Version: c.version, ExpectedWait: wait}}
+			f.clock.now.Store(int64(bound - wait - 1))
 			require.NoError(t, q.checkPlacement(p))
 			f.clock.advance(1)
 			require.ErrorIs(t, q.checkPlacement(p), c.want)
@@ -117,6 +118,7 @@
 		g: f.Gateway, call: RequestInfo{ID: "id", Prompt: &forward.Prompt{Model: "m"}}, route: &forward.Route{Public: true},
 		service: &forward.Service{Engine: &forward.Engine{}}, msg: wireRequest{method: "POST", uri: "/", host: "h", header: http.Header{}},
 	}
+	f.clock.now.Store(int64(bound))
 	xerr := q.sendTo(t.Context(), &placement{endpoint: e, maxConns: 1, choice: forward.Choice{Version: 1}})
 	require.ErrorIs(t, xerr, errWeightsOutdated)
 	require.False(t, xerr.sent)
@@ -196,3 +198,25 @@
 		}
 	}
 }
+
+// Guards against a prompt that begins after the version bound because its wait at the endpoint
+// was left out: it begins with its first token, after the queue and the prefill.
+func TestExpectedWaitCountsAgainstTheVersionBound(t *testing.T) {
+	const tokens = 20_000
+	g, clock := newGateway(t)
+	s := g.state
+	g.applyEndpoints([]forward.EndpointChange{{ID: "e", Endpoint: &forward.Endpoint{ID: "e", Service: "s", Slots: 8, Models: []forward.ModelState{{Name: "m", Version: 1}}}}}, clock.read(), true)
+	g.applyOperators(nil, clock.read(), true)
+	named := clock.read()
+	g.applyOperators([]forward.OperatorChange{weightsRecord(2)}, clock.read(), false)
+	choose := func(at time.Duration) forward.Choice {
+		clock.now.Store(int64(at))
+		p := &forward.Prompt{Model: "m", Parts: []forward.Part{{ID: "1", Tokens: tokens}}, Tokens: tokens, MaxOutput: 1}
+		return forward.Choose(forward.PlacementRequest{Prompt: p, Engine: &forward.Engine{CapacityTokens: 10 * tokens}, Now: at, Fetchable: func(string, int64) bool { return true }}, s.candidates("s", p, nil, at))
+	}
+	wait := choose(named).ExpectedWait
+	require.Greater(t, wait, 100*time.Millisecond)
+	expiry := named + milliseconds(testSettings().VersionMs) - versionMargin
+	require.Zero(t, choose(expiry-wait-1).Index)
+	require.Equal(t, -1, choose(expiry-wait).Index)
+}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -17,7 +17,7 @@
 // Margins within the bounds of the settings, and other limits.
 const (
 	revokeMargin      = 100 * time.Millisecond  // covers clock drift: the bound counts from when the caller sends the request
-	versionMargin     = 1000 * time.Millisecond // covers requests that are queued at an endpoint
+	versionMargin     = 1000 * time.Millisecond // covers the error of the expected wait at an endpoint
 	staleConfigAge    = 3200 * time.Millisecond // configuration age beyond which newer routes, keys or weights may exist
 	resumeReadTimeout = 250 * time.Millisecond  // limit for the first read after a suspension; a read that takes longer gets no response
 	suspendThreshold  = 500 * time.Millisecond  // inactivity from which the process counts as suspended
@@ -219,25 +219,25 @@
 		c.AvoidLongRunning = long || now < st.emptyingUntil
 		if p != nil {
 			since, behind := s.rollout.OutdatedSince(e.Models, p.Model)
-			c.Outdated, c.OutdatedSince = behind, since
-			c.Excluded = c.Excluded || behind && s.versionExpired(since, now)
+			c.Outdated, c.OutdatedSince, c.ExpiresAt = behind, since, s.versionExpiry(since)
+			c.Excluded = c.Excluded || behind && now >= c.ExpiresAt
 		}
 		cs = append(cs, c)
 	}
 	return cs
 }
 
-// versionExpired reports whether prompts may no longer begin on a weight version, given when
-// a newer one was named.
-func (s *state) versionExpired(namedAt, now time.Duration) bool {
-	return now >= namedAt+milliseconds(s.settings.VersionMs)-versionMargin
+// versionExpiry returns the time before which prompts must begin on a weight version, given
+// when a newer one was named.
+func (s *state) versionExpiry(namedAt time.Duration) time.Duration {
+	return namedAt + milliseconds(s.settings.VersionMs) - versionMargin
 }
 
 // weightsExpired reports whether prompts may no longer begin on any of an endpoint's models.
 func (s *state) weightsExpired(models []forward.ModelState, now time.Duration) bool {
 	return len(models) > 0 && !slices.ContainsFunc(models, func(m forward.ModelState) bool {
 		since, outdated := s.rollout.RetiredSince(m.Name, m.Version)
-		return !outdated || !s.versionExpired(since, now)
+		return !outdated || now < s.versionExpiry(since)
 	})
 }
 
