Count only complete reads of the log as proof

A read returns at most 1 MB; a part of the records confirmed the configuration's age, so that a removed key or a named version further on counted as known. Change: a batch says whether the log held more, and such a read confirms nothing before the next one.

--- a/gateway/config_test.go
+++ b/gateway/config_test.go
@@ -150,3 +150,26 @@
 	require.Less(t, 2*operatorPollWait+responseTimes, min(maxReadyConfigAge, staleConfigAge))
 	require.Less(t, operatorPollWait+operatorPollWait+readTimeoutMargin+responseTimes, milliseconds(testSettings().RevokeMs)-revokeMargin, "one read may fail")
 }
+
+// Guards against a removed key that stays valid, because a read that returned only a part of the
+// records counted as proof that nothing newer was written.
+func TestPartialReadProvesNothing(t *testing.T) {
+	g, clock := newGateway(t)
+	partial := batch(0, 6, configRecord(6))
+	partial.Partial = true
+	f := &scriptedFeed{
+		newest: []Batch[forward.OperatorChange]{batch(0, 5, configRecord(5))},
+		reads:  []Batch[forward.OperatorChange]{partial, partial, batch(0, 8, configRecord(8))},
+	}
+	r := newReader(g, f)
+	age := func() time.Duration {
+		a, _ := g.state.freshness.Age(clock.read())
+		return a
+	}
+	for _, want := range []time.Duration{0, 2 * time.Second, 4 * time.Second, 0} {
+		require.NoError(t, r.poll(t.Context(), clock.read(), 0))
+		require.Equal(t, want, age())
+		clock.advance(2 * time.Second)
+	}
+	require.EqualValues(t, 8, g.state.table.Config.Version)
+}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -23,17 +23,20 @@
 
 // feedReader reads one feed continuously.
 type feedReader[T any] struct {
-	name       string
-	feed       Feed[T]
-	clock      Clock
-	pollWait   time.Duration // long-poll wait of a read
-	pollPause  time.Duration // pause between reads
+	name      string
+	feed      Feed[T]
+	clock     Clock
+	pollWait  time.Duration // long-poll wait of a read
+	pollPause time.Duration // pause between reads
+	// apply is called with the records of a read and the start of the last complete read, before
+	// which nothing is missing.
 	apply      func(records []T, started time.Duration, snapshot bool)
 	onFailure  func(now time.Duration)
 	observeEra func(feed string, e forward.Era) forward.EraOrder
 	nextOffset int64
 	hasOffset  bool
-	era        forward.Era // era of the log that nextOffset belongs to
+	era        forward.Era   // era of the log that nextOffset belongs to
+	completeAt time.Duration // start of the last read that returned all records
 }
 
 // Errors of reads whose answer belongs to another era of the log than the reader's offset.
@@ -109,7 +112,7 @@
 		if r.observeEra(r.name, batch.Era) == forward.EraStale {
 			return errStaleAnswer
 		}
-		r.nextOffset, r.era, r.hasOffset = batch.Next, batch.Era, true
+		r.nextOffset, r.era, r.hasOffset, r.completeAt = batch.Next, batch.Era, true, started
 		r.apply(batch.Records, started, true)
 		return nil
 	}
@@ -126,7 +129,10 @@
 		return errLogReturned
 	}
 	r.nextOffset = batch.Next
-	r.apply(batch.Records, started, false)
+	if !batch.Partial {
+		r.completeAt = started
+	}
+	r.apply(batch.Records, r.completeAt, false)
 	return nil
 }
 
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -61,6 +61,7 @@
 type Batch[T any] struct {
 	Records []T
 	Next    int64       // offset from which Read continues
+	Partial bool        // the log held further records when it answered
 	Era     forward.Era // era of the log that the records and Next belong to
 }
 
