--- a/core/forward/rollout.go
+++ b/core/forward/rollout.go
@@ -96,6 +96,9 @@
 	lastBusy          time.Duration // when the endpoint last reported that it was carrying out an order
 	report            EndpointReport
 	hasReport         bool
+	// uncounted exempts an update that has stalled from the limits, while the endpoint gets no
+	// prompts anyway: it takes nothing out of use, and must not delay the updates of others.
+	uncounted bool
 }
 
 // ManagedEndpoint is an endpoint that this process may send orders to.
@@ -106,6 +109,8 @@
 	// OrderSeq is the number of accepted orders that all processes know of. It is used if
 	// another process may have sent an order within the handover pause.
 	OrderSeq int64
+	// Expired is set if the endpoint gets no prompts because its weights are too old.
+	Expired bool
 }
 
 // EndpointReport is the state that an endpoint reports.
@@ -192,13 +197,24 @@
 		return i == len(ts)
 	}
 	t := &ts[i]
-	if t.previous == unknownVersion {
-		t.previous = n.Previous
+	if n.Previous < n.Version {
+		t.previous = max(t.previous, n.Previous) // SetAt bounds no version between n.Previous and this one
 	}
 	t.setAt, t.learnedAt = max(t.setAt, n.SetAt), min(t.learnedAt, n.KnownAt)
 	return false
 }
 
+// SetAt returns the earliest time at which a target version may have been set, and false if
+// the version is no target or the time is not known.
+func (r *Rollout) SetAt(w WeightVersion) (time.Duration, bool) {
+	for _, t := range r.targets[w.Model] {
+		if t.version == w.Version {
+			return t.setAt, t.setAt != UnknownNamingTime
+		}
+	}
+	return 0, false
+}
+
 // Namings returns the targets that were named after the given time.
 func (r *Rollout) Namings(after time.Duration) []Naming {
 	var out []Naming
@@ -311,7 +327,8 @@
 
 // NextSteps returns the steps that are due for the managed endpoints. It limits the share
 // of a service's endpoints that are updated at a time, and further limits the share
-// that gets no requests.
+// that gets no requests. An endpoint that does not carry out its order gives way to others,
+// or is updated beside them once its weights have expired.
 func (r *Rollout) NextSteps(managed []ManagedEndpoint, fleets map[string]FleetCounts, now time.Duration) []RolloutStep {
 	slices.SortFunc(managed, func(a, b ManagedEndpoint) int {
 		return cmp.Or(cmp.Compare(oldestVersion(a.Endpoint), oldestVersion(b.Endpoint)), cmp.Compare(a.LongRunning, b.LongRunning), cmp.Compare(a.Endpoint.ID, b.Endpoint.ID))
@@ -326,15 +343,23 @@
 		}
 	}
 	for _, m := range managed {
-		if u := r.updates[m.Endpoint.ID]; u != nil && u.stalled(now) {
+		u := r.updates[m.Endpoint.ID]
+		if u == nil {
+			continue
+		}
+		u.lastManaged = now
+		switch {
+		case m.Expired && (u.uncounted || u.stalled(now)):
+			u.uncounted = true
+		case u.stalled(now):
 			delete(r.updates, m.Endpoint.ID)
 			r.deferredUntil[m.Endpoint.ID] = now + deferralPeriod
-		} else if u != nil {
+		default:
+			u.uncounted = false
 			changing[m.Endpoint.Service]++
 			if u.stage != emptying {
 				loading[m.Endpoint.Service]++
 			}
-			u.lastManaged = now
 		}
 	}
 	for id, u := range r.updates {
@@ -346,6 +371,10 @@
 	for _, m := range managed {
 		service := m.Endpoint.Service
 		u := r.updates[m.Endpoint.ID]
+		if u == nil && m.Expired && now < r.deferredUntil[m.Endpoint.ID] {
+			u = &endpointUpdate{stage: awaitingReport, stageSince: now, awaitedSince: now, lastManaged: now, uncounted: true}
+			r.updates[m.Endpoint.ID] = u
+		}
 		if u == nil {
 			f := fleets[service]
 			_, _, behind := r.pendingTarget(m.Endpoint.Models)
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -23,17 +23,20 @@
 
 // feedReader reads one feed continuously.
 type feedReader[T any] struct {
-	name       string
-	feed       Feed[T]
-	clock      Clock
-	pollWait   time.Duration // long-poll wait of a read
-	pollPause  time.Duration // pause between reads
+	name      string
+	feed      Feed[T]
+	clock     Clock
+	pollWait  time.Duration // long-poll wait of a read
+	pollPause time.Duration // pause between reads
+	// apply is called with the records of a read and the start of the last complete read, before
+	// which nothing is missing.
 	apply      func(records []T, started time.Duration, snapshot bool)
 	onFailure  func(now time.Duration)
 	observeEra func(feed string, e forward.Era) forward.EraOrder
 	nextOffset int64
 	hasOffset  bool
-	era        forward.Era // era of the log that nextOffset belongs to
+	era        forward.Era   // era of the log that nextOffset belongs to
+	completeAt time.Duration // start of the last read that returned all records
 }
 
 // Errors of reads whose answer belongs to another era of the log than the reader's offset.
@@ -109,7 +112,7 @@
 		if r.observeEra(r.name, batch.Era) == forward.EraStale {
 			return errStaleAnswer
 		}
-		r.nextOffset, r.era, r.hasOffset = batch.Next, batch.Era, true
+		r.nextOffset, r.era, r.hasOffset, r.completeAt = batch.Next, batch.Era, true, started
 		r.apply(batch.Records, started, true)
 		return nil
 	}
@@ -126,14 +129,13 @@
 		return errLogReturned
 	}
 	r.nextOffset = batch.Next
-	r.apply(batch.Records, started, false)
+	if !batch.Partial {
+		r.completeAt = started
+	}
+	r.apply(batch.Records, r.completeAt, false)
 	return nil
 }
 
-// maxReadLatency is an upper bound for the response time of a log read that does not wait for
-// records.
-const maxReadLatency = 300 * time.Millisecond
-
 // observeEra compares the era of an answer of the log with the newest known one. When the
 // log has returned from an older copy, its member lists and the absence of records in it
 // prove nothing until they have been read again.
@@ -146,6 +148,7 @@
 	switch order {
 	case forward.EraRisen:
 		now := s.clock()
+		s.proofBeforeReturn, s.returnedAt = s.namingProof(now), now
 		s.catchUp.Begin(now)
 		s.endpointList.LogReturned(now)
 		s.listedCache = nil
@@ -176,13 +179,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
-	namedAt := forward.UnknownNamingTime
-	if age, known := s.freshness.Age(now); known {
-		namedAt = now - age // lower bound: the last read that proved nothing newer
-		if now-started > maxReadLatency && !s.catchUp.Pending() {
-			namedAt = max(namedAt, now-maxReadLatency) // the long poll returned as soon as there was a record
-		}
-	}
+	namedAt := s.namingProof(now) // the arrival of the record proves nothing, as its delay is not known
 	for _, r := range records {
 		switch {
 		case r.Err != nil:
@@ -193,7 +190,7 @@
 		case r.Weights != nil:
 			s.catchUp.RecordWeights(*r.Weights)
 			if s.rollout.AddTarget(*r.Weights, namedAt, now) {
-				log.Info().Str("event", "weights_named").Str("model", r.Weights.Model).Int64("version", r.Weights.Version).Msg("a weight version was named")
+				g.logNaming(log.Info().Str("event", "weights_named"), *r.Weights, now).Dur("read_ms", now-started).Msg("a weight version was named")
 				g.announceNamings(namedAt)
 			}
 		}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -17,7 +17,7 @@
 // Margins within the bounds of the settings, and other limits.
 const (
 	revokeMargin      = 100 * time.Millisecond  // covers clock drift: the bound counts from when the caller sends the request
-	versionMargin     = 1000 * time.Millisecond // covers requests that are queued at an endpoint
+	versionMargin     = 1000 * time.Millisecond // covers the error of the expected wait at an endpoint
 	staleConfigAge    = 3200 * time.Millisecond // configuration age beyond which newer routes, keys or weights may exist
 	resumeReadTimeout = 250 * time.Millisecond  // limit for the first read after a suspension; a read that takes longer gets no response
 	suspendThreshold  = 500 * time.Millisecond  // inactivity from which the process counts as suspended
@@ -37,6 +37,7 @@
 	observedVersions map[string]int64 // newest weight versions seen in responses and reports, by model
 	started          int64            // Started of the list entry; another value means a restart
 	loadingUntil     time.Duration    // loading weights by a peer's order until then
+	loadingSince     time.Duration    // when a peer first reported that
 	emptyingUntil    time.Duration    // emptied by a peer before loading weights: gets no long prompts until then
 	lastPeerChange   time.Duration    // when a peer last reported that the endpoint is loading weights or being emptied for it
 	orderCount       int64            // number of orders that the endpoint has accepted, as far as known
@@ -44,31 +45,34 @@
 
 // state holds everything that decisions about requests depend on. It is guarded by mu.
 type state struct {
-	mu               sync.Mutex
-	clock            Clock
-	rng              *rand.Rand
-	table            *forward.Table
-	freshness        forward.Freshness
-	eras             forward.EraTracker
-	catchUp          forward.CatchUp
-	startup          forward.Startup
-	peerFacts        map[string]knownFacts
-	readConfirmed    chan struct{} // closed and replaced when freshness changes
-	storeRead        chan struct{} // closed and replaced when a store has been read
-	resumes          chan struct{} // receives a value after each suspension
-	firstConfigAt    time.Duration // when the first configuration was read
-	endpointList     *forward.EndpointList
-	endpointListRead bool
-	lastActive       time.Duration      // last time at which the process was active
-	resumedAt        time.Duration      // end of the last suspension, 0 if none
-	listedCache      []forward.Endpoint // cached result of listedEndpoints, nil if invalid
-	listedCacheUntil time.Duration
-	endpoints        map[string]*endpointState
-	rollout          *forward.Rollout
-	retryBudgets     map[string]*retry.Budget
-	stores           []*forward.StoreView
-	peerLoads        peerLoads
-	settings         Settings
+	mu                sync.Mutex
+	clock             Clock
+	rng               *rand.Rand
+	table             *forward.Table
+	freshness         forward.Freshness
+	eras              forward.EraTracker
+	catchUp           forward.CatchUp
+	proofBeforeReturn time.Duration // namingProof when the log last returned from an older copy
+	returnedAt        time.Duration // when that was, 0 if never
+	startup           forward.Startup
+	peerFacts         map[string]knownFacts
+	lastFactsQuestion time.Duration // when this process last asked a peer for its facts
+	readConfirmed     chan struct{} // closed and replaced when freshness changes
+	storeRead         chan struct{} // closed and replaced when a store has been read
+	resumes           chan struct{} // receives a value after each suspension
+	firstConfigAt     time.Duration // when the first configuration was read
+	endpointList      *forward.EndpointList
+	endpointListRead  bool
+	lastActive        time.Duration      // last time at which the process was active
+	resumedAt         time.Duration      // end of the last suspension, 0 if none
+	listedCache       []forward.Endpoint // cached result of listedEndpoints, nil if invalid
+	listedCacheUntil  time.Duration
+	endpoints         map[string]*endpointState
+	rollout           *forward.Rollout
+	retryBudgets      map[string]*retry.Budget
+	stores            []*forward.StoreView
+	peerLoads         peerLoads
+	settings          Settings
 }
 
 func newState(s Settings, clock Clock, rng *rand.Rand) *state {
@@ -215,14 +219,42 @@
 		c.AvoidLongRunning = long || now < st.emptyingUntil
 		if p != nil {
 			since, behind := s.rollout.OutdatedSince(e.Models, p.Model)
-			c.Outdated = behind
-			c.Excluded = c.Excluded || behind && now >= since+milliseconds(s.settings.VersionMs)-versionMargin
+			c.Outdated, c.OutdatedSince, c.ExpiresAt = behind, since, s.versionExpiry(since)
+			c.Excluded = c.Excluded || behind && now >= c.ExpiresAt
 		}
 		cs = append(cs, c)
 	}
 	return cs
 }
 
+// versionExpiry returns the time before which prompts must begin on a weight version, given
+// when a newer one was named.
+func (s *state) versionExpiry(namedAt time.Duration) time.Duration {
+	return namedAt + milliseconds(s.settings.VersionMs) - versionMargin
+}
+
+// weightsExpired reports whether prompts may no longer begin on any of an endpoint's models.
+func (s *state) weightsExpired(models []forward.ModelState, now time.Duration) bool {
+	return len(models) > 0 && !slices.ContainsFunc(models, func(m forward.ModelState) bool {
+		since, outdated := s.rollout.RetiredSince(m.Name, m.Version)
+		return !outdated || now < s.versionExpiry(since)
+	})
+}
+
+// namingProof returns a time at which no version was named that is newer than the known ones:
+// the start of the last read that showed none. Reads of a log that has returned from an older
+// copy may lack versions that were named before, so for the version bound they prove nothing.
+func (s *state) namingProof(now time.Duration) time.Duration {
+	age, known := s.freshness.Age(now)
+	if !known {
+		return forward.UnknownNamingTime
+	}
+	if s.returnedAt > 0 && now < s.returnedAt+milliseconds(s.settings.VersionMs) {
+		return min(now-age, s.proofBeforeReturn)
+	}
+	return now - age
+}
+
 // observeVersion records a weight version that an endpoint has. A newer version invalidates
 // the endpoint's cached prompt parts.
 func (s *state) observeVersion(id, model string, version int64) {
