Read the endpoints' clock from reports where no store states it

Cause: In a deployment without stores, a saved naming is dated by the time of day alone. Its error of 5 s takes up half of the bound of 10 s, and the margin for queued requests another second, so that older weights are excluded at once when all processes restart more than 4 s after a naming. Change: Each report of an endpoint states the same clock as the stores. Reports of rollouts are used as they come; a process that saves or recovers a naming and knows no clock requests one report, at most three in two seconds when endpoints don't answer. A report's values may be a second old, which widens the bound by that. Conclusion: Recovered times have an error of about a second in every deployment whose endpoints answer.

--- a/core/forward/clock.go
+++ b/core/forward/clock.go
@@ -9,13 +9,31 @@
 type EndpointClock struct {
 	known    bool
 	min, max float64 // bounds of how far the endpoints' clock is ahead of the process's clock, in ms
+	readAt   time.Duration
+}
+
+// reportAge is an upper bound for the age of a report, whose values are some hundred ms old.
+const reportAge = time.Second
+
+// ObserveReport records an endpoint's report that was requested at the time started.
+func (c *EndpointClock) ObserveReport(r EndpointReport, started, now time.Duration) {
+	if r.ClockMs > 0 {
+		c.Observe(r.ClockMs, started-reportAge, now)
+	}
 }
 
 // Observe records an answer that stated the clock. The call began at the time started.
 func (c *EndpointClock) Observe(clockMs float64, started, now time.Duration) {
-	*c = EndpointClock{true, clockMs - milliseconds(now), clockMs - milliseconds(started)}
+	*c = EndpointClock{true, clockMs - milliseconds(now), clockMs - milliseconds(started), now}
 }
 
+// clockTTL is how long the answer of an endpoint that is not read regularly is used. In this
+// time, two clocks drift apart by milliseconds.
+const clockTTL = time.Minute
+
+// Expired reports whether the clock is not known, or was read too long ago to be used.
+func (c *EndpointClock) Expired(now time.Duration) bool { return !c.known || now >= c.readAt+clockTTL }
+
 // Bounds returns bounds of the clock in ms at the given time, and false if the clock is not
 // known.
 func (c *EndpointClock) Bounds(at time.Duration) (earliest, latest float64, known bool) {
--- a/core/forward/clock_test.go
+++ b/core/forward/clock_test.go
@@ -36,3 +36,27 @@
 		})
 	}
 }
+
+// Guards against a clock that is taken for earlier than it can be, because a report's values
+// are older than the request for it, and against one that is used after it has drifted.
+func TestReportsBoundTheClock(t *testing.T) {
+	const ahead = 500_000.0 // of the endpoints' clock, in ms
+	for name, c := range map[string]struct{ stated, started, now time.Duration }{
+		"current":          {10 * time.Second, 10 * time.Second, 10 * time.Second},
+		"some hundred ms":  {9300 * time.Millisecond, 10 * time.Second, 10*time.Second + 50*time.Millisecond},
+		"oldest":           {9 * time.Second, 10 * time.Second, 10 * time.Second},
+		"answer came late": {10 * time.Second, 10 * time.Second, 14 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var clock EndpointClock
+			clock.ObserveReport(EndpointReport{}, c.started, c.now)
+			require.True(t, clock.Expired(c.now), "a report without the clock")
+			clock.ObserveReport(EndpointReport{ClockMs: ahead + milliseconds(c.stated)}, c.started, c.now)
+			require.False(t, clock.Expired(c.now))
+			earliest, latest, _ := clock.Bounds(c.now + time.Second)
+			require.LessOrEqual(t, earliest, ahead+milliseconds(c.now+time.Second))
+			require.GreaterOrEqual(t, latest, ahead+milliseconds(c.now+time.Second))
+			require.True(t, clock.Expired(c.now+clockTTL))
+		})
+	}
+}
--- a/core/forward/rollout.go
+++ b/core/forward/rollout.go
@@ -113,6 +113,7 @@
 	Models   []ModelState
 	Busy     bool
 	OrderSeq int64
+	ClockMs  float64 // endpoints' clock, 0 if not stated
 }
 
 // RolloutStep is an action for an endpoint: a request for its report, or an order to load
--- a/gateway/era_test.go
+++ b/gateway/era_test.go
@@ -272,3 +272,49 @@
 	require.True(t, outdated)
 	require.Greater(t, since, clock.read()-milliseconds(testSettings().VersionMs), "version 3 was named less than 3 s ago")
 }
+
+// statedClock is an EndpointControl whose reports state a clock, 0 for none.
+type statedClock struct {
+	EndpointControl
+	ms      func() float64
+	reports int
+}
+
+func (c *statedClock) ReadState(context.Context, forward.Endpoint) (forward.EndpointReport, error) {
+	c.reports++
+	return forward.EndpointReport{ClockMs: c.ms()}, nil
+}
+
+// Guards against a full outage of the endpoints after a restart of all processes in a
+// deployment without stores, where the error of the time of day takes up most of the bound,
+// and against reports that are requested again and again from endpoints that state no clock.
+func TestReportStatesTheClockWhereNoStoreDoes(t *testing.T) {
+	namings := &memoryNamings{}
+	g, clock := newGateway(t)
+	endpoints := &statedClock{ms: func() float64 { return 1e6 + float64(clock.read().Milliseconds()) }}
+	start := func() *Gateway {
+		n := New(Options{Settings: testSettings(), Clock: clock.read, HeaderCodec: testHeaderCodec{}, NamingStore: namings, EndpointControl: endpoints, WallClock: g.wallClock})
+		n.applyEndpoints([]forward.EndpointChange{{ID: "e", Endpoint: &forward.Endpoint{ID: "e", Service: "s"}}}, clock.read(), true)
+		return n
+	}
+	old := start()
+	named := clock.read()
+	require.NoError(t, old.saveNaming(t.Context(), forward.Naming{WeightVersion: forward.WeightVersion{Model: "m", Version: 2}, Previous: 1, SetAt: named, KnownAt: named}))
+	clock.advance(5 * time.Second)
+	restarted := start()
+	restarted.applyOperators([]forward.OperatorChange{{Weights: &forward.WeightVersion{Model: "m", Version: 2}}}, clock.read(), true)
+	restarted.readEndpointClock(t.Context())
+	require.True(t, restarted.applyNamings(namings.saved))
+	since, _ := restarted.state.rollout.RetiredSince("m", 1)
+	require.LessOrEqual(t, since, named)
+	require.Greater(t, since, named-1500*time.Millisecond, "only the age of the report is uncertain")
+	restarted.readEndpointClock(t.Context())
+	require.Equal(t, 2, endpoints.reports, "one for each process")
+
+	endpoints.ms = func() float64 { return 0 }
+	other := start()
+	for range 10 {
+		other.readEndpointClock(t.Context())
+	}
+	require.Equal(t, 3, endpoints.reports)
+}
--- a/gateway/facts.go
+++ b/gateway/facts.go
@@ -32,7 +32,7 @@
 	namingRetryPause    = 300 * time.Millisecond
 	namingTimeout       = 600 * time.Millisecond
 	namingCheckPause    = 50 * time.Millisecond
-	endpointClockWait   = 2 * time.Second // how long to wait for a store's clock after the records were read
+	endpointClockWait   = 2 * time.Second // how long to wait for the endpoints' clock after the records were read
 	namingTransitMargin = 100 * time.Millisecond
 )
 
@@ -221,12 +221,8 @@
 	before := g.wallClock().UnixMilli()
 	now := g.state.clock()
 	i := forward.Instant{Time: now, Earliest: forward.Stamp{UnixMs: before}, Latest: forward.Stamp{UnixMs: g.wallClock().UnixMilli()}}
-	for _, v := range g.state.stores {
-		clock := v.Clock()
-		if earliest, latest, known := clock.Bounds(now); known {
-			i.Earliest.EndpointClockMs, i.Latest.EndpointClockMs = earliest, latest
-			break
-		}
+	if clock, known := g.state.endpointClock(now); known {
+		i.Earliest.EndpointClockMs, i.Latest.EndpointClockMs, _ = clock.Bounds(now)
 	}
 	return i
 }
@@ -258,6 +254,7 @@
 	if g.namingStore == nil {
 		return nil
 	}
+	g.readEndpointClock(ctx)
 	s := g.state
 	s.mu.Lock()
 	now := g.instant()
@@ -297,6 +294,9 @@
 	}
 	log.Info().Str("event", "namings_read").Int("count", len(stored)).Msg("read from the log when weight versions were named")
 	for waited := time.Duration(0); waited < endpointClockWait; waited += namingCheckPause {
+		if waited >= storeClockWait {
+			g.readEndpointClock(ctx)
+		}
 		if g.applyNamings(stored) || !wait.For(ctx, namingCheckPause) {
 			return
 		}
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -137,6 +137,7 @@
 		g.sendOrder(ctx, st)
 		return
 	}
+	started := g.clock()
 	rep, err := g.endpointControl.ReadState(ctx, st.Endpoint)
 	if err != nil {
 		log.Warn().Str("event", "report_unread").Str("endpoint", st.Endpoint.ID).Err(err).Msg("cannot read the endpoint's state; retrying")
@@ -145,6 +146,7 @@
 	s := g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.reportClock.ObserveReport(rep, started, s.clock())
 	for _, m := range rep.Models {
 		s.observeVersion(st.Endpoint.ID, m.Name, m.Version)
 	}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -67,6 +67,8 @@
 	rollout          *forward.Rollout
 	retryBudgets     map[string]*retry.Budget
 	stores           []*forward.StoreView
+	reportClock      forward.EndpointClock // endpoints' clock as their reports state it
+	nextClockRead    time.Duration         // when a report may be requested for the clock again
 	peerLoads        peerLoads
 	settings         Settings
 }
