Bound namings of versions that were named while no entry ran

Cause: Callers got 503 from all entries after a restart of all processes during which a weight version was named: no record told when, so the version counted as named long ago and every endpoint was excluded until it had loaded it. What bounds the time, the last read that showed nothing newer, was in the memory of the processes that were lost. Change: One member of the group, chosen by rendezvous, saves after its reads, once a second, the newest version of each named model and the start of the last read (NamingProof, topic of the namings, one record for each version, so that the last proof without a version outlives its naming). A starting process takes a version that has no record as named after the last proof of the newest older version; without a usable one the time stays unknown. The stamp comes from readings on the safe side of a suspension; the endpoints' clock is left out when its bounds are over 2 s apart or when it has run for less than 12 s, since a clock that began anew in that time could pass for the old one. No proof is saved without a named version, while the log's records are incomplete after a return, or for 10 s after a start at a log that has returned. Conclusion: After an outage of all entries of up to about 6 s, older weights stay in use for the rest of their bound. The first version of a model that is named while no entry runs still counts as named long ago.

--- a/core/forward/clock.go
+++ b/core/forward/clock.go
@@ -32,10 +32,17 @@
 const clockTTL = time.Minute
 
 // Expired reports whether the clock is not known, or was read too long ago to be used.
-func (c *EndpointClock) Expired(now time.Duration) bool { return !c.known || now >= c.readAt+clockTTL }
+func (c *EndpointClock) Expired(now time.Duration) bool {
+	_, _, known := c.Bounds(now)
+	return !known || now >= c.readAt+clockTTL
+}
+
+// maxClockError is how far apart the bounds may be. It exceeds a report's age and the
+// timeouts of calls, so that only an answer that waited during a suspension is left out.
+const maxClockError = 2 * time.Second
 
 // Bounds returns bounds of the clock in ms at the given time, and false if the clock is not
-// known.
+// known, or not well enough.
 func (c *EndpointClock) Bounds(at time.Duration) (earliest, latest float64, known bool) {
-	return c.min + milliseconds(at), c.max + milliseconds(at), c.known
+	return c.min + milliseconds(at), c.max + milliseconds(at), c.known && c.max-c.min <= milliseconds(maxClockError)
 }
--- a/core/forward/naming.go
+++ b/core/forward/naming.go
@@ -63,9 +63,15 @@
 	Earliest, Latest Stamp
 }
 
-// NotAfter returns a stamp that is not after the time t, which is before the instant.
+// NotAfter returns a stamp that is not after the time t, which is before the instant. It lacks
+// the endpoints' clock if that has just begun: by one that begins anew within seconds, less
+// time would seem to have passed, and the time of day would not contradict it.
 func (i Instant) NotAfter(t time.Duration) Stamp {
-	return i.Earliest.Before(i.Time - t + stampRounding)
+	s := i.Earliest.Before(i.Time - t + stampRounding)
+	if s.EndpointClockMs <= milliseconds(2*maxWallClockError+maxClockError) {
+		s.EndpointClockMs = 0
+	}
+	return s
 }
 
 // NotBefore returns a stamp that is not before the time t, which is before the instant.
--- a/core/forward/rollout.go
+++ b/core/forward/rollout.go
@@ -259,6 +259,17 @@
 	return out
 }
 
+// Targets returns all targets in force.
+func (r *Rollout) Targets() []WeightVersion {
+	var out []WeightVersion
+	for model, ts := range r.targets {
+		for _, t := range ts {
+			out = append(out, WeightVersion{model, t.version})
+		}
+	}
+	return out
+}
+
 // Stages returns the stage of each endpoint that this process is updating.
 func (r *Rollout) Stages() map[string]string {
 	out := map[string]string{}
--- a/core/forward/stores.go
+++ b/core/forward/stores.go
@@ -236,8 +236,8 @@
 // ClockMs returns the earliest time in ms that the store's clock may show at the given time,
 // and false if the store has not stated it yet.
 func (v *StoreView) ClockMs(at time.Duration) (float64, bool) {
-	ms, _, known := v.clock.Bounds(at)
-	return ms, known
+	ms, _, _ := v.clock.Bounds(at)
+	return ms, v.clock.known
 }
 
 // Clock returns the store's clock.
--- a/gateway/endpointclock.go
+++ b/gateway/endpointclock.go
@@ -31,6 +31,13 @@
 	return s.reportClock, !s.reportClock.Expired(now)
 }
 
+// awaitsStores reports whether the configuration has stores that are read, or is not known yet.
+func (s *state) awaitsStores() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table == nil || slices.ContainsFunc(s.table.Config.Services, func(sv forward.Service) bool { return sv.StoreAddress != "" && sv.NoAutoEviction })
+}
+
 // readEndpointClock requests a report from an endpoint if the endpoints' clock is not known.
 func (g *Gateway) readEndpointClock(ctx context.Context) {
 	s := g.state
--- a/gateway/facts.go
+++ b/gateway/facts.go
@@ -292,9 +292,9 @@
 		}
 		return
 	}
-	log.Info().Str("event", "namings_read").Int("count", len(stored)).Msg("read from the log when weight versions were named")
+	log.Info().Str("event", "namings_read").Int("count", len(stored.Namings)).Int("proofs", len(stored.Proofs)).Msg("read from the log when weight versions were named")
 	for waited := time.Duration(0); waited < endpointClockWait; waited += namingCheckPause {
-		if waited >= storeClockWait {
+		if waited >= storeClockWait || !g.state.awaitsStores() {
 			g.readEndpointClock(ctx)
 		}
 		if g.applyNamings(stored) || !wait.For(ctx, namingCheckPause) {
@@ -303,7 +303,7 @@
 	}
 }
 
-func (g *Gateway) loadNamings(ctx context.Context) (stored []forward.StoredNaming, err error) {
+func (g *Gateway) loadNamings(ctx context.Context) (stored forward.NamingRecords, err error) {
 	for range namingAttempts {
 		attempt, cancel := context.WithTimeout(ctx, namingTimeout)
 		stored, err = g.namingStore.Load(attempt)
@@ -312,22 +312,30 @@
 			return stored, err
 		}
 	}
-	return nil, err
+	return stored, err
 }
 
-// applyNamings applies namings that were saved in the log. It reports whether a store's
-// clock was known, which gives the exact ages.
-func (g *Gateway) applyNamings(stored []forward.StoredNaming) bool {
+// applyNamings applies namings that were saved in the log, and to the versions that have none
+// the proofs. It reports whether the endpoints' clock was known, which gives the exact ages.
+func (g *Gateway) applyNamings(stored forward.NamingRecords) bool {
 	s := g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := g.instant()
 	clockKnown := now.Latest.EndpointClockMs != 0
-	for _, n := range stored {
-		naming := n.Naming(now)
+	namings := []forward.Naming{}
+	for _, n := range stored.Namings {
+		namings = append(namings, n.Naming(now))
+	}
+	for _, w := range s.rollout.Targets() {
+		if n, ok := stored.Bound(w, now); ok {
+			namings = append(namings, n)
+		}
+	}
+	for _, naming := range namings {
 		s.rollout.RecordNaming(naming, now.Time)
 		if clockKnown && naming.SetAt > now.Time-milliseconds(s.settings.VersionMs) {
-			log.Info().Str("event", "naming_recovered").Str("model", n.Model).Int64("version", n.Version).Dur("age_ms", now.Time-naming.SetAt).Msg("read from the log when the weight version was named")
+			log.Info().Str("event", "naming_recovered").Str("model", naming.Model).Int64("version", naming.Version).Dur("age_ms", now.Time-naming.SetAt).Msg("read from the log when the weight version was named")
 		}
 	}
 	return clockKnown
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -147,7 +147,7 @@
 	}
 	background, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){g.followOperators, g.followEndpoints, g.maintainMembership, g.sendReports, g.runRollouts, g.followStores, g.cleanStores, g.pollAfterResume, g.exchangeFacts, g.saveNamings, g.recoverNamings} {
+	for _, f := range []func(context.Context){g.followOperators, g.followEndpoints, g.maintainMembership, g.sendReports, g.runRollouts, g.followStores, g.cleanStores, g.pollAfterResume, g.exchangeFacts, g.saveNamings, g.recoverNamings, g.keepProofs} {
 		wg.Go(func() { f(background) })
 	}
 	log.Info().Str("event", "started").Str("callers", g.settings.CallerAddress).Str("ready", g.settings.ReadyAddress).Str("log", g.settings.LogAddress).Msg("serving")
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -79,10 +79,11 @@
 	Members []string
 }
 
-// NamingStore keeps in the log when weight versions were named.
+// NamingStore keeps in the log when weight versions were named, and until when none was.
 type NamingStore interface {
 	Save(ctx context.Context, n forward.StoredNaming) error
-	Load(ctx context.Context) ([]forward.StoredNaming, error)
+	SaveProofs(ctx context.Context, proofs []forward.NamingProof) error
+	Load(ctx context.Context) (forward.NamingRecords, error)
 }
 
 // GroupClient manages membership of processes in groups that are stored in the platform's log.
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -57,6 +57,7 @@
 	storeRead        chan struct{} // closed and replaced when a store has been read
 	resumes          chan struct{} // receives a value after each suspension
 	firstConfigAt    time.Duration // when the first configuration was read
+	firstReadAt      time.Duration // when the first read of the operators' records completed
 	endpointList     *forward.EndpointList
 	endpointListRead bool
 	lastActive       time.Duration      // last time at which the process was active
@@ -101,6 +102,9 @@
 // completed.
 func (s *state) confirmRead(started time.Duration) {
 	s.freshness.RecordRead(started)
+	if s.firstReadAt == 0 {
+		s.firstReadAt = s.clock()
+	}
 	close(s.readConfirmed)
 	s.readConfirmed = make(chan struct{})
 }
