--- a/core/forward/rollout.go
+++ b/core/forward/rollout.go
@@ -118,6 +118,7 @@
 	Models   []ModelState
 	Busy     bool
 	OrderSeq int64
+	ClockMs  float64 // endpoints' clock, 0 if not stated
 }
 
 // RolloutStep is an action for an endpoint: a request for its report, or an order to load
@@ -274,6 +275,17 @@
 	return out
 }
 
+// Targets returns all targets in force.
+func (r *Rollout) Targets() []WeightVersion {
+	var out []WeightVersion
+	for model, ts := range r.targets {
+		for _, t := range ts {
+			out = append(out, WeightVersion{model, t.version})
+		}
+	}
+	return out
+}
+
 // Stages returns the stage of each endpoint that this process is updating.
 func (r *Rollout) Stages() map[string]string {
 	out := map[string]string{}
--- a/gateway/era_test.go
+++ b/gateway/era_test.go
@@ -197,14 +197,19 @@
 }
 
 // memoryNamings is a NamingStore in memory.
-type memoryNamings struct{ saved []forward.StoredNaming }
+type memoryNamings struct{ saved forward.NamingRecords }
 
 func (m *memoryNamings) Save(_ context.Context, n forward.StoredNaming) error {
-	m.saved = append(m.saved, n)
+	m.saved.Namings = append(m.saved.Namings, n)
 	return nil
 }
 
-func (m *memoryNamings) Load(context.Context) ([]forward.StoredNaming, error) { return m.saved, nil }
+func (m *memoryNamings) SaveProofs(_ context.Context, proofs []forward.NamingProof) error {
+	m.saved.Proofs = append(m.saved.Proofs, proofs...)
+	return nil
+}
+
+func (m *memoryNamings) Load(context.Context) (forward.NamingRecords, error) { return m.saved, nil }
 
 // Guards against a full outage of the endpoints when all processes restart during a
 // rollout. Load pattern: a version is named, all processes are lost two seconds later, and
@@ -256,8 +261,8 @@
 		return time.UnixMilli(unixMs())
 	}
 	require.NoError(t, g.saveNaming(t.Context(), forward.Naming{WeightVersion: forward.WeightVersion{Model: "m", Version: 2}, SetAt: named, KnownAt: named + time.Second}))
-	require.LessOrEqual(t, namings.saved[0].At.UnixMs, named.Milliseconds())
-	require.GreaterOrEqual(t, namings.saved[0].KnownAt.UnixMs, (named + time.Second).Milliseconds())
+	require.LessOrEqual(t, namings.saved.Namings[0].At.UnixMs, named.Milliseconds())
+	require.GreaterOrEqual(t, namings.saved.Namings[0].KnownAt.UnixMs, (named + time.Second).Milliseconds())
 }
 
 // Guards against a full outage of the endpoints when a weight version is named while no
@@ -272,6 +277,7 @@
 	require.NoError(t, g.saveNaming(t.Context(), <-g.namingsToSave))
 	clock.advance(time.Minute)
 	g.applyOperators(nil, clock.read(), false) // the last proof that nothing newer was named
+	require.NoError(t, g.saveProofs(t.Context()))
 
 	clock.advance(3 * time.Second)
 	restarted := New(Options{Settings: testSettings(), Clock: clock.read, HeaderCodec: testHeaderCodec{}, NamingStore: namings, WallClock: g.wallClock})
@@ -281,3 +287,49 @@
 	require.True(t, outdated)
 	require.Greater(t, since, clock.read()-milliseconds(testSettings().VersionMs), "version 3 was named less than 3 s ago")
 }
+
+// statedClock is an EndpointControl whose reports state a clock, 0 for none.
+type statedClock struct {
+	EndpointControl
+	ms      func() float64
+	reports int
+}
+
+func (c *statedClock) ReadState(context.Context, forward.Endpoint) (forward.EndpointReport, error) {
+	c.reports++
+	return forward.EndpointReport{ClockMs: c.ms()}, nil
+}
+
+// Guards against a full outage of the endpoints after a restart of all processes in a
+// deployment without stores, where the error of the time of day takes up most of the bound,
+// and against reports that are requested again and again from endpoints that state no clock.
+func TestReportStatesTheClockWhereNoStoreDoes(t *testing.T) {
+	namings := &memoryNamings{}
+	g, clock := newGateway(t)
+	endpoints := &statedClock{ms: func() float64 { return 1e6 + float64(clock.read().Milliseconds()) }}
+	start := func() *Gateway {
+		n := New(Options{Settings: testSettings(), Clock: clock.read, HeaderCodec: testHeaderCodec{}, NamingStore: namings, EndpointControl: endpoints, WallClock: g.wallClock})
+		n.applyEndpoints([]forward.EndpointChange{{ID: "e", Endpoint: &forward.Endpoint{ID: "e", Service: "s"}}}, clock.read(), true)
+		return n
+	}
+	old := start()
+	named := clock.read()
+	require.NoError(t, old.saveNaming(t.Context(), forward.Naming{WeightVersion: forward.WeightVersion{Model: "m", Version: 2}, Previous: 1, SetAt: named, KnownAt: named}))
+	clock.advance(5 * time.Second)
+	restarted := start()
+	restarted.applyOperators([]forward.OperatorChange{{Weights: &forward.WeightVersion{Model: "m", Version: 2}}}, clock.read(), true)
+	restarted.readEndpointClock(t.Context())
+	require.True(t, restarted.applyNamings(namings.saved))
+	since, _ := restarted.state.rollout.RetiredSince("m", 1)
+	require.LessOrEqual(t, since, named)
+	require.Greater(t, since, named-1500*time.Millisecond, "only the age of the report is uncertain")
+	restarted.readEndpointClock(t.Context())
+	require.Equal(t, 2, endpoints.reports, "one for each process")
+
+	endpoints.ms = func() float64 { return 0 }
+	other := start()
+	for range 10 {
+		other.readEndpointClock(t.Context())
+	}
+	require.Equal(t, 3, endpoints.reports)
+}
--- a/gateway/facts.go
+++ b/gateway/facts.go
@@ -34,7 +34,7 @@
 	namingRetryPause  = 300 * time.Millisecond
 	namingTimeout     = 600 * time.Millisecond
 	namingCheckPause  = 50 * time.Millisecond
-	endpointClockWait = 2 * time.Second // how long to wait for a store's clock after the records were read
+	endpointClockWait = 2 * time.Second // how long to wait for a endpoints' clock after the records were read
 )
 
 // factsMessage is the message with an entry's facts.
@@ -271,12 +271,8 @@
 	before := g.wallClock().UnixMilli()
 	now := g.state.clock()
 	i := forward.Instant{Time: now, Earliest: forward.Stamp{UnixMs: before}, Latest: forward.Stamp{UnixMs: g.wallClock().UnixMilli()}}
-	for _, v := range g.state.stores {
-		clock := v.Clock()
-		if earliest, latest, known := clock.Bounds(now); known {
-			i.Earliest.EndpointClockMs, i.Latest.EndpointClockMs = earliest, latest
-			break
-		}
+	if clock, known := g.state.endpointClock(now); known {
+		i.Earliest.EndpointClockMs, i.Latest.EndpointClockMs, _ = clock.Bounds(now)
 	}
 	return i
 }
@@ -308,6 +304,7 @@
 	if g.namingStore == nil {
 		return nil
 	}
+	g.readEndpointClock(ctx)
 	s := g.state
 	s.mu.Lock()
 	now := g.instant()
@@ -345,15 +342,18 @@
 		}
 		return
 	}
-	log.Info().Str("event", "namings_read").Int("count", len(stored)).Msg("read from the log when weight versions were named")
+	log.Info().Str("event", "namings_read").Int("count", len(stored.Namings)).Int("proofs", len(stored.Proofs)).Msg("read from the log when weight versions were named")
 	for waited := time.Duration(0); waited < endpointClockWait; waited += namingCheckPause {
+		if waited >= storeClockWait || !g.state.awaitsStores() {
+			g.readEndpointClock(ctx)
+		}
 		if g.applyNamings(stored) || !wait.For(ctx, namingCheckPause) {
 			return
 		}
 	}
 }
 
-func (g *Gateway) loadNamings(ctx context.Context) (stored []forward.StoredNaming, err error) {
+func (g *Gateway) loadNamings(ctx context.Context) (stored forward.NamingRecords, err error) {
 	for range namingAttempts {
 		attempt, cancel := context.WithTimeout(ctx, namingTimeout)
 		stored, err = g.namingStore.Load(attempt)
@@ -362,22 +362,30 @@
 			return stored, err
 		}
 	}
-	return nil, err
+	return stored, err
 }
 
-// applyNamings applies namings that were saved in the log. It reports whether a store's
-// clock was known, which gives the exact ages.
-func (g *Gateway) applyNamings(stored []forward.StoredNaming) bool {
+// applyNamings applies namings that were saved in the log, and to the versions that have none
+// the proofs. It reports whether the endpoints' clock was known, which gives the exact ages.
+func (g *Gateway) applyNamings(stored forward.NamingRecords) bool {
 	s := g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := g.instant()
 	clockKnown := now.Latest.EndpointClockMs != 0
-	for _, n := range stored {
-		naming := n.Naming(now)
+	namings := []forward.Naming{}
+	for _, n := range stored.Namings {
+		namings = append(namings, n.Naming(now))
+	}
+	for _, w := range s.rollout.Targets() {
+		if n, ok := stored.Bound(w, now); ok {
+			namings = append(namings, n)
+		}
+	}
+	for _, naming := range namings {
 		s.rollout.RecordNaming(naming, now.Time)
 		if clockKnown && naming.SetAt > now.Time-milliseconds(s.settings.VersionMs) {
-			log.Info().Str("event", "naming_recovered").Str("model", n.Model).Int64("version", n.Version).Dur("age_ms", now.Time-naming.SetAt).Msg("read from the log when the weight version was named")
+			log.Info().Str("event", "naming_recovered").Str("model", naming.Model).Int64("version", naming.Version).Dur("age_ms", now.Time-naming.SetAt).Msg("read from the log when the weight version was named")
 		}
 	}
 	return clockKnown
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -61,6 +61,7 @@
 	storeRead         chan struct{} // closed and replaced when a store has been read
 	resumes           chan struct{} // receives a value after each suspension
 	firstConfigAt     time.Duration // when the first configuration was read
+	firstReadAt       time.Duration // when the first read of the operators' records completed
 	endpointList      *forward.EndpointList
 	endpointListRead  bool
 	lastActive        time.Duration      // last time at which the process was active
@@ -71,6 +72,8 @@
 	rollout           *forward.Rollout
 	retryBudgets      map[string]*retry.Budget
 	stores            []*forward.StoreView
+	reportClock       forward.EndpointClock // endpoints' clock as their reports state it
+	nextClockRead     time.Duration         // when a report may be requested for the clock again
 	peerLoads         peerLoads
 	settings          Settings
 }
@@ -103,6 +106,9 @@
 // completed.
 func (s *state) confirmRead(started time.Duration) {
 	s.freshness.RecordRead(started)
+	if s.firstReadAt == 0 {
+		s.firstReadAt = s.clock()
+	}
 	close(s.readConfirmed)
 	s.readConfirmed = make(chan struct{})
 }
