Log the builds of endpoints and the streams that callers take up

Change: the list's version of an endpoint's software is read as its build, and stands in endpoint_ready and in each attempt of a request's line; a stream that is taken up is logged with the event and the request that its caller names.

--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -116,6 +116,7 @@
 type Endpoint struct {
 	ID              string
 	Service         string
+	Build           string // version of the software, not of the weights
 	Address         string
 	FailureDomain   string
 	Slots           int
--- a/gateway/accesslog.go
+++ b/gateway/accesslog.go
@@ -108,12 +108,15 @@
 	if q.call.Prompt != nil {
 		e = e.Int("prompt_tokens", q.call.Prompt.Tokens)
 	}
+	if q.call.LastEventID != "" {
+		e = e.Str("resumes", q.call.Resumes).Str("last_event", q.call.LastEventID)
+	}
 	if l := q.accessLog; l.candidates > 0 {
 		e = e.Int("endpoints", l.candidates).Int("usable", l.usable).Int("emptying", l.emptying).Int("outdated", l.outdated).Int("excluded", l.excluded).Int("tried", l.tried)
 	}
 	for i, a := range q.accessLog.attempts {
 		n := strconv.Itoa(i + 1)
-		e = e.Str("endpoint_"+n, a.placement.endpoint.ID).Dur("expected_ms_"+n, a.placement.choice.ExpectedWait).Int("cached_"+n, a.placement.choice.CachedTokens).Int("fetched_"+n, a.placement.choice.FetchedTokens).Int("read_"+n, a.placement.choice.RecomputedTokens).
+		e = e.Str("endpoint_"+n, a.placement.endpoint.ID).Str("build_"+n, a.placement.endpoint.Build).Dur("expected_ms_"+n, a.placement.choice.ExpectedWait).Int("cached_"+n, a.placement.choice.CachedTokens).Int("fetched_"+n, a.placement.choice.FetchedTokens).Int("read_"+n, a.placement.choice.RecomputedTokens).
 			Bool("suspect_"+n, a.placement.choice.Suspect).Dur("took_ms_"+n, a.duration)
 		if a.placement.choice.Version > 0 {
 			e = e.Int64("weights_"+n, a.placement.choice.Version)
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -257,6 +257,6 @@
 	case c.Endpoint != nil && c.Endpoint.Draining && usable:
 		log.Info().Str("event", "endpoint_draining").Str("endpoint", c.ID).Str("service", old.Service).Msg("endpoint gets no new requests")
 	case c.Endpoint != nil && !c.Endpoint.Draining && (!usable || old.StartedUnixMs != c.Endpoint.StartedUnixMs):
-		log.Info().Str("event", "endpoint_ready").Str("endpoint", c.ID).Str("service", c.Endpoint.Service).Str("address", c.Endpoint.Address).Int64("started", c.Endpoint.StartedUnixMs).Msg("endpoint in use")
+		log.Info().Str("event", "endpoint_ready").Str("endpoint", c.ID).Str("service", c.Endpoint.Service).Str("build", c.Endpoint.Build).Str("address", c.Endpoint.Address).Int64("started", c.Endpoint.StartedUnixMs).Msg("endpoint in use")
 	}
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -25,7 +25,7 @@
 type testHeaderCodec struct{}
 
 func (testHeaderCodec) ParseRequest(h http.Header) (RequestInfo, error) {
-	c := RequestInfo{ID: h.Get("Test-Id"), LastEventID: h.Get("Test-Last")}
+	c := RequestInfo{ID: h.Get("Test-Id"), LastEventID: h.Get("Test-Last"), Resumes: h.Get("Test-Resumes")}
 	c.APIKey, c.HasAPIKey = h.Get("Test-Key"), h.Get("Test-Key") != ""
 	if v := h.Get("Test-Deadline"); v != "" {
 		n, err := strconv.Atoi(v)
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -24,6 +24,7 @@
 	Timeout     time.Duration // how long the caller waits, 0 if not set
 	Prompt      *forward.Prompt
 	LastEventID string // ID of the event after which the stream resumes
+	Resumes     string // ID of the request that brought the first event of that stream, "" if not stated
 }
 
 // ForwardInfo holds the values that are added to the headers of a forwarded request.
