Let streams go on only at the build that began them

Callers saw streams that hold events of two builds (ORDER). Cause: a stream had no tie to the build that began it. An answer that broke off went on at any endpoint of its service, and a stream that its caller took up was placed like a new one; no entry knew what another one had begun. Change: an answer is bound to the build of its first event. Each service has a default build in the log; a stream at another build is recorded in the log before its first event is forwarded, so that a stream without a record belongs to the default. An entry that gets a stream to take up reads the records and the default, and places it only at that build. It refuses with 503 if they can't be read. The default changes only when all endpoints have had another build for longer than callers take up streams. While no record can be written, new streams go to the default build if it has half of the endpoints. Conclusion: the knowledge survives the loss of all entries because it is written before a caller can depend on it, and costs nothing while a service has one build.

--- /dev/null
+++ b/core/forward/streams_test.go
@@ -0,0 +1,291 @@
+package forward
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var streamRoutes = []Route{{Kind: Stream, Resumable: true, Timeout: 15 * time.Second, Targets: []Target{{Service: "s", Weight: 1}}}}
+
+func endpointsOf(builds ...string) []Endpoint {
+	var out []Endpoint
+	for i, b := range builds {
+		out = append(out, Endpoint{ID: fmt.Sprint(i), Service: "s", Build: b})
+	}
+	return out
+}
+
+// Guards against a stream that goes on at a build that did not begin it, and against refusals
+// of streams whose build is known.
+func TestBuildOfAStreamThatIsTakenUp(t *testing.T) {
+	const lifetime = 30 * time.Second
+	v1, v2 := BuildKey("v1"), BuildKey("v2")
+	recorded := []StreamRecord{{StreamKey("s", "at-v2"), v2}}
+	cases := map[string]struct {
+		defaults   []DefaultBuild
+		records    []StreamRecord
+		builds     []string
+		listedFor  time.Duration
+		id         string
+		complete   bool
+		want       uint64
+		wantResult bool
+	}{
+		"recorded":                             {[]DefaultBuild{{"s", "v1"}}, recorded, []string{"v1", "v2"}, 0, "at-v2", false, v2, true},
+		"no record among several builds":       {[]DefaultBuild{{"s", "v1"}}, recorded, []string{"v1", "v2"}, 0, "other", true, v1, true},
+		"records unread":                       {[]DefaultBuild{{"s", "v1"}}, nil, []string{"v1", "v2"}, 0, "other", false, 0, false},
+		"default unknown":                      {nil, nil, []string{"v1", "v2"}, 0, "other", true, 0, false},
+		"stream not named":                     {[]DefaultBuild{{"s", "v1"}}, nil, []string{"v1", "v2"}, 0, "", true, 0, false},
+		"records unread, one build for long":   {[]DefaultBuild{{"s", "v1"}}, nil, []string{"v1"}, lifetime, "other", false, v1, true},
+		"one build for long, no ID":            {[]DefaultBuild{{"s", "v1"}}, nil, []string{"v1"}, lifetime, "", false, v1, true},
+		"one build since a short time":         {[]DefaultBuild{{"s", "v1"}}, nil, []string{"v1"}, lifetime - time.Second, "other", false, 0, false},
+		"one build that is not the default":    {[]DefaultBuild{{"s", "v1"}}, nil, []string{"v2"}, lifetime, "other", false, 0, false},
+		"record of the same ID, other service": {[]DefaultBuild{{"s", "v1"}}, []StreamRecord{{StreamKey("t", "id"), v2}}, []string{"v1", "v2"}, 0, "id", true, v1, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := NewStreamBuilds()
+			b.SetRoutes(streamRoutes)
+			now := time.Hour
+			b.ObserveEndpoints(endpointsOf(c.builds...), now)
+			b.SetDefaults(c.defaults, now)
+			b.AddRecords(c.records, now)
+			now += c.listedFor
+			b.ObserveEndpoints(endpointsOf(c.builds...), now)
+			got, known := b.BuildOf("s", c.id, c.complete, now)
+			require.Equal(t, c.wantResult, known)
+			require.Equal(t, c.want, got)
+		})
+	}
+}
+
+// Guards against an entry that is cut off from the log and takes its old list for the present one.
+func TestOldEndpointListDoesNotSettleTheBuild(t *testing.T) {
+	b := NewStreamBuilds()
+	b.SetRoutes(streamRoutes)
+	b.ObserveEndpoints(endpointsOf("v1"), 0)
+	b.SetDefaults([]DefaultBuild{{"s", "v1"}}, 0)
+	now := time.Minute
+	b.ObserveEndpoints(endpointsOf("v1"), now)
+	require.True(t, b.settled("s", now+maxBuildListAge))
+	require.False(t, b.settled("s", now+maxBuildListAge+1))
+}
+
+// Guards against a default that changes while callers hold streams without a record.
+func TestDefaultBuildChangesOnlyAfterOldStreamsHaveEnded(t *testing.T) {
+	b := NewStreamBuilds()
+	b.SetRoutes(streamRoutes)
+	now := time.Hour
+	b.ObserveEndpoints(endpointsOf("v1", "v2"), now)
+	require.Empty(t, b.DefaultsToSave(now), "no build is the only one")
+	_, must := b.Begin("s", "a", "v1", now)
+	require.True(t, must, "the default is not known")
+	b.ObserveEndpoints(endpointsOf("v1"), now)
+	require.Equal(t, []DefaultBuild{{"s", "v1"}}, b.DefaultsToSave(now))
+	b.SetDefaults([]DefaultBuild{{"s", "v1"}}, now)
+	require.Empty(t, b.DefaultsToSave(now))
+	_, must = b.Begin("s", "b", "v1", now)
+	require.False(t, must)
+	_, must = b.Begin("s", "b", "v2", now)
+	require.True(t, must)
+	_, must = b.Begin("s", "b", "v1", now)
+	require.True(t, must, "the attempt before has a record")
+
+	b.ObserveEndpoints(endpointsOf("v2"), now)
+	now += b.Lifetime() - 1
+	b.ObserveEndpoints(endpointsOf("v2"), now)
+	require.Empty(t, b.DefaultsToSave(now))
+	_, must = b.Begin("s", "c", "v1", now)
+	require.True(t, must, "another member may have changed the default")
+	now++
+	require.Equal(t, []DefaultBuild{{"s", "v2"}}, b.DefaultsToSave(now))
+	b.SetDefaults([]DefaultBuild{{"s", "v2"}}, now)
+	_, must = b.Begin("s", "d", "v2", now)
+	require.False(t, must)
+	b.LogReturned()
+	require.Equal(t, []DefaultBuild{{"s", "v2"}}, b.DefaultsToSave(now))
+}
+
+// Guards against records that are dropped while callers may take up their streams, and against
+// records that are kept forever.
+func TestRecordsAreKeptForTheLifetimeOfStreams(t *testing.T) {
+	b := NewStreamBuilds()
+	b.SetRoutes(streamRoutes)
+	now := time.Hour
+	for i := range 100 {
+		now += b.Lifetime() / 4
+		b.Begin("s", fmt.Sprint(i), "v2", now)
+		for k := range 4 {
+			if k <= i {
+				_, known := b.BuildOf("s", fmt.Sprint(i-k), false, now)
+				require.True(t, known)
+			}
+		}
+		require.LessOrEqual(t, len(b.recent)+len(b.older), 9)
+	}
+}
+
+// streamWorld is a simulated service whose endpoints are released and rolled back while
+// entries start, read late lists and are killed.
+type streamWorld struct {
+	rng      *rand.Rand
+	now      time.Duration
+	builds   []string // of the listed endpoints
+	entries  []*StreamBuilds
+	views    [][]string // the builds that each entry has read from the list
+	log      []StreamRecord
+	defaults map[string]string
+	streams  []simulatedStream
+}
+
+type simulatedStream struct {
+	id, build string
+	begunAt   time.Duration
+}
+
+func (w *streamWorld) startEntry() *StreamBuilds {
+	b := NewStreamBuilds()
+	b.SetRoutes(streamRoutes)
+	return b
+}
+
+func (w *streamWorld) load(b *StreamBuilds) {
+	for s, d := range w.defaults {
+		b.SetDefaults([]DefaultBuild{{s, d}}, w.now)
+	}
+}
+
+// begin begins a stream at a listed endpoint through a random entry. Its record is in the log
+// before its caller has the first event.
+func (w *streamWorld) begin() {
+	i := w.rng.IntN(len(w.entries))
+	b, view := w.entries[i], w.views[i]
+	s := simulatedStream{fmt.Sprint(len(w.streams)), view[w.rng.IntN(len(view))], w.now}
+	if r, must := b.Begin("s", s.id, s.build, w.now); must {
+		w.log = append(w.log, r)
+	}
+	w.streams = append(w.streams, s)
+}
+
+// takeUp takes up a stream at a random entry and returns whether its build was known.
+func (w *streamWorld) takeUp(t *testing.T, seed uint64) bool {
+	b := w.entries[w.rng.IntN(len(w.entries))]
+	s := w.streams[len(w.streams)-1-w.rng.IntN(min(len(w.streams), 40))]
+	if w.now-s.begunAt > b.Lifetime() {
+		return true
+	}
+	complete := w.rng.IntN(5) > 0 // otherwise the log can't be read
+	if complete {
+		w.load(b)
+		b.AddRecords(w.log, w.now)
+	}
+	build, known := b.BuildOf("s", s.id, complete, w.now)
+	if known && (complete || w.now-s.begunAt > maxBuildListAge+maxStep) { // a build that is new may be unknown while the log can't be read
+		require.Equal(t, BuildKey(s.build), build, "seed %d: stream %s began at %s", seed, s.id, s.build)
+	}
+	return known
+}
+
+// maxStep is the longest time between two steps of a streamWorld.
+const maxStep = 800 * time.Millisecond
+
+func (w *streamWorld) step() {
+	w.now += time.Duration(w.rng.Int64N(int64(maxStep)))
+	switch w.rng.IntN(40) {
+	case 0: // all entries are killed
+		for i := range w.entries {
+			w.entries[i] = w.startEntry()
+		}
+	case 1:
+		w.entries[w.rng.IntN(len(w.entries))] = w.startEntry()
+	case 2, 3: // an endpoint is replaced
+		w.builds[w.rng.IntN(len(w.builds))] = fmt.Sprintf("v%d", 1+w.rng.IntN(3))
+	case 4: // the release is completed
+		for i := range w.builds {
+			w.builds[i] = w.builds[0]
+		}
+	case 5: // time without change
+		for range 50 {
+			w.now += time.Second
+			w.observe()
+		}
+	}
+	w.observe()
+}
+
+func (w *streamWorld) observe() {
+	for i, b := range w.entries {
+		if w.rng.IntN(3) > 0 {
+			w.views[i] = slices.Clone(w.builds)
+			b.ObserveEndpoints(endpointsOf(w.builds...), w.now)
+		}
+		if w.rng.IntN(3) > 0 {
+			continue
+		}
+		w.load(b)
+		if toSave := b.DefaultsToSave(w.now); i == 0 && len(toSave) > 0 {
+			for _, d := range toSave {
+				w.defaults[d.Service] = d.Build
+			}
+			w.load(b)
+		}
+	}
+}
+
+// Guards against a stream that goes on at another build after any order of releases,
+// rollbacks and losses of entries, and against a design that refuses most streams.
+func TestStreamsKeepTheirBuildUnderFaults(t *testing.T) {
+	for seed := range uint64(200) {
+		w := &streamWorld{rng: rand.New(rand.NewPCG(seed, 1)), now: time.Hour, builds: []string{"v1", "v1", "v1", "v1"}, defaults: map[string]string{}}
+		for range 3 {
+			w.entries, w.views = append(w.entries, w.startEntry()), append(w.views, slices.Clone(w.builds))
+		}
+		total, known := 0, 0
+		for range 400 {
+			w.step()
+			w.begin()
+			for range 3 {
+				total++
+				if w.takeUp(t, seed) {
+					known++
+				}
+			}
+		}
+		require.Greater(t, known, total/2, "seed %d", seed)
+	}
+}
+
+// Guards against placing a stream where its record would be missing, and against overload of the
+// few endpoints that need none.
+func TestPreferBuild(t *testing.T) {
+	candidates := func(builds ...string) []Candidate {
+		var cs []Candidate
+		for _, e := range endpointsOf(builds...) {
+			cs = append(cs, Candidate{Endpoint: e, Usable: true})
+		}
+		return cs
+	}
+	excluded := func(cs []Candidate) (out []bool) {
+		for _, c := range cs {
+			out = append(out, c.Excluded)
+		}
+		return out
+	}
+	cs := candidates("v1", "v2")
+	PreferBuild(cs, BuildKey("v1"))
+	require.Equal(t, []bool{false, true}, excluded(cs))
+	cs = candidates("v1", "v2", "v2")
+	PreferBuild(cs, BuildKey("v1"))
+	require.Equal(t, []bool{false, false, false}, excluded(cs))
+	cs = candidates("v1", "v2")
+	cs[0].Usable = false
+	PreferBuild(cs, BuildKey("v1"))
+	require.Equal(t, []bool{false, false}, excluded(cs))
+	KeepBuild(cs, BuildKey("v1"))
+	require.Equal(t, []bool{false, true}, excluded(cs))
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -121,7 +121,9 @@
 	defer s.mu.Unlock()
 	now := s.clock()
 	others := 0
-	for _, c := range s.candidates(q.service.Name, nil, q.tried, now) {
+	cs := s.candidates(q.service.Name, nil, q.tried, now)
+	q.limitBuilds(s, cs, now)
+	for _, c := range cs {
 		others += boolInt(!c.Excluded && c.Usable)
 	}
 	return others > 0 && s.retryBudget(q.service.Name).CanSpend(now)
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -158,6 +158,7 @@
 		for _, n := range s.rollout.Namings(now - milliseconds(s.settings.VersionMs)) {
 			g.requestSaveNaming(n)
 		}
+		s.streamsAfterReturn(now)
 	case forward.EraStale:
 		log.Warn().Str("event", "log_answer_stale").Str("feed", feed).Int64("era", int64(e)).Int64("newest", int64(before)).Msg("the answer's era is older than the newest one, or skips others and is not confirmed; the answer is ignored")
 	}
@@ -218,6 +219,7 @@
 		s.firstConfigAt = s.clock()
 	}
 	s.table = forward.NewTable(c)
+	s.streams.SetRoutes(c.Routes)
 	g.idleTimeout.Store(int64(c.Limits.IdleTimeout))
 	log.Info().Str("event", "config_applied").Int64("version", c.Version).Int("routes", len(c.Routes)).Int("customers", len(c.Customers)).
 		Dur("read_ms", age).Msg("configuration in force")
@@ -240,6 +242,7 @@
 		s.endpointList.Apply(changes, now)
 	}
 	s.endpointListRead, s.listedCache = true, nil
+	s.streams.ObserveEndpoints(s.listedEndpoints(now), now)
 	alive := s.pruneEndpoints(now)
 	s.mu.Unlock()
 	g.pool.prune(alive)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,6 +50,7 @@
 	EndpointControl EndpointControl
 	StoreClient     StoreClient
 	NamingStore     NamingStore
+	StreamStore     StreamStore      // nil if no stream may be resumed by its caller
 	WallClock       func() time.Time // time of day, time.Now if nil
 }
 
@@ -65,6 +66,7 @@
 	endpointControl EndpointControl
 	storeClient     StoreClient
 	namingStore     NamingStore
+	streamStore     StreamStore
 	wallClock       func() time.Time
 	namingsToSave   chan forward.Naming
 	factsRequests   chan struct{}
@@ -95,7 +97,7 @@
 		wallClock = time.Now
 	}
 	return &Gateway{
-		namingStore: o.NamingStore, wallClock: wallClock, namingsToSave: make(chan forward.Naming, maxNamingsToSave), factsRequests: make(chan struct{}, 1),
+		namingStore: o.NamingStore, streamStore: o.StreamStore, wallClock: wallClock, namingsToSave: make(chan forward.Naming, maxNamingsToSave), factsRequests: make(chan struct{}, 1),
 		settings: s, clock: o.Clock, createdAt: o.Clock(), headerCodec: o.HeaderCodec, operators: o.Operators, endpoints: o.Endpoints, groupClient: o.GroupClient, endpointControl: o.EndpointControl, storeClient: o.StoreClient,
 		state: newState(s, o.Clock, rand.New(rand.NewPCG(o.Seed, o.Seed))), pool: newConnPool(o.Clock),
 		ownership:          forward.Ownership{Self: member, Lease: orderLease, Handover: milliseconds(s.OrderHandoverMs) + orderTransitTime},
@@ -148,7 +150,7 @@
 	}
 	background, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){g.followOperators, g.followEndpoints, g.maintainMembership, g.sendReports, g.runRollouts, g.followStores, g.cleanStores, g.pollAfterResume, g.exchangeFacts, g.saveNamings, g.recoverNamings, g.keepProofs} {
+	for _, f := range []func(context.Context){g.followOperators, g.followEndpoints, g.maintainMembership, g.sendReports, g.runRollouts, g.followStores, g.cleanStores, g.pollAfterResume, g.exchangeFacts, g.saveNamings, g.recoverNamings, g.keepProofs, g.recordStreams, g.maintainStreams} {
 		wg.Go(func() { f(background) })
 	}
 	log.Info().Str("event", "started").Str("callers", g.settings.CallerAddress).Str("ready", g.settings.ReadyAddress).Str("log", g.settings.LogAddress).Msg("serving")
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -40,6 +40,7 @@
 		return nil, q.placementError(apierr.NewRetryable(apierr.DeadlineUnmet, apierr.NotRun, overloadRetryAfter, "no time is left", "send the request with a longer deadline"))
 	}
 	cs := s.candidates(q.service.Name, q.call.Prompt, q.tried, now)
+	q.limitBuilds(s, cs, now)
 	c := forward.Choose(forward.PlacementRequest{
 		Prompt: q.call.Prompt, FailureDomain: s.settings.FailureDomain, Engine: q.service.Engine, CacheGroup: q.cacheGroup,
 		StartIndex: s.rng.IntN(len(cs) + 1),
@@ -47,6 +48,9 @@
 		Fetchable: func(model string, version int64) bool { return s.rollout.Fetchable(model, version, now) },
 	}, cs)
 	q.accessLog.countCandidates(cs, q.tried)
+	if c.Index < 0 && q.bound {
+		return nil, q.placementError(apierr.NewRetryable(apierr.NoEndpoint, apierr.NotRun, buildGoneRetry, "no endpoint of the build that began the stream can take the request", "send the request again later"))
+	}
 	if c.Index < 0 {
 		return nil, q.placementError(apierr.NewRetryable(apierr.NoEndpoint, apierr.NotRun, q.retryAfter(0), "no endpoint of the service can take the request", "send the request again"))
 	}
@@ -80,6 +84,7 @@
 		}
 	}
 	q.tried[p.endpoint.ID] = true
+	q.beginStream(s, p, now)
 	return p, nil
 }
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -39,7 +39,10 @@
 	unsentAttempts int  // attempts that ended before anything was sent
 	headerSent     bool // the response header has been sent to the caller
 	lastEventID    string
-	allRefused     bool // every endpoint that received the request stated that it did not run
+	bound          bool            // only endpoints of one build may go on with the stream
+	build          uint64          // key of that build
+	recorded       <-chan struct{} // closed when the build is recorded, nil if it need not be
+	allRefused     bool            // every endpoint that received the request stated that it did not run
 	accessLog      accessLog
 }
 
@@ -225,6 +228,9 @@
 	if q.call.Prompt != nil {
 		q.g.awaitStores(ctx)
 	}
+	if err := q.bindResumption(ctx); err != nil {
+		return err
+	}
 	for {
 		p, err := q.place()
 		if err != nil {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -74,6 +74,8 @@
 	stores            []*forward.StoreView
 	reportClock       forward.EndpointClock // endpoints' clock as their reports state it
 	nextClockRead     time.Duration         // when a report may be requested for the clock again
+	streams           *forward.StreamBuilds
+	streamLog         streamLog
 	peerLoads         peerLoads
 	settings          Settings
 }
@@ -83,7 +85,7 @@
 	rollout.RetireDelay = forward.RetireDelayFor(milliseconds(s.VersionMs))
 	return &state{
 		clock: clock, rng: rng, endpointList: forward.NewEndpointList(), endpoints: map[string]*endpointState{}, peerFacts: map[string]knownFacts{}, rollout: rollout,
-		retryBudgets: map[string]*retry.Budget{}, peerLoads: newPeerLoads(), settings: s,
+		retryBudgets: map[string]*retry.Budget{}, peerLoads: newPeerLoads(), settings: s, streams: forward.NewStreamBuilds(), streamLog: newStreamLog(),
 		freshness: forward.Freshness{MaxKeyAge: milliseconds(s.RevokeMs) - revokeMargin}, readConfirmed: make(chan struct{}), storeRead: make(chan struct{}), resumes: make(chan struct{}, 1),
 	}
 }
--- /dev/null
+++ b/gateway/streams_test.go
@@ -0,0 +1,211 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaweir/galenaweir/core/forward"
+)
+
+// fakeStreamStore is a StreamStore in memory.
+type fakeStreamStore struct {
+	mu       sync.Mutex
+	records  []forward.StreamRecord
+	defaults []forward.DefaultBuild
+	era      forward.Era
+	err      error
+	block    chan struct{} // appends wait until it is closed, if it is set
+}
+
+func (f *fakeStreamStore) AppendStreams(ctx context.Context, records []forward.StreamRecord) error {
+	if f.block != nil {
+		select {
+		case <-f.block:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.err == nil {
+		f.records = append(f.records, records...)
+	}
+	return f.err
+}
+
+func (f *fakeStreamStore) ReadStreams(_ context.Context, from int64) (StreamBatch, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	end := int64(len(f.records))
+	return StreamBatch{Records: append([]forward.StreamRecord(nil), f.records[min(from, end):]...), Next: end, End: end, Era: f.era}, f.err
+}
+
+func (f *fakeStreamStore) LoadDefaultBuilds(context.Context) ([]forward.DefaultBuild, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]forward.DefaultBuild(nil), f.defaults...), f.err
+}
+
+func (f *fakeStreamStore) SaveDefaultBuilds(_ context.Context, defaults []forward.DefaultBuild) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.err == nil {
+		f.defaults = append(f.defaults, defaults...)
+	}
+	return f.err
+}
+
+func (f *fakeStreamStore) has(id, build string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range f.records {
+		if r == (forward.StreamRecord{Stream: forward.StreamKey("s", id), Build: forward.BuildKey(build)}) {
+			return true
+		}
+	}
+	return false
+}
+
+// newStreamFixture returns a gateway whose endpoints have the given builds, and the default
+// build "v1". It prefers the first endpoint.
+func newStreamFixture(t *testing.T, store *fakeStreamStore, builds []string, endpoints ...*testEndpoint) *fixture {
+	f := newFixture(t, endpoints...)
+	f.streamStore = store
+	store.defaults = []forward.DefaultBuild{{Service: "s", Build: "v1"}}
+	s := f.state
+	s.mu.Lock()
+	var changes []forward.EndpointChange
+	for i, e := range s.listedEndpoints(f.clock.read()) {
+		e.Build = builds[i]
+		changes = append(changes, forward.EndpointChange{ID: e.ID, Endpoint: &e})
+	}
+	s.streams.SetDefaults(store.defaults, f.clock.read())
+	s.mu.Unlock()
+	f.applyEndpoints(changes, f.clock.read(), true)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { f.recordStreams(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+	return f
+}
+
+func resumption(t *testing.T, f *fixture, id, resumes string) *http.Request {
+	r := f.request(t, "POST", "/resumable/x", "prompt")
+	r.Header.Set("Test-Id", id)
+	r.Header.Set("Test-Last", "2")
+	r.Header.Set("Test-Resumes", resumes)
+	return r
+}
+
+// Guards against a stream whose caller holds events before the log knows its build: after the
+// loss of this process, it would go on at the default build.
+func TestFirstEventWaitsForTheRecordOfItsStream(t *testing.T) {
+	release := make(chan struct{})
+	e := serveRaw(t, func(r *http.Request, c net.Conn) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTest-Id: "+r.Header.Get("Test-Id")+"\r\nTest-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n")
+		cw := httputil.NewChunkedWriter(c)
+		_, _ = io.WriteString(cw, sseEvent(1))
+		<-release
+		_ = cw.Close()
+		_, err := io.WriteString(c, "\r\n")
+		return err == nil
+	})
+	store := &fakeStreamStore{}
+	f := newStreamFixture(t, store, []string{"v2", "v1"}, e, streamFrom(t, -1, 3))
+	resp, err := f.srv.Client().Do(f.request(t, "POST", "/resumable/x", "prompt"))
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	_, err = io.ReadFull(resp.Body, make([]byte, len(sseEvent(1))))
+	require.NoError(t, err)
+	require.True(t, store.has("id-/resumable/x", "v2"))
+	close(release)
+}
+
+// Guards against events that are held back for as long as the log is slow.
+func TestSlowLogDoesNotHoldBackEvents(t *testing.T) {
+	store := &fakeStreamStore{block: make(chan struct{})}
+	f := newStreamFixture(t, store, []string{"v2"}, streamFrom(t, -1, 3))
+	status, body, err := f.do(t, f.request(t, "POST", "/resumable/x", "prompt"))
+	require.NoError(t, err)
+	require.Equal(t, 200, status)
+	require.Equal(t, sseEvent(1)+sseEvent(2)+sseEvent(3), body)
+	close(store.block)
+	require.Eventually(t, func() bool { return store.has("id-/resumable/x", "v2") }, 5*time.Second, time.Millisecond, "the record is lost")
+}
+
+// Guards against streams that can't be recorded although the default build could serve them.
+func TestStreamsAvoidBuildsThatCannotBeRecorded(t *testing.T) {
+	store := &fakeStreamStore{err: errors.New("the log is down")}
+	v2, v1 := streamFrom(t, -1, 3), streamFrom(t, -1, 3)
+	f := newStreamFixture(t, store, []string{"v2", "v1"}, v2, v1)
+	get := func() {
+		status, _, err := f.do(t, f.request(t, "POST", "/resumable/x", "prompt"))
+		require.NoError(t, err)
+		require.Equal(t, 200, status)
+	}
+	get()
+	require.EqualValues(t, 1, v2.requests.Load())
+	require.Eventually(t, func() bool {
+		f.state.mu.Lock()
+		defer f.state.mu.Unlock()
+		return f.state.streamLog.failing
+	}, 5*time.Second, time.Millisecond)
+	get()
+	require.EqualValues(t, 1, v2.requests.Load())
+	require.EqualValues(t, 1, v1.requests.Load())
+}
+
+// Guards against a stream that goes on at a guessed build while the records can't be read, and
+// against a refusal that doesn't let the caller come back.
+func TestUnreadableRecordsRefuseAResumption(t *testing.T) {
+	store := &fakeStreamStore{}
+	e1, e2 := streamFrom(t, -1, 5), streamFrom(t, -1, 5)
+	f := newStreamFixture(t, store, []string{"v1", "v2"}, e1, e2)
+	store.err = errors.New("the log is down")
+	resp, err := f.srv.Client().Do(resumption(t, f, "again", "other"))
+	require.NoError(t, err)
+	resp.Body.Close()
+	require.Equal(t, 503, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	require.Zero(t, e1.requests.Load()+e2.requests.Load())
+
+	store.mu.Lock()
+	store.err = nil
+	store.records = append(store.records, forward.StreamRecord{Stream: forward.StreamKey("s", "other"), Build: forward.BuildKey("v2")})
+	store.mu.Unlock()
+	status, body, err := f.do(t, resumption(t, f, "again", "other"))
+	require.NoError(t, err)
+	require.Equal(t, 200, status)
+	require.Equal(t, sseEvent(3)+sseEvent(4)+sseEvent(5), body)
+	require.EqualValues(t, 1, e2.requests.Load())
+}
+
+// Guards against records that are lost when the log returns from an older copy.
+func TestRecordsAreWrittenAgainAfterTheLogReturned(t *testing.T) {
+	store := &fakeStreamStore{}
+	f := newStreamFixture(t, store, []string{"v2"}, streamFrom(t, -1, 3))
+	require.Equal(t, forward.EraCurrent, f.observeEra("test", 0))
+	status, _, err := f.do(t, f.request(t, "POST", "/resumable/x", "prompt"))
+	require.NoError(t, err)
+	require.Equal(t, 200, status)
+	require.Eventually(t, func() bool { return store.has("id-/resumable/x", "v2") }, 5*time.Second, time.Millisecond)
+	store.mu.Lock()
+	store.records, store.defaults, store.era = nil, nil, 1
+	store.mu.Unlock()
+	require.Equal(t, forward.EraRisen, f.observeEra("test", 1))
+	require.Eventually(t, func() bool { return store.has("id-/resumable/x", "v2") }, 5*time.Second, time.Millisecond)
+	f.refreshDefaults(context.Background(), true)
+	require.Equal(t, []forward.DefaultBuild{{Service: "s", Build: "v1"}}, store.defaults)
+}
