Close gaps of the builds of streams while the log is down

Cause: while no record could be written, the default build was preferred only with half of the endpoints, so that streams at other builds went unrecorded in the late part of a release; and an entry that read the records right after an outage, or after the log had returned from an older copy, took a stream for one of the default build before the entry that began it had recorded it. Change: a stream that can't be recorded goes to the default build unless that can't serve it in time; for a second after the log was found unreadable or returned, a stream without a record is refused instead of being assigned. gateway/streamlog.go holds what belongs to the log. Conclusion: what remains are streams whose entry is lost while the log is down.

--- a/core/forward/streams.go
+++ b/core/forward/streams.go
@@ -251,21 +251,3 @@
 		cs[i].Excluded = cs[i].Excluded || BuildKey(cs[i].Endpoint.Build) != build
 	}
 }
-
-// PreferBuild excludes the candidates of other builds than the one with the given key, if that
-// leaves at least half of those that can take the request.
-func PreferBuild(cs []Candidate, build uint64) {
-	usable, preferred := 0, 0
-	for _, c := range cs {
-		if !c.Usable || c.Excluded {
-			continue
-		}
-		usable++
-		if BuildKey(c.Endpoint.Build) == build {
-			preferred++
-		}
-	}
-	if preferred > 0 && 2*preferred >= usable {
-		KeepBuild(cs, build)
-	}
-}
--- a/core/forward/streams_test.go
+++ b/core/forward/streams_test.go
@@ -260,32 +260,14 @@
 	}
 }
 
-// Guards against placing a stream where its record would be missing, and against overload of the
-// few endpoints that need none.
-func TestPreferBuild(t *testing.T) {
-	candidates := func(builds ...string) []Candidate {
-		var cs []Candidate
-		for _, e := range endpointsOf(builds...) {
-			cs = append(cs, Candidate{Endpoint: e, Usable: true})
-		}
-		return cs
-	}
-	excluded := func(cs []Candidate) (out []bool) {
-		for _, c := range cs {
-			out = append(out, c.Excluded)
-		}
-		return out
+// Guards against a request that is placed at another build than the one that it is bound to.
+func TestKeepBuild(t *testing.T) {
+	var cs []Candidate
+	for _, e := range endpointsOf("v1", "v2", "v1") {
+		cs = append(cs, Candidate{Endpoint: e, Usable: true, Excluded: e.ID == "2"})
 	}
-	cs := candidates("v1", "v2")
-	PreferBuild(cs, BuildKey("v1"))
-	require.Equal(t, []bool{false, true}, excluded(cs))
-	cs = candidates("v1", "v2", "v2")
-	PreferBuild(cs, BuildKey("v1"))
-	require.Equal(t, []bool{false, false, false}, excluded(cs))
-	cs = candidates("v1", "v2")
-	cs[0].Usable = false
-	PreferBuild(cs, BuildKey("v1"))
-	require.Equal(t, []bool{false, false}, excluded(cs))
 	KeepBuild(cs, BuildKey("v1"))
-	require.Equal(t, []bool{false, true}, excluded(cs))
+	require.False(t, cs[0].Excluded)
+	require.True(t, cs[1].Excluded)
+	require.True(t, cs[2].Excluded, "excluded for another reason")
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -122,7 +122,9 @@
 	now := s.clock()
 	others := 0
 	cs := s.candidates(q.service.Name, nil, q.tried, now)
-	q.limitBuilds(s, cs, now)
+	if q.bound {
+		forward.KeepBuild(cs, q.build)
+	}
 	for _, c := range cs {
 		others += boolInt(!c.Excluded && c.Usable)
 	}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/galenaweir/galenaweir/core/apierr"
@@ -39,14 +40,7 @@
 	if left < minUsefulBudget {
 		return nil, q.placementError(apierr.NewRetryable(apierr.DeadlineUnmet, apierr.NotRun, overloadRetryAfter, "no time is left", "send the request with a longer deadline"))
 	}
-	cs := s.candidates(q.service.Name, q.call.Prompt, q.tried, now)
-	q.limitBuilds(s, cs, now)
-	c := forward.Choose(forward.PlacementRequest{
-		Prompt: q.call.Prompt, FailureDomain: s.settings.FailureDomain, Engine: q.service.Engine, CacheGroup: q.cacheGroup,
-		StartIndex: s.rng.IntN(len(cs) + 1),
-		Stores:     s.fetchableStores(now), Now: now,
-		Fetchable: func(model string, version int64) bool { return s.rollout.Fetchable(model, version, now) },
-	}, cs)
+	cs, c := q.choose(s, left, now)
 	q.accessLog.countCandidates(cs, q.tried)
 	if c.Index < 0 && q.bound {
 		return nil, q.placementError(apierr.NewRetryable(apierr.NoEndpoint, apierr.NotRun, buildGoneRetry, "no endpoint of the build that began the stream can take the request", "send the request again later"))
@@ -88,6 +82,32 @@
 	return p, nil
 }
 
+// choose chooses an endpoint among the service's candidates, which it returns too. A stream that
+// can't be recorded goes to the default build unless that can't serve it in time.
+func (q *request) choose(s *state, left, now time.Duration) ([]forward.Candidate, forward.Choice) {
+	cs := s.candidates(q.service.Name, q.call.Prompt, q.tried, now)
+	if q.bound {
+		forward.KeepBuild(cs, q.build)
+	} else if build, ok := q.buildWithoutRecord(s, now); ok {
+		preferred := slices.Clone(cs)
+		forward.KeepBuild(preferred, build)
+		c := q.chooseFrom(s, preferred, now)
+		if c.Index >= 0 && !c.Suspect && c.ExpectedWait <= left && (q.call.Prompt == nil || !forward.ShouldShed(c, q.route.LatencyTarget)) {
+			return preferred, c
+		}
+	}
+	return cs, q.chooseFrom(s, cs, now)
+}
+
+func (q *request) chooseFrom(s *state, cs []forward.Candidate, now time.Duration) forward.Choice {
+	return forward.Choose(forward.PlacementRequest{
+		Prompt: q.call.Prompt, FailureDomain: s.settings.FailureDomain, Engine: q.service.Engine, CacheGroup: q.cacheGroup,
+		StartIndex: s.rng.IntN(len(cs) + 1),
+		Stores:     s.fetchableStores(now), Now: now,
+		Fetchable: func(model string, version int64) bool { return s.rollout.Fetchable(model, version, now) },
+	}, cs)
+}
+
 // placementError returns the error for a request that cannot be placed: err, or an unknown
 // outcome when an earlier attempt may have run.
 func (q *request) placementError(err *apierr.Error) *apierr.Error {
--- /dev/null
+++ b/gateway/streamlog.go
@@ -0,0 +1,378 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/galenaweir/galenaweir/core/forward"
+	"github.com/galenaweir/galenaweir/wait"
+)
+
+// Records of the builds that began streams.
+const (
+	streamGatherTime      = 250 * time.Millisecond // a record waits for others that long, unless an event waits for it
+	minStreamAppendPause  = 40 * time.Millisecond  // between two appends of an entry
+	streamPausePerMember  = 10 * time.Millisecond  // lengthens that pause in large groups, so that all together append at most 100 times a second
+	streamAppendTimeout   = 500 * time.Millisecond
+	streamRetryPause      = 100 * time.Millisecond
+	maxRecordsPerAppend   = 4096
+	maxWaitingRecords     = 1 << 16
+	streamReadTimeout     = 400 * time.Millisecond // limit for the read on behalf of a caller that takes up a stream
+	minDefaultsInterval   = 500 * time.Millisecond // between two looks at the default builds
+	maxDefaultsInterval   = 8 * time.Second        // the same while the log has none
+	streamDefaultsTimeout = 600 * time.Millisecond
+	streamCatchUpTime     = time.Second // after an outage of the log until the others have recorded the streams that they began in it
+)
+
+// StreamBatch is a result of reading the records of streams.
+type StreamBatch struct {
+	Records []forward.StreamRecord
+	Next    int64 // offset from which the next read continues
+	End     int64 // end of the log at the time of the read
+	Era     forward.Era
+}
+
+// StreamStore keeps in the log which build began a stream, and the default builds.
+type StreamStore interface {
+	AppendStreams(ctx context.Context, records []forward.StreamRecord) error
+	// ReadStreams returns records from an offset on, or from the first one that is kept.
+	ReadStreams(ctx context.Context, from int64) (StreamBatch, error)
+	LoadDefaultBuilds(ctx context.Context) ([]forward.DefaultBuild, error)
+	SaveDefaultBuilds(ctx context.Context, defaults []forward.DefaultBuild) error
+}
+
+// streamLog holds the records that wait to be appended and the position up to which the
+// records have been read. It is guarded by the state's mutex, except for reading and what
+// follows it.
+type streamLog struct {
+	waiting      []waitingRecord
+	urgent       bool          // an event waits for a record
+	failing      bool          // the last append failed
+	unreadableAt time.Duration // when the log was last found unreadable, far in the past if never
+	wake         chan struct{} // receives a value when a record is added or becomes urgent
+	appended     []appendedRecords
+	nextRead     *sharedRead // the read that has not begun yet, nil if there is none
+
+	reading    sync.Mutex // held during a read
+	nextOffset int64
+	era        forward.Era
+}
+
+// waitingRecord is a record that is not in the log yet.
+type waitingRecord struct {
+	record forward.StreamRecord
+	since  time.Duration
+	done   chan struct{} // closed when the record is in the log
+}
+
+// appendedRecords are records of this process that the log holds.
+type appendedRecords struct {
+	records []forward.StreamRecord
+	at      time.Duration
+}
+
+// sharedRead is a read of the records on behalf of all requests that arrived before it began.
+type sharedRead struct {
+	done chan struct{}
+	err  error
+}
+
+func newStreamLog() streamLog {
+	return streamLog{wake: make(chan struct{}, 1), unreadableAt: math.MinInt64 / 2}
+}
+
+func (l *streamLog) notify() {
+	select {
+	case l.wake <- struct{}{}:
+	default: // the appender has not handled the last one yet
+	}
+}
+
+// unwritable reports whether a new record would not reach the log in time, given the pause
+// between two appends.
+func (l *streamLog) unwritable(now, spacing time.Duration) bool {
+	return l.failing || len(l.waiting) > 0 && now-l.waiting[0].since > streamAppendTimeout+spacing
+}
+
+// add queues a record. The returned channel is closed when the log holds it.
+func (l *streamLog) add(r forward.StreamRecord, now time.Duration) <-chan struct{} {
+	w := waitingRecord{r, now, make(chan struct{})}
+	if len(l.waiting) >= maxWaitingRecords {
+		log.Warn().Str("event", "stream_unrecorded").Int("waiting", len(l.waiting)).Msg("too many records wait for the log; after the loss of this process, the stream goes on at the default build or not at all")
+		return w.done
+	}
+	l.waiting = append(l.waiting, w)
+	l.notify()
+	return w.done
+}
+
+// recordStreams appends the records that wait until ctx is done.
+func (g *Gateway) recordStreams(ctx context.Context) {
+	if g.streamStore == nil {
+		return
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.state.streamLog.wake:
+		}
+		for g.recordsWait() {
+			if !g.awaitAppendDue(ctx) || !wait.For(ctx, g.appendStreams(ctx)) {
+				return
+			}
+		}
+	}
+}
+
+func (g *Gateway) recordsWait() bool {
+	s := g.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.streamLog.waiting) > 0
+}
+
+// appendSpacing returns the pause between two appends of this process.
+func (s *state) appendSpacing() time.Duration {
+	return max(minStreamAppendPause, time.Duration(len(s.peerLoads.members))*streamPausePerMember)
+}
+
+// awaitAppendDue waits for further records until an event waits for one, and returns false when
+// ctx is done.
+func (g *Gateway) awaitAppendDue(ctx context.Context) bool {
+	s := g.state
+	due := time.NewTimer(streamGatherTime)
+	defer due.Stop()
+	for {
+		s.mu.Lock()
+		urgent := s.streamLog.urgent
+		s.mu.Unlock()
+		if urgent {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-due.C:
+			return true
+		case <-s.streamLog.wake:
+		}
+	}
+}
+
+// appendStreams appends the oldest records and returns the pause until the next append. Records
+// that could not be appended are tried again.
+func (g *Gateway) appendStreams(ctx context.Context) (pause time.Duration) {
+	s := g.state
+	s.mu.Lock()
+	l := &s.streamLog
+	batch := slices.Clone(l.waiting[:min(len(l.waiting), maxRecordsPerAppend)])
+	l.urgent = false
+	era := s.eras.Newest()
+	s.mu.Unlock()
+	records := make([]forward.StreamRecord, len(batch))
+	for i, w := range batch {
+		records[i] = w.record
+	}
+	attempt, cancel := context.WithTimeout(ctx, streamAppendTimeout)
+	defer cancel()
+	err := g.streamStore.AppendStreams(attempt, records)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.eras.Newest() != era { // the log may have lost the records again
+		return s.appendSpacing()
+	}
+	if err != nil {
+		if !l.failing && ctx.Err() == nil {
+			log.Warn().Str("event", "streams_unrecorded").Int("records", len(l.waiting)).Err(err).Msg("cannot record the builds of streams; new ones go to the default build where it has endpoints")
+		}
+		l.failing, l.urgent = true, true
+		return max(streamRetryPause, s.appendSpacing())
+	}
+	if l.failing {
+		log.Info().Str("event", "streams_recorded").Int("records", len(records)).Msg("builds of streams are recorded again")
+	}
+	l.failing = false
+	l.waiting = slices.Delete(l.waiting, 0, len(batch))
+	for _, w := range batch {
+		close(w.done)
+	}
+	l.appended = append(l.appended, appendedRecords{records, s.clock()})
+	return s.appendSpacing()
+}
+
+var errStreamReadTimeout = errors.New("reading the records of streams takes too long")
+
+// readStreams reads all records and defaults that the log holds when it is called.
+func (g *Gateway) readStreams(ctx context.Context) error {
+	s := g.state
+	s.mu.Lock()
+	r := s.streamLog.nextRead
+	if r == nil {
+		r = &sharedRead{done: make(chan struct{})}
+		s.streamLog.nextRead = r
+		go g.runStreamRead(r)
+	}
+	s.mu.Unlock()
+	limit := time.NewTimer(streamReadTimeout)
+	defer limit.Stop()
+	select {
+	case <-r.done:
+		return r.err
+	case <-limit.C:
+		return errStreamReadTimeout
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// runStreamRead makes a shared read. It ends also if the requests that wait for it have ended.
+func (g *Gateway) runStreamRead(r *sharedRead) {
+	s := g.state
+	s.streamLog.reading.Lock()
+	defer s.streamLog.reading.Unlock()
+	s.mu.Lock()
+	s.streamLog.nextRead = nil
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), streamAppendTimeout)
+	defer cancel()
+	if r.err = g.loadDefaults(ctx); r.err == nil {
+		r.err = g.readStreamRecords(ctx)
+	}
+	if r.err != nil {
+		s.mu.Lock()
+		s.streamLog.unreadableAt = s.clock()
+		s.mu.Unlock()
+		log.Warn().Str("event", "streams_unread").Err(r.err).Msg("cannot read the builds of streams; callers that take up one may be refused")
+	}
+	close(r.done)
+}
+
+// readStreamRecords reads the records up to the end of the log. The caller holds the lock on
+// reading.
+func (g *Gateway) readStreamRecords(ctx context.Context) error {
+	s := g.state
+	l := &s.streamLog
+	for count := 0; ; {
+		b, err := g.streamStore.ReadStreams(ctx, l.nextOffset)
+		if err != nil {
+			return err
+		}
+		switch order := g.observeEra("streams", b.Era); {
+		case order == forward.EraStale:
+			return errStaleAnswer
+		case b.Era != l.era && l.nextOffset > 0 || b.End < l.nextOffset:
+			l.nextOffset, l.era = 0, b.Era // offsets were given out again
+			continue
+		}
+		s.mu.Lock()
+		s.streams.AddRecords(b.Records, s.clock())
+		s.mu.Unlock()
+		l.nextOffset, l.era = b.Next, b.Era
+		if count += len(b.Records); b.Next >= b.End {
+			log.Info().Str("event", "streams_read").Int("records", count).Int64("offset", b.Next).Msg("read the builds of streams")
+			return nil
+		}
+	}
+}
+
+func (g *Gateway) loadDefaults(ctx context.Context) error {
+	defaults, err := g.streamStore.LoadDefaultBuilds(ctx)
+	if err != nil {
+		return err
+	}
+	s := g.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.streams.SetDefaults(defaults, s.clock())
+	return nil
+}
+
+// maintainStreams keeps the default builds in the log until ctx is done. The first member of the
+// group writes for all.
+func (g *Gateway) maintainStreams(ctx context.Context) {
+	if g.streamStore == nil {
+		return
+	}
+	s := g.state
+	g.refreshDefaults(ctx, false) // until the defaults are known, every stream is recorded
+	pause := minDefaultsInterval
+	for wait.For(ctx, pause) {
+		s.mu.Lock()
+		now := s.clock()
+		unknown, changed := s.streams.DefaultsUnknown(), len(s.streams.DefaultsToSave(now)) > 0
+		first := len(s.peerLoads.members) > 0 && slices.Min(s.peerLoads.members) == g.memberID
+		s.mu.Unlock()
+		if unknown || first && changed {
+			g.refreshDefaults(ctx, first)
+			pause = min(2*pause, maxDefaultsInterval)
+		} else {
+			pause = minDefaultsInterval
+		}
+		g.forgetOldRecords()
+	}
+}
+
+// refreshDefaults reads the default builds. If save is true, it then writes those that the log
+// lacks or that have changed.
+func (g *Gateway) refreshDefaults(ctx context.Context, save bool) {
+	attempt, cancel := context.WithTimeout(ctx, streamDefaultsTimeout)
+	defer cancel()
+	if err := g.loadDefaults(attempt); err != nil {
+		if ctx.Err() == nil {
+			log.Warn().Str("event", "default_builds_unread").Err(err).Msg("cannot read the default builds; all streams are recorded")
+		}
+		return
+	}
+	s := g.state
+	s.mu.Lock()
+	toSave := s.streams.DefaultsToSave(s.clock())
+	s.mu.Unlock()
+	if save && len(toSave) > 0 {
+		g.saveDefaults(ctx, toSave)
+	}
+}
+
+func (g *Gateway) saveDefaults(ctx context.Context, defaults []forward.DefaultBuild) {
+	ctx, cancel := context.WithTimeout(ctx, streamDefaultsTimeout)
+	defer cancel()
+	if err := g.streamStore.SaveDefaultBuilds(ctx, defaults); err != nil {
+		log.Warn().Str("event", "default_builds_unsaved").Err(err).Msg("cannot write the default builds; all streams are recorded")
+		return
+	}
+	s := g.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.streams.SetDefaults(defaults, s.clock())
+	for _, d := range defaults {
+		log.Info().Str("event", "default_build").Str("service", d.Service).Str("build", d.Build).Msg("streams without a record belong to this build")
+	}
+}
+
+// forgetOldRecords drops this process's records of streams that callers no longer take up.
+func (g *Gateway) forgetOldRecords() {
+	s := g.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, now := &s.streamLog, s.clock()
+	l.appended = slices.DeleteFunc(l.appended, func(a appendedRecords) bool { return now-a.at > s.streams.Lifetime() })
+}
+
+// streamsAfterReturn queues this process's records again after the log has returned from an
+// older copy. The caller holds the state's mutex.
+func (s *state) streamsAfterReturn(now time.Duration) {
+	s.streams.LogReturned()
+	l := &s.streamLog
+	for _, a := range l.appended {
+		for _, r := range a.records {
+			l.add(r, now)
+		}
+	}
+	l.appended, l.unreadableAt = nil, now // the other members write theirs again too
+}
--- a/gateway/streams_test.go
+++ b/gateway/streams_test.go
@@ -192,6 +192,33 @@
 	require.EqualValues(t, 1, e2.requests.Load())
 }
 
+// Guards against a stream that goes on at the default build because the entry that began it could
+// not record it before an outage of the log ended.
+func TestRecordsMayBeMissingRightAfterAnOutage(t *testing.T) {
+	store := &fakeStreamStore{}
+	e1, e2 := streamFrom(t, -1, 5), streamFrom(t, -1, 5)
+	f := newStreamFixture(t, store, []string{"v1", "v2"}, e1, e2)
+	require.Error(t, func() error {
+		store.mu.Lock()
+		store.err = errors.New("the log is down")
+		store.mu.Unlock()
+		return f.readStreams(context.Background())
+	}())
+	store.mu.Lock()
+	store.err = nil
+	store.mu.Unlock()
+	status, _, err := f.do(t, resumption(t, f, "again", "other"))
+	require.NoError(t, err)
+	require.Equal(t, 503, status)
+	require.Zero(t, e1.requests.Load()+e2.requests.Load())
+
+	f.clock.advance(streamCatchUpTime + f.state.appendSpacing())
+	status, _, err = f.do(t, resumption(t, f, "again", "other"))
+	require.NoError(t, err)
+	require.Equal(t, 200, status)
+	require.EqualValues(t, 1, e1.requests.Load())
+}
+
 // Guards against records that are lost when the log returns from an older copy.
 func TestRecordsAreWrittenAgainAfterTheLogReturned(t *testing.T) {
 	store := &fakeStreamStore{}
