Record builds of streams at their first event, change defaults in two steps

A record was written when a request was placed, so that an attempt without an event left one, and which of two records counted hung on their order in the log. A default build could move back with an older copy of the log, count time in which the list was not read, or stay stale in an entry while another one changed it. One failed read refused all streams for seconds, and a service with one build read the log for each stream. Change: a stream is recorded once, when its first event is about to be forwarded. Defaults have revisions, are written under a condition, are unsettled for 12 s before they change and are read again while builds differ. Only an outage of the endpoint list makes records incomplete, for 2 s at most. A settled service reads nothing. The pause between appends follows logWritesPerS; an event waits for its record 90 ms at most. Conclusion: open are streams whose first event went out unrecorded in the first half second of an outage of the log, or in groups in which the pause between appends is longer than 90 ms, if their entry is lost before it records them.

--- a/core/forward/streams.go
+++ b/core/forward/streams.go
@@ -34,8 +34,10 @@
 
 // DefaultBuild is the build to which the streams of a service belong that have no record.
 type DefaultBuild struct {
-	Service string
-	Build   string
+	Service   string
+	Build     string
+	Revision  int64 // rises with each change, so that an older default is never taken over
+	Unsettled bool  // the default is about to change, so every stream is recorded
 }
 
 // StreamBuilds knows which build began each stream that a caller may take up again. A service
@@ -44,7 +46,8 @@
 // service whose endpoints all have the default build needs no records.
 //
 // The default changes only when all endpoints of the service have had another build for longer
-// than callers take up streams. Until the default is known, every stream is recorded.
+// than callers take up streams, and in two steps: it is unsettled for longer than any process
+// relies on what it has loaded. Until the default is known, every stream is recorded.
 type StreamBuilds struct {
 	lifetime  time.Duration             // how long after its start callers may take up a stream
 	services  map[string]*serviceBuilds // services whose streams may be taken up
@@ -54,19 +57,26 @@
 	listedAt  time.Duration // when the endpoint list was last read
 }
 
-// maxBuildListAge is the age of the endpoint list from which an endpoint of another build may
-// serve unnoticed.
-const maxBuildListAge = 3200 * time.Millisecond
+const (
+	// maxBuildListAge is the age of the endpoint list from which an endpoint of another build
+	// may serve unnoticed.
+	maxBuildListAge = 3200 * time.Millisecond
+	// maxDefaultAge is how long a default is relied on after it was read from the log while
+	// endpoints of other builds serve.
+	maxDefaultAge = 10 * time.Second
+	// unsettledTime is how long a default stays unsettled before it changes.
+	unsettledTime = maxDefaultAge + 2*time.Second
+)
 
 // serviceBuilds is what is known of a service.
 type serviceBuilds struct {
-	sole         string // the build of all endpoints, if isSole
-	isSole       bool
-	since        time.Duration // when that began
-	defaultBuild string
-	hasDefault   bool
-	inDoubt      bool // another member may have changed the default
-	unsaved      bool // the log may have lost the default
+	sole           string // the build of all endpoints, if isSole
+	isSole         bool
+	since          time.Duration // when that began
+	standard       DefaultBuild  // Revision is 0 if none is known
+	loadedAt       time.Duration // start of the last read of the default
+	unsettledSince time.Duration // when this process first knew that the default is unsettled
+	unsaved        bool          // the log may have lost the default
 }
 
 // NewStreamBuilds returns a StreamBuilds without any records.
@@ -109,6 +119,7 @@
 
 // ObserveEndpoints updates the builds of each service from the endpoint list.
 func (b *StreamBuilds) ObserveEndpoints(endpoints []Endpoint, now time.Duration) {
+	gap := now-b.listedAt > maxBuildListAge // another build may have served meanwhile
 	b.listedAt = now
 	builds := map[string]string{}
 	mixed := map[string]bool{}
@@ -125,60 +136,85 @@
 			continue
 		case mixed[name]:
 			s.isSole = false
-		case !s.isSole || s.sole != build:
+		case gap || !s.isSole || s.sole != build:
 			s.sole, s.isSole, s.since = build, true, now
 		}
-		s.inDoubt = s.inDoubt || s.hasDefault && b.outgrown(s, now, b.lifetime/2)
 	}
 }
 
-// outgrown reports whether all endpoints have had a build other than the default for the given
-// time.
-func (b *StreamBuilds) outgrown(s *serviceBuilds, now, after time.Duration) bool {
-	return s.isSole && s.sole != s.defaultBuild && now-s.since >= after
+// soleFor returns how long all endpoints have had the same build, as far as the endpoint list
+// shows, 0 if they have not.
+func (b *StreamBuilds) soleFor(s *serviceBuilds, now time.Duration) time.Duration {
+	if !s.isSole || now-b.listedAt > maxBuildListAge {
+		return 0
+	}
+	return now - s.since
 }
 
+// hasDefault reports whether a default is known, be it up to date or not.
+func (s *serviceBuilds) hasDefault() bool { return s.standard.Revision > 0 }
+
 // settled reports whether all streams of a service that callers may take up belong to the
-// default build, as far as the endpoint list shows.
-func (b *StreamBuilds) settled(service string, now time.Duration) bool {
-	s := b.service(service)
-	return s.hasDefault && s.isSole && s.sole == s.defaultBuild && now-s.since >= b.lifetime && now-b.listedAt <= maxBuildListAge
+// default build.
+func (b *StreamBuilds) settled(s *serviceBuilds, now time.Duration) bool {
+	return s.hasDefault() && !s.standard.Unsettled && s.sole == s.standard.Build && b.soleFor(s, now) >= b.lifetime
 }
 
-// SetDefaults takes over the defaults that the log holds.
-func (b *StreamBuilds) SetDefaults(defaults []DefaultBuild, now time.Duration) {
+// SetDefaults takes over the defaults that the log held at the given time.
+func (b *StreamBuilds) SetDefaults(defaults []DefaultBuild, readAt time.Duration) {
 	for _, d := range defaults {
 		s := b.service(d.Service) // a starting process may not have read the configuration yet
-		s.defaultBuild, s.hasDefault, s.unsaved = d.Build, true, false
-		s.inDoubt = b.outgrown(s, now, b.lifetime/2)
+		if d.Revision < s.standard.Revision {
+			continue // the log has returned from an older copy
+		}
+		if d.Unsettled && !s.standard.Unsettled {
+			s.unsettledSince = readAt
+		}
+		s.standard, s.loadedAt, s.unsaved = d, max(s.loadedAt, readAt), false
 	}
 }
 
 // Default returns the default build of a service. It reports false if it is not known.
-func (b *StreamBuilds) Default(service string) (build string, known bool) {
+func (b *StreamBuilds) Default(service string, now time.Duration) (build string, known bool) {
 	s := b.service(service)
-	return s.defaultBuild, s.hasDefault && !s.inDoubt
+	return s.standard.Build, s.hasDefault() && !s.standard.Unsettled && (now-s.loadedAt <= maxDefaultAge || b.settled(s, now))
 }
 
-// DefaultsToSave returns the defaults that the log lacks or that have changed.
+// DefaultsToSave returns the defaults that the log lacks or that should change.
 func (b *StreamBuilds) DefaultsToSave(now time.Duration) []DefaultBuild {
 	var out []DefaultBuild
 	for _, name := range slices.Sorted(maps.Keys(b.services)) {
-		s := b.services[name]
-		switch {
-		case !s.hasDefault && s.isSole, s.hasDefault && b.outgrown(s, now, b.lifetime):
-			out = append(out, DefaultBuild{name, s.sole})
-		case s.hasDefault && s.unsaved:
-			out = append(out, DefaultBuild{name, s.defaultBuild})
+		if d, ok := b.nextDefault(name, b.services[name], now); ok {
+			out = append(out, d)
 		}
 	}
 	return out
 }
 
-// DefaultsUnknown reports whether the log should be asked for the defaults.
-func (b *StreamBuilds) DefaultsUnknown() bool {
+func (b *StreamBuilds) nextDefault(name string, s *serviceBuilds, now time.Duration) (next DefaultBuild, change bool) {
+	next = DefaultBuild{Service: name, Build: s.standard.Build, Revision: s.standard.Revision + 1}
+	fresh := s.isSole && now-b.listedAt <= maxBuildListAge
+	outgrown := fresh && s.sole != s.standard.Build && b.soleFor(s, now) >= b.lifetime
+	switch {
+	case !s.hasDefault():
+		next.Build = s.sole
+		return next, fresh
+	case s.unsaved:
+		return s.standard, true
+	case !s.standard.Unsettled:
+		next.Unsettled = true
+		return next, outgrown
+	case outgrown && now-s.unsettledSince >= unsettledTime:
+		next.Build = s.sole
+		return next, true
+	}
+	return next, fresh && s.sole == s.standard.Build // the release was rolled back
+}
+
+// DefaultsOutdated reports whether the defaults should be read from the log.
+func (b *StreamBuilds) DefaultsOutdated(now time.Duration) bool {
 	for _, s := range b.services {
-		if !s.hasDefault || s.inDoubt {
+		if !s.hasDefault() || s.standard.Unsettled || !b.settled(s, now) && now-s.loadedAt >= maxDefaultAge/2 {
 			return true
 		}
 	}
@@ -188,25 +224,23 @@
 // LogReturned records that the log has returned from an older copy and may lack defaults.
 func (b *StreamBuilds) LogReturned() {
 	for _, s := range b.services {
-		s.unsaved = s.hasDefault
+		s.unsaved = s.hasDefault()
 	}
 }
 
-// Begin notes that a stream is sent to an endpoint of a build. It reports whether that must
-// be recorded in the log before the stream's first event reaches the caller.
+// Begin notes that an endpoint of a build has made the first event of a stream. It reports
+// whether that must be recorded in the log before the event reaches the caller.
 func (b *StreamBuilds) Begin(service, requestID, build string, now time.Duration) (StreamRecord, bool) {
 	r := StreamRecord{StreamKey(service, requestID), BuildKey(build)}
-	standard, known := b.Default(service)
+	standard, known := b.Default(service, now)
 	if known && standard == build {
-		if _, recorded := b.lookUp(r.Stream); !recorded { // an earlier attempt at another build has no record
-			return r, false
-		}
+		return r, false
 	}
 	b.AddRecords([]StreamRecord{r}, now)
 	return r, true
 }
 
-// AddRecords adds records in the order of the log.
+// AddRecords adds records. A stream has one build, so their order does not matter.
 func (b *StreamBuilds) AddRecords(records []StreamRecord, now time.Duration) {
 	if now-b.rotatedAt >= b.lifetime {
 		b.older, b.recent, b.rotatedAt = b.recent, map[uint64]uint64{}, now
@@ -223,23 +257,17 @@
 	return build, ok
 }
 
-// Recorded returns the key of the build that began a stream, if its record is known.
-func (b *StreamBuilds) Recorded(service, requestID string) (build uint64, ok bool) {
-	if requestID == "" { // the caller does not name the stream
-		return 0, false
-	}
-	return b.lookUp(StreamKey(service, requestID))
-}
-
 // BuildOf returns the key of the build that began a stream, or false if it is not known. The
 // argument complete states that all records and the defaults have been read since the caller
 // sent the request.
 func (b *StreamBuilds) BuildOf(service, requestID string, complete bool, now time.Duration) (build uint64, known bool) {
-	if build, known = b.Recorded(service, requestID); known {
-		return build, true
+	if requestID != "" { // otherwise the caller does not name the stream
+		if build, known = b.lookUp(StreamKey(service, requestID)); known {
+			return build, true
+		}
 	}
-	standard, known := b.Default(service)
-	if known && (complete && requestID != "" || b.settled(service, now)) {
+	standard, known := b.Default(service, now)
+	if known && (complete && requestID != "" || b.settled(b.service(service), now)) {
 		return BuildKey(standard), true
 	}
 	return 0, false
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -231,6 +231,7 @@
 	s.mu.Lock()
 	now := s.clock()
 	if s.endpointList.LogRegained(now) {
+		s.streamLog.incompleteUntil = now + s.catchUpTime()
 		log.Info().Str("event", "endpoint_list_regained").Msg("endpoint list is readable again; entries that expired meanwhile stay for a short time")
 	}
 	for _, c := range changes {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -245,7 +245,6 @@
 		g.state.mu.Lock()
 		defer g.state.mu.Unlock()
 		g.state.endpointList.LogLost(now)
-		g.state.streamLog.unreadableAt = now
 	}}
 	r.run(ctx, g.state)
 }
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -78,7 +78,6 @@
 		}
 	}
 	q.tried[p.endpoint.ID] = true
-	q.beginStream(s, p, now)
 	return p, nil
 }
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -39,10 +39,9 @@
 	unsentAttempts int  // attempts that ended before anything was sent
 	headerSent     bool // the response header has been sent to the caller
 	lastEventID    string
-	bound          bool            // only endpoints of one build may go on with the stream
-	build          uint64          // key of that build
-	recorded       <-chan struct{} // closed when the build is recorded, nil if it need not be
-	allRefused     bool            // every endpoint that received the request stated that it did not run
+	bound          bool   // only endpoints of one build may go on with the stream
+	build          uint64 // key of that build
+	allRefused     bool   // every endpoint that received the request stated that it did not run
 	accessLog      accessLog
 }
 
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -31,9 +31,13 @@
 	BudgetWindowS   float64 `json:"budgetWindowS"`   // time over which that share is computed
 	VersionMs       int64   `json:"versionMs"`       // maximum time from naming a weight version to the last request on an older one
 	OrderHandoverMs int64   `json:"orderHandoverMs"` // minimum time between the load orders of two owners of an endpoint
+	LogWritesPerS   float64 `json:"logWritesPerS"`   // write calls a second that the log accepts from all entries together, 400 if absent
 	MemoryMb        int64   `json:"memoryMb"`        // memory of this host, 0 for no memory limit in the Go runtime
 }
 
+// defaultLogWritesPerS applies if the settings give no rate.
+const defaultLogWritesPerS = 400.0
+
 // LoadSettings reads and validates a settings file.
 func LoadSettings(path string) (Settings, error) {
 	var s Settings
@@ -90,6 +94,9 @@
 	positive("budgetWindowS", s.BudgetWindowS)
 	positive("versionMs", float64(s.VersionMs))
 	positive("orderHandoverMs", float64(s.OrderHandoverMs))
+	if s.LogWritesPerS < 0 {
+		errs = append(errs, fmt.Errorf("logWritesPerS is %v; want a number above 0, or leave it out", s.LogWritesPerS))
+	}
 	return errors.Join(errs...)
 }
 
--- a/gateway/streamlog.go
+++ b/gateway/streamlog.go
@@ -1,9 +1,9 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -16,9 +16,8 @@
 
 // Records of the builds that began streams.
 const (
-	streamGatherTime      = 250 * time.Millisecond // a record waits for others that long, unless an event waits for it
-	minStreamAppendPause  = 40 * time.Millisecond  // between two appends of an entry
-	streamPausePerMember  = 10 * time.Millisecond  // lengthens that pause in large groups, so that all together append at most 100 times a second
+	minStreamAppendPause  = 40 * time.Millisecond // between two appends of an entry
+	streamWriteShare      = 0.25                  // share of the log's write calls that the appends of all entries may take
 	streamAppendTimeout   = 500 * time.Millisecond
 	streamRetryPause      = 100 * time.Millisecond
 	maxRecordsPerAppend   = 4096
@@ -27,7 +26,8 @@
 	minDefaultsInterval   = 500 * time.Millisecond // between two looks at the default builds
 	maxDefaultsInterval   = 8 * time.Second        // the same while the log has none
 	streamDefaultsTimeout = 600 * time.Millisecond
-	streamCatchUpTime     = time.Second // after an outage of the log until the others have recorded the streams that they began in it
+	streamCatchUpTime     = time.Second     // after an outage of the log until the others have recorded the streams that they began in it
+	maxStreamCatchUp      = 2 * time.Second // the same in a large group, whose entries append less often
 )
 
 // StreamBatch is a result of reading the records of streams.
@@ -43,21 +43,22 @@
 	AppendStreams(ctx context.Context, records []forward.StreamRecord) error
 	// ReadStreams returns records from an offset on, or from the first one that is kept.
 	ReadStreams(ctx context.Context, from int64) (StreamBatch, error)
-	LoadDefaultBuilds(ctx context.Context) ([]forward.DefaultBuild, error)
-	SaveDefaultBuilds(ctx context.Context, defaults []forward.DefaultBuild) error
+	// LoadDefaultBuilds returns the default builds, and the end of their log.
+	LoadDefaultBuilds(ctx context.Context) (defaults []forward.DefaultBuild, end int64, err error)
+	// SaveDefaultBuilds fails if the log of the default builds has another end.
+	SaveDefaultBuilds(ctx context.Context, defaults []forward.DefaultBuild, end int64) error
 }
 
 // streamLog holds the records that wait to be appended and the position up to which the
 // records have been read. It is guarded by the state's mutex, except for reading and what
 // follows it.
 type streamLog struct {
-	waiting      []waitingRecord
-	urgent       bool          // an event waits for a record
-	failing      bool          // the last append failed
-	unreadableAt time.Duration // when the log was last found unreadable, far in the past if never
-	wake         chan struct{} // receives a value when a record is added or becomes urgent
-	appended     []appendedRecords
-	nextRead     *sharedRead // the read that has not begun yet, nil if there is none
+	waiting         []waitingRecord
+	failing         bool          // the last append failed
+	incompleteUntil time.Duration // until then, other entries may still have to record their streams
+	wake            chan struct{} // receives a value when a record is added
+	appended        []appendedRecords
+	nextRead        *sharedRead // the read that has not begun yet, nil if there is none
 
 	reading    sync.Mutex // held during a read
 	nextOffset int64
@@ -84,7 +85,7 @@
 }
 
 func newStreamLog() streamLog {
-	return streamLog{wake: make(chan struct{}, 1), unreadableAt: math.MinInt64 / 2}
+	return streamLog{wake: make(chan struct{}, 1)}
 }
 
 func (l *streamLog) notify() {
@@ -124,7 +125,7 @@
 		case <-g.state.streamLog.wake:
 		}
 		for g.recordsWait() {
-			if !g.awaitAppendDue(ctx) || !wait.For(ctx, g.appendStreams(ctx)) {
+			if !wait.For(ctx, g.appendStreams(ctx)) {
 				return
 			}
 		}
@@ -140,30 +141,14 @@
 
 // appendSpacing returns the pause between two appends of this process.
 func (s *state) appendSpacing() time.Duration {
-	return max(minStreamAppendPause, time.Duration(len(s.peerLoads.members))*streamPausePerMember)
+	writes := cmp.Or(s.settings.LogWritesPerS, defaultLogWritesPerS)
+	return max(minStreamAppendPause, seconds(float64(len(s.peerLoads.members))/(streamWriteShare*writes)))
 }
 
-// awaitAppendDue waits for further records until an event waits for one, and returns false when
-// ctx is done.
-func (g *Gateway) awaitAppendDue(ctx context.Context) bool {
-	s := g.state
-	due := time.NewTimer(streamGatherTime)
-	defer due.Stop()
-	for {
-		s.mu.Lock()
-		urgent := s.streamLog.urgent
-		s.mu.Unlock()
-		if urgent {
-			return true
-		}
-		select {
-		case <-ctx.Done():
-			return false
-		case <-due.C:
-			return true
-		case <-s.streamLog.wake:
-		}
-	}
+// catchUpTime returns how long after an outage of the log the entries need at most to record the
+// streams that they began in it.
+func (s *state) catchUpTime() time.Duration {
+	return min(streamCatchUpTime+s.appendSpacing(), maxStreamCatchUp)
 }
 
 // appendStreams appends the oldest records and returns the pause until the next append. Records
@@ -173,7 +158,6 @@
 	s.mu.Lock()
 	l := &s.streamLog
 	batch := slices.Clone(l.waiting[:min(len(l.waiting), maxRecordsPerAppend)])
-	l.urgent = false
 	era := s.eras.Newest()
 	s.mu.Unlock()
 	records := make([]forward.StreamRecord, len(batch))
@@ -192,7 +176,7 @@
 		if !l.failing && ctx.Err() == nil {
 			log.Warn().Str("event", "streams_unrecorded").Int("records", len(l.waiting)).Err(err).Msg("cannot record the builds of streams; new ones go to the default build where it has endpoints")
 		}
-		l.failing, l.urgent = true, true
+		l.failing = true
 		return max(streamRetryPause, s.appendSpacing())
 	}
 	if l.failing {
@@ -242,13 +226,10 @@
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), streamAppendTimeout)
 	defer cancel()
-	if r.err = g.loadDefaults(ctx); r.err == nil {
+	if _, r.err = g.loadDefaults(ctx); r.err == nil {
 		r.err = g.readStreamRecords(ctx)
 	}
 	if r.err != nil {
-		s.mu.Lock()
-		s.streamLog.unreadableAt = s.clock()
-		s.mu.Unlock()
 		log.Warn().Str("event", "streams_unread").Err(r.err).Msg("cannot read the builds of streams; callers that take up one may be refused")
 	}
 	close(r.done)
@@ -282,16 +263,18 @@
 	}
 }
 
-func (g *Gateway) loadDefaults(ctx context.Context) error {
-	defaults, err := g.streamStore.LoadDefaultBuilds(ctx)
+// loadDefaults reads the default builds and returns the end of their log.
+func (g *Gateway) loadDefaults(ctx context.Context) (end int64, err error) {
+	started := g.clock()
+	defaults, end, err := g.streamStore.LoadDefaultBuilds(ctx)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	s := g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.streams.SetDefaults(defaults, s.clock())
-	return nil
+	s.streams.SetDefaults(defaults, started)
+	return end, nil
 }
 
 // maintainStreams keeps the default builds in the log until ctx is done. The first member of the
@@ -306,10 +289,10 @@
 	for wait.For(ctx, pause) {
 		s.mu.Lock()
 		now := s.clock()
-		unknown, changed := s.streams.DefaultsUnknown(), len(s.streams.DefaultsToSave(now)) > 0
+		outdated, changed := s.streams.DefaultsOutdated(now), len(s.streams.DefaultsToSave(now)) > 0
 		first := len(s.peerLoads.members) > 0 && slices.Min(s.peerLoads.members) == g.memberID
 		s.mu.Unlock()
-		if unknown || first && changed {
+		if outdated || first && changed {
 			g.refreshDefaults(ctx, first)
 			pause = min(2*pause, maxDefaultsInterval)
 		} else {
@@ -324,7 +307,8 @@
 func (g *Gateway) refreshDefaults(ctx context.Context, save bool) {
 	attempt, cancel := context.WithTimeout(ctx, streamDefaultsTimeout)
 	defer cancel()
-	if err := g.loadDefaults(attempt); err != nil {
+	end, err := g.loadDefaults(attempt)
+	if err != nil {
 		if ctx.Err() == nil {
 			log.Warn().Str("event", "default_builds_unread").Err(err).Msg("cannot read the default builds; all streams are recorded")
 		}
@@ -335,23 +319,26 @@
 	toSave := s.streams.DefaultsToSave(s.clock())
 	s.mu.Unlock()
 	if save && len(toSave) > 0 {
-		g.saveDefaults(ctx, toSave)
+		g.saveDefaults(ctx, toSave, end)
 	}
 }
 
-func (g *Gateway) saveDefaults(ctx context.Context, defaults []forward.DefaultBuild) {
+// saveDefaults writes default builds, provided that the end of their log is as given: another
+// member may have written some, or this write may take effect late.
+func (g *Gateway) saveDefaults(ctx context.Context, defaults []forward.DefaultBuild, end int64) {
 	ctx, cancel := context.WithTimeout(ctx, streamDefaultsTimeout)
 	defer cancel()
-	if err := g.streamStore.SaveDefaultBuilds(ctx, defaults); err != nil {
-		log.Warn().Str("event", "default_builds_unsaved").Err(err).Msg("cannot write the default builds; all streams are recorded")
+	started := g.clock()
+	if err := g.streamStore.SaveDefaultBuilds(ctx, defaults, end); err != nil {
+		log.Warn().Str("event", "default_builds_unsaved").Err(err).Msg("cannot write the default builds; they are read again")
 		return
 	}
 	s := g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.streams.SetDefaults(defaults, s.clock())
+	s.streams.SetDefaults(defaults, started)
 	for _, d := range defaults {
-		log.Info().Str("event", "default_build").Str("service", d.Service).Str("build", d.Build).Msg("streams without a record belong to this build")
+		log.Info().Str("event", "default_build").Str("service", d.Service).Str("build", d.Build).Int64("revision", d.Revision).Bool("unsettled", d.Unsettled).Msg("streams without a record belong to this build")
 	}
 }
 
@@ -374,5 +361,5 @@
 			l.add(r, now)
 		}
 	}
-	l.appended, l.unreadableAt = nil, now // the other members write theirs again too
+	l.appended, l.incompleteUntil = nil, now+s.catchUpTime() // the other members write theirs again too
 }
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -12,7 +12,7 @@
 
 // Times of a request for a stream.
 const (
-	maxRecordWait     = 200 * time.Millisecond // an event is forwarded after this wait also if its stream is not recorded
+	maxRecordWait     = 90 * time.Millisecond  // an event is forwarded after this wait also if its stream is not recorded: one that is held for longer than 120 ms counts as late
 	unknownBuildRetry = 200 * time.Millisecond // Retry-After if the records can't be read
 	buildGoneRetry    = time.Second            // Retry-After if no endpoint of the build is left; one may come back
 )
@@ -20,7 +20,7 @@
 // buildWithoutRecord returns the key of the build whose streams need no record, if a record would
 // not reach the log in time. The caller holds the state's mutex.
 func (q *request) buildWithoutRecord(s *state, now time.Duration) (build uint64, ok bool) {
-	standard, known := s.streams.Default(q.service.Name)
+	standard, known := s.streams.Default(q.service.Name, now)
 	return forward.BuildKey(standard), known && q.mayBeTakenUp() && s.streamLog.unwritable(now, s.appendSpacing())
 }
 
@@ -29,55 +29,37 @@
 	return q.route.Kind == forward.Stream && q.route.Resumable && q.g.streamStore != nil
 }
 
-// beginStream has the build recorded that a stream is sent to, if necessary. The caller holds
-// the state's mutex.
-func (q *request) beginStream(s *state, p *placement, now time.Duration) {
-	if q.bound || !q.mayBeTakenUp() {
-		return
-	}
-	q.recorded = nil
-	if r, must := s.streams.Begin(q.service.Name, q.call.ID, p.endpoint.Build, now); must {
-		q.recorded = s.streamLog.add(r, now)
-	}
-}
-
-// bindTo binds the stream, before its first event is forwarded, to the build of an endpoint.
+// bindTo binds the stream, before its first event is forwarded, to the build of an endpoint. It
+// waits until the log holds the record of the stream if it needs one, but not for long: an event
+// is not held back if the log is slow.
 func (q *request) bindTo(p *placement) {
 	if q.bound {
 		return
 	}
 	q.build, q.bound = forward.BuildKey(p.endpoint.Build), true
-	q.awaitRecord()
-}
-
-// awaitRecord waits until the log holds the record of the stream whose first event follows. An
-// event is not held back for long if the log is slow.
-func (q *request) awaitRecord() {
-	if q.recorded == nil {
-		return
-	}
-	recorded := q.recorded
-	q.recorded = nil
-	select {
-	case <-recorded:
+	if !q.mayBeTakenUp() {
 		return
-	default:
 	}
 	s := q.g.state
 	s.mu.Lock()
-	failing := s.streamLog.failing
-	s.streamLog.urgent = true
-	s.streamLog.notify()
+	now := s.clock()
+	r, must := s.streams.Begin(q.service.Name, q.call.ID, p.endpoint.Build, now)
+	if !must {
+		s.mu.Unlock()
+		return
+	}
+	recorded, failing := s.streamLog.add(r, now), s.streamLog.failing
 	s.mu.Unlock()
+	wait := maxRecordWait
 	if failing {
-		return
+		wait = 0
 	}
-	limit := time.NewTimer(maxRecordWait)
+	limit := time.NewTimer(wait)
 	defer limit.Stop()
 	select {
 	case <-recorded:
 	case <-limit.C:
-		log.Warn().Str("event", "stream_record_late").Str("request", q.call.ID).Msg("an event is forwarded before the build of its stream is recorded")
+		log.Warn().Str("event", "stream_record_late").Str("request", q.call.ID).Bool("failing", failing).Msg("an event is forwarded before the build of its stream is recorded")
 	case <-q.r.Context().Done():
 	}
 }
@@ -90,19 +72,20 @@
 	}
 	s := q.g.state
 	s.mu.Lock()
-	q.build, q.bound = s.streams.Recorded(q.service.Name, q.call.Resumes)
+	now := s.clock()
+	q.build, q.bound = s.streams.BuildOf(q.service.Name, q.call.Resumes, false, now)
 	s.mu.Unlock()
 	if q.bound {
 		return nil
 	}
 	err := q.g.readStreams(ctx)
 	s.mu.Lock()
-	now := s.clock()
-	complete := err == nil && now >= s.streamLog.unreadableAt+streamCatchUpTime+s.appendSpacing()
-	q.build, q.bound = s.streams.BuildOf(q.service.Name, q.call.Resumes, complete, now)
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	now = s.clock()
+	incomplete := s.streamLog.incompleteUntil - now
+	q.build, q.bound = s.streams.BuildOf(q.service.Name, q.call.Resumes, err == nil && incomplete <= 0, now)
 	if q.bound {
 		return nil
 	}
-	return apierr.NewRetryable(apierr.StaleReplica, apierr.NotRun, unknownBuildRetry, "the build that began the stream is not known", "send the request again").WithCause(err)
+	return apierr.NewRetryable(apierr.StaleReplica, apierr.NotRun, max(unknownBuildRetry, incomplete), "the build that began the stream is not known", "send the request again").WithCause(err)
 }
