Keep idle connections while their endpoint is listed

Cause: the pool's keys are an endpoint's ID and address, the list of live endpoints has IDs only, so each change of the list, with each heartbeat of any endpoint, closed all idle connections. Change: compare the ID. Result: TestIdleConnectionsOutliveChangesOfTheList failed before.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -427,3 +427,30 @@
 	require.Equal(t, []string{"10.0.0.1:80", "10.0.0.2:80", ""}, fetch)
 	require.Equal(t, []string{"", "", ""}, save)
 }
+
+// Guards against idle connections that are closed with each change of the endpoint list although
+// their endpoint is listed, so that most requests need a new connection.
+func TestIdleConnectionsOutliveChangesOfTheList(t *testing.T) {
+	e := serveRaw(t, respondOK("answer"))
+	f := newFixture(t, e)
+	get := func() {
+		t.Helper()
+		status, _, err := f.do(t, f.request(t, "POST", "/unsafe/x", ""))
+		require.NoError(t, err)
+		require.Equal(t, 200, status)
+	}
+	idle := func() (n int) {
+		f.pool.mu.Lock()
+		defer f.pool.mu.Unlock()
+		for _, list := range f.pool.idle {
+			n += len(list)
+		}
+		return n
+	}
+	get()
+	require.Eventually(t, func() bool { return idle() == 1 }, 5*time.Second, time.Millisecond)
+	f.applyEndpoints(nil, f.clock.read(), false)
+	require.Equal(t, 1, idle())
+	f.applyEndpoints([]forward.EndpointChange{{ID: "e0"}}, f.clock.read(), false)
+	require.Zero(t, idle(), "the endpoint has left")
+}
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -115,9 +115,10 @@
 	defer p.mu.Unlock()
 	now := p.clock()
 	for key, list := range p.idle {
+		id, _, _ := strings.Cut(key, "@")
 		kept := list[:0]
 		for _, c := range list {
-			if alive[key] && now-c.idleSince < c.idleTimeout {
+			if alive[id] && now-c.idleSince < c.idleTimeout {
 				kept = append(kept, c)
 			} else {
 				c.Close()
