--- a/gateway/streamlog.go
+++ b/gateway/streamlog.go
@@ -17,7 +17,7 @@
 // Records of the builds that began streams.
 const (
 	minStreamAppendPause  = 40 * time.Millisecond // between two appends of an entry
-	streamWriteShare      = 0.25                  // share of the log's write calls that the appends of all entries may take
+	streamWriteShare      = 0.5                   // share of the log's write calls that the appends of all entries may take
 	streamAppendTimeout   = 500 * time.Millisecond
 	streamRetryPause      = 100 * time.Millisecond
 	maxRecordsPerAppend   = 4096
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -76,7 +76,9 @@
 		return true
 	case <-late.C:
 		s.mu.Lock()
-		s.streamLog.slowUntil = s.clock() + slowLogPause
+		if s.appendSpacing() <= maxRecordWait {
+			s.streamLog.slowUntil = s.clock() + slowLogPause
+		}
 		s.mu.Unlock()
 		log.Warn().Str("event", "stream_record_late").Str("request", q.call.ID).Str("build", p.endpoint.Build).Msg("the build of a stream is not recorded when its first event arrives")
 		return false
@@ -92,6 +94,9 @@
 	s := q.g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.appendSpacing() > maxRecordWait {
+		return false // in a group of this size, most records are late
+	}
 	now := s.clock()
 	standard, known := s.streams.Default(q.service.Name, now)
 	if !known || standard == p.endpoint.Build || !s.retryBudget(q.service.Name).CanSpend(now) {
--- a/gateway/streams_test.go
+++ b/gateway/streams_test.go
@@ -305,3 +305,24 @@
 	require.Equal(t, 200, status)
 	require.Equal(t, reads, store.reads)
 }
+
+// Guards against first events that go out unrecorded in a large group, whose members append too
+// seldom: if their entry is lost, their streams go on at the default build.
+func TestFirstEventsAreRecordedInALargeGroup(t *testing.T) {
+	store := &fakeStreamStore{}
+	f := newStreamFixture(t, store, []string{"v2"}, streamFrom(t, -1, 3))
+	f.state.mu.Lock()
+	f.state.peerLoads.members = make([]string, 330)
+	f.state.mu.Unlock()
+	unrecorded := 0
+	for i := range 6 {
+		r := f.request(t, "POST", "/resumable/x", "prompt")
+		id := string(rune('a' + i))
+		r.Header.Set("Test-Id", id)
+		status, _, err := f.do(t, r)
+		require.NoError(t, err)
+		require.Equal(t, 200, status)
+		unrecorded += boolInt(!store.has(id, "v2")) // the caller has all events
+	}
+	require.LessOrEqual(t, unrecorded, 2)
+}
