Read the records for each stream that is taken up

An entry that had listed one build for long took a stream for one of it without reading the records; another entry had begun it 100 ms before at a build that this one had not listed yet. Change: only records and defaults that were read after the request arrived tell the build, except at the entry that began the stream. The age of the list counts from the start of its read. TestSettledServiceReadsNoRecords demanded the fault and is replaced by TestStreamOfABuildThatIsNotListedYet; the simulation no longer leaves out builds that are new. Conclusion: a stream that is taken up costs two calls to the log, and is refused while the log can't be read.

--- a/core/forward/streams.go
+++ b/core/forward/streams.go
@@ -63,7 +63,7 @@
 	recent    map[uint64]knownStream    // streams older than two lifetimes are dropped
 	older     map[uint64]knownStream
 	rotatedAt time.Duration
-	listedAt  time.Duration // when the endpoint list was last read
+	listedAt  time.Duration // start of the last read of the endpoint list
 }
 
 const (
@@ -126,10 +126,11 @@
 	return s
 }
 
-// ObserveEndpoints updates the builds of each service from the endpoint list.
-func (b *StreamBuilds) ObserveEndpoints(endpoints []Endpoint, now time.Duration) {
-	gap := now-b.listedAt > maxBuildListAge // another build may have served meanwhile
-	b.listedAt = now
+// ObserveEndpoints updates the builds of each service from the endpoint list, whose read started
+// at the time readAt.
+func (b *StreamBuilds) ObserveEndpoints(endpoints []Endpoint, readAt, now time.Duration) {
+	gap := readAt-b.listedAt > maxBuildListAge // another build may have served meanwhile
+	b.listedAt = readAt
 	builds := map[string]string{}
 	mixed := map[string]bool{}
 	for _, e := range endpoints {
@@ -279,17 +280,23 @@
 // argument complete states that all records and the defaults have been read since the caller
 // sent the request.
 func (b *StreamBuilds) BuildOf(service, requestID string, complete bool, now time.Duration) (build uint64, known bool) {
-	if requestID != "" { // otherwise the caller does not name the stream
-		k, recorded := b.lookUp(StreamKey(service, requestID))
-		if recorded && (k.own || complete) {
-			return k.build, true
+	if requestID == "" { // the caller does not name the stream
+		s := b.service(service)
+		if !s.isSole || now-b.listedAt > maxBuildListAge {
+			return 0, false
 		}
+		return BuildKey(s.sole), true
 	}
+	if k, recorded := b.lookUp(StreamKey(service, requestID)); recorded && (k.own || complete) {
+		return k.build, true
+	}
+	// Without a complete read, the list of one build proves nothing: another entry may already
+	// have begun streams at a new one.
 	standard, known := b.Default(service, now)
-	if known && (complete && requestID != "" || b.settled(b.service(service), now)) {
-		return BuildKey(standard), true
+	if !known || !complete {
+		return 0, false
 	}
-	return 0, false
+	return BuildKey(standard), true
 }
 
 // KeepBuild excludes the candidates of other builds than the one with the given key.
--- a/core/forward/streams_test.go
+++ b/core/forward/streams_test.go
@@ -43,10 +43,11 @@
 		"records unread":                       {[]DefaultBuild{{"s", "v1", 1, false}}, nil, []string{"v1", "v2"}, 0, "other", false, 0, false},
 		"default unknown":                      {nil, nil, []string{"v1", "v2"}, 0, "other", true, 0, false},
 		"stream not named":                     {[]DefaultBuild{{"s", "v1", 1, false}}, nil, []string{"v1", "v2"}, 0, "", true, 0, false},
-		"records unread, one build for long":   {[]DefaultBuild{{"s", "v1", 1, false}}, nil, []string{"v1"}, lifetime, "other", false, v1, true},
+		"records unread, one build for long":   {[]DefaultBuild{{"s", "v1", 1, false}}, nil, []string{"v1"}, lifetime, "other", false, 0, false},
 		"one build for long, no ID":            {[]DefaultBuild{{"s", "v1", 1, false}}, nil, []string{"v1"}, lifetime, "", false, v1, true},
 		"one build since a short time":         {[]DefaultBuild{{"s", "v1", 1, false}}, nil, []string{"v1"}, lifetime - time.Second, "other", false, 0, false},
 		"one build that is not the default":    {[]DefaultBuild{{"s", "v1", 1, false}}, nil, []string{"v2"}, lifetime, "other", false, 0, false},
+		"a build that is not listed yet":       {[]DefaultBuild{{"s", "v1", 1, false}}, recorded, []string{"v1"}, 0, "at-v2", true, v2, true},
 		"record of the same ID, other service": {[]DefaultBuild{{"s", "v1", 1, false}}, []StreamRecord{{StreamKey("t", "id"), v2, 1}}, []string{"v1", "v2"}, 0, "id", true, v1, true},
 	}
 	for name, c := range cases {
@@ -54,7 +55,7 @@
 			b := NewStreamBuilds()
 			b.SetRoutes(streamRoutes)
 			now := time.Hour
-			b.ObserveEndpoints(endpointsOf(c.builds...), now)
+			b.ObserveEndpoints(endpointsOf(c.builds...), now, now)
 			b.SetDefaults(c.defaults, now)
 			b.AddRecords(c.records, now)
 			now = observe(b, now, c.listedFor, c.builds...)
@@ -68,7 +69,7 @@
 // observe reads the list at short intervals for the given time and returns the time after it.
 func observe(b *StreamBuilds, now, d time.Duration, builds ...string) time.Duration {
 	for end := now + d; ; now += min(time.Second, end-now) {
-		b.ObserveEndpoints(endpointsOf(builds...), now)
+		b.ObserveEndpoints(endpointsOf(builds...), now, now)
 		if now == end {
 			return now
 		}
@@ -89,7 +90,7 @@
 	require.True(t, known(now+maxBuildListAge))
 	require.False(t, known(now+maxBuildListAge+1))
 	now += maxBuildListAge + 1
-	b.ObserveEndpoints(endpointsOf("v1"), now)
+	b.ObserveEndpoints(endpointsOf("v1"), now, now)
 	require.False(t, known(now), "another build may have served in between")
 	now = observe(b, now, b.Lifetime(), "v1")
 	require.True(t, known(now))
@@ -246,7 +247,7 @@
 		b.AddRecords(w.log, w.now)
 	}
 	build, known := b.BuildOf("s", s.id, complete, w.now)
-	if known && (complete || w.now-s.begunAt > maxBuildListAge+maxStep) { // a build that is new may be unknown while the log can't be read
+	if known {
 		require.Equal(t, BuildKey(s.build), build, "seed %d: stream %s began at %s", seed, s.id, s.build)
 	}
 	return known
@@ -289,7 +290,7 @@
 	for i, b := range w.entries {
 		if w.rng.IntN(3) > 0 {
 			w.views[i] = slices.Clone(w.builds)
-			b.ObserveEndpoints(endpointsOf(w.builds...), w.now)
+			b.ObserveEndpoints(endpointsOf(w.builds...), w.now, w.now)
 		}
 		if w.rng.IntN(3) > 0 {
 			continue
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -226,7 +226,7 @@
 }
 
 // applyEndpoints applies changes of the endpoint list. A snapshot replaces the list.
-func (g *Gateway) applyEndpoints(changes []forward.EndpointChange, _ time.Duration, snapshot bool) {
+func (g *Gateway) applyEndpoints(changes []forward.EndpointChange, started time.Duration, snapshot bool) {
 	s := g.state
 	s.mu.Lock()
 	now := s.clock()
@@ -243,7 +243,7 @@
 		s.endpointList.Apply(changes, now)
 	}
 	s.endpointListRead, s.listedCache = true, nil
-	s.streams.ObserveEndpoints(s.listedEndpoints(now), now)
+	s.streams.ObserveEndpoints(s.listedEndpoints(now), started, now)
 	alive := s.pruneEndpoints(now)
 	s.mu.Unlock()
 	g.pool.prune(alive)
--- a/gateway/streams_test.go
+++ b/gateway/streams_test.go
@@ -23,7 +23,6 @@
 	records  []forward.StreamRecord
 	defaults []forward.DefaultBuild
 	era      forward.Era
-	reads    int
 	err      error
 	block    chan struct{} // appends wait until it is closed, if it is set
 }
@@ -47,7 +46,6 @@
 func (f *fakeStreamStore) ReadStreams(_ context.Context, from int64) (StreamBatch, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.reads++
 	end := int64(len(f.records))
 	return StreamBatch{Records: append([]forward.StreamRecord(nil), f.records[min(from, end):]...), Next: end, End: end, Era: f.era}, f.err
 }
@@ -55,7 +53,6 @@
 func (f *fakeStreamStore) LoadDefaultBuilds(context.Context) ([]forward.DefaultBuild, int64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.reads++
 	return slices.Clone(f.defaults), int64(len(f.defaults)), f.err
 }
 
@@ -289,21 +286,32 @@
 	require.EqualValues(t, 2, e2.requests.Load())
 }
 
-// Guards against calls to the log for each stream that is taken up although all streams belong to
-// one build.
-func TestSettledServiceReadsNoRecords(t *testing.T) {
+// Guards against a stream that goes on at the only build that this entry has listed for long,
+// although another entry has begun it at a new one. Found by the forwarding soak, seed 8.
+func TestStreamOfABuildThatIsNotListedYet(t *testing.T) {
 	store := &fakeStreamStore{}
-	f := newStreamFixture(t, store, []string{"v1"}, streamFrom(t, -1, 5))
+	e := streamFrom(t, -1, 5)
+	f := newStreamFixture(t, store, []string{"v1"}, e)
 	for range 60 {
 		f.clock.advance(time.Second)
 		f.applyEndpoints(nil, f.clock.read(), false)
 	}
 	f.applyOperators(nil, f.clock.read(), false)
-	reads := store.reads
-	status, _, err := f.do(t, resumption(t, f, "again", "other"))
-	require.NoError(t, err)
-	require.Equal(t, 200, status)
-	require.Equal(t, reads, store.reads)
+	takeUp := func(id string) int {
+		status, _, err := f.do(t, resumption(t, f, "again", id))
+		require.NoError(t, err)
+		return status
+	}
+	store.records = append(store.records, forward.StreamRecord{Stream: forward.StreamKey("s", "new"), Build: forward.BuildKey("v2"), Attempt: 1})
+	require.Equal(t, 503, takeUp("new"))
+	require.Zero(t, e.requests.Load())
+	require.Equal(t, 200, takeUp("other"))
+	require.Equal(t, 200, takeUp(""), "its caller does not name the stream, and one build is listed")
+	store.mu.Lock()
+	store.err = errors.New("the log is down")
+	store.mu.Unlock()
+	require.Equal(t, 503, takeUp("yet another"))
+	require.EqualValues(t, 2, e.requests.Load())
 }
 
 // Guards against first events that go out unrecorded in a large group, whose members append too
