Observe builds in endpoint lists read before the configuration

Cause: a list of endpoints that a starting process read before the configuration named no service that it knew, so its builds did not count until the next list. For up to that pause, callers that take up streams were refused with 'the build that began the stream is not known', and every stream was recorded. Change: the builds of all services are observed; only services with resumable streams have default builds. Result: TestEndpointListIsReadBeforeTheConfiguration fails before and passes after. Conclusion: the order in which a starting process reads its feeds no longer matters.

--- a/core/forward/streams.go
+++ b/core/forward/streams.go
@@ -58,9 +58,9 @@
 // than callers take up streams, and in two steps: it is unsettled for longer than any process
 // relies on what it has loaded. Until the default is known, every stream is recorded.
 type StreamBuilds struct {
-	lifetime  time.Duration             // how long after its start callers may take up a stream
-	services  map[string]*serviceBuilds // services whose streams may be taken up
-	recent    map[uint64]knownStream    // streams older than two lifetimes are dropped
+	lifetime  time.Duration // how long after its start callers may take up a stream
+	services  map[string]*serviceBuilds
+	recent    map[uint64]knownStream // streams older than two lifetimes are dropped
 	older     map[uint64]knownStream
 	rotatedAt time.Duration
 	listedAt  time.Duration // start of the last read of the endpoint list
@@ -79,6 +79,7 @@
 
 // serviceBuilds is what is known of a service.
 type serviceBuilds struct {
+	resumable      bool   // callers may take up streams of the service
 	sole           string // the build of all endpoints, if isSole
 	isSole         bool
 	since          time.Duration // when that began
@@ -106,7 +107,7 @@
 		}
 		longest = max(longest, cmp.Or(r.Timeout, defaultStreamTimeout))
 		for _, t := range r.Targets {
-			b.service(t.Service)
+			b.service(t.Service).resumable = true
 		}
 	}
 	if longest > 0 {
@@ -140,10 +141,8 @@
 		builds[e.Service] = e.Build
 	}
 	for name, build := range builds {
-		s := b.services[name]
+		s := b.service(name) // a starting process may not have read the configuration yet
 		switch {
-		case s == nil:
-			continue
 		case mixed[name]:
 			s.isSole = false
 		case gap || !s.isSole || s.sole != build:
@@ -194,7 +193,7 @@
 func (b *StreamBuilds) DefaultsToSave(now time.Duration) []DefaultBuild {
 	var out []DefaultBuild
 	for _, name := range slices.Sorted(maps.Keys(b.services)) {
-		if d, ok := b.nextDefault(name, b.services[name], now); ok {
+		if d, ok := b.nextDefault(name, b.services[name], now); ok && b.services[name].resumable {
 			out = append(out, d)
 		}
 	}
@@ -224,6 +223,9 @@
 // DefaultsOutdated reports whether the defaults should be read from the log.
 func (b *StreamBuilds) DefaultsOutdated(now time.Duration) bool {
 	for _, s := range b.services {
+		if !s.resumable {
+			continue
+		}
 		if !s.hasDefault() || s.standard.Unsettled || !b.settled(s, now) && now-s.loadedAt >= maxDefaultAge/2 {
 			return true
 		}
--- a/core/forward/streams_test.go
+++ b/core/forward/streams_test.go
@@ -76,6 +76,19 @@
 	}
 }
 
+// Guards against a process that refuses streams for a while after its start because it read the
+// endpoint list before the configuration.
+func TestEndpointListIsReadBeforeTheConfiguration(t *testing.T) {
+	b := NewStreamBuilds()
+	b.ObserveEndpoints(endpointsOf("v1"), time.Hour, time.Hour)
+	require.Empty(t, b.DefaultsToSave(time.Hour), "no stream of the service is known to be resumable")
+	b.SetDefaults([]DefaultBuild{{"s", "v1", 1, false}}, time.Hour)
+	b.SetRoutes(streamRoutes)
+	build, known := b.BuildOf("s", "", true, time.Hour)
+	require.True(t, known)
+	require.Equal(t, BuildKey("v1"), build)
+}
+
 // Guards against an entry that is cut off from the log, or was suspended, and takes its old list
 // for the present one.
 func TestOldEndpointListDoesNotSettleTheBuild(t *testing.T) {
