Give each unsettled default build its own time

Cause: found on reading: a process that missed a settled revision in between counted the time of an unsettled default from an earlier one. Change: the time starts with each new unsettled revision. Result: TestEachUnsettledRevisionHasItsOwnTime failed before.

--- a/core/forward/streams.go
+++ b/core/forward/streams.go
@@ -85,7 +85,7 @@
 	since          time.Duration // when that began
 	standard       DefaultBuild  // Revision is 0 if none is known
 	loadedAt       time.Duration // start of the last read of the default
-	unsettledSince time.Duration // when this process first knew that the default is unsettled
+	unsettledSince time.Duration // when this process first read that the default is unsettled
 	unsaved        bool          // the log may have lost the default
 }
 
@@ -176,7 +176,7 @@
 		if d.Revision < s.standard.Revision {
 			continue // the log has returned from an older copy
 		}
-		if d.Unsettled && !s.standard.Unsettled {
+		if d.Unsettled && d.Revision > s.standard.Revision {
 			s.unsettledSince = readAt
 		}
 		s.standard, s.loadedAt, s.unsaved = d, max(s.loadedAt, readAt), false
--- a/core/forward/streams_test.go
+++ b/core/forward/streams_test.go
@@ -166,6 +166,20 @@
 	require.Equal(t, []DefaultBuild{{"s", "v1", 3, false}}, b.DefaultsToSave(now))
 }
 
+// Guards against a default that changes too early because a process that missed a settled
+// revision counts from an earlier unsettled one.
+func TestEachUnsettledRevisionHasItsOwnTime(t *testing.T) {
+	b := NewStreamBuilds()
+	b.SetRoutes(streamRoutes)
+	now := observe(b, time.Hour, 0, "v2")
+	b.SetDefaults([]DefaultBuild{{"s", "v1", 2, true}}, now)
+	now = observe(b, now, b.Lifetime()+unsettledTime, "v2")
+	b.SetDefaults([]DefaultBuild{{"s", "v1", 4, true}}, now)
+	require.Empty(t, b.DefaultsToSave(now))
+	now = observe(b, now, unsettledTime, "v2")
+	require.Equal(t, []DefaultBuild{{"s", "v2", 5, false}}, b.DefaultsToSave(now))
+}
+
 // Guards against an entry that relies on a default which another member has changed.
 func TestDefaultBuildIsReadAgainWhileBuildsDiffer(t *testing.T) {
 	b := NewStreamBuilds()
