Read and log the limits that endpoints name

Change: the adapter reads the limit of a response, the lowest valid one if it names several; an entry keeps the newest statement of each endpoint and logs endpoint_limit, endpoint_limit_unreadable and limit_N of an attempt. Nothing is decided by it yet. Answers overtake each other, so of two statements that may have been made in either order the lower holds until a later request's answer.

--- a/gateway/accesslog.go
+++ b/gateway/accesslog.go
@@ -124,6 +124,9 @@
 		if a.placement.outdatedFor > 0 {
 			e = e.Dur("outdated_ms_"+n, a.placement.outdatedFor)
 		}
+		if a.placement.limit != forward.Unlimited {
+			e = e.Float64("limit_"+n, a.placement.limit)
+		}
 		if a.err != nil {
 			e = e.Bool("not_run_"+n, a.err.notRun).Bool("sent_"+n, a.err.sent).Str("failure_"+n, a.err.Error())
 		}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -81,6 +81,7 @@
 type response struct {
 	httpResp     *http.Response
 	info         ResponseInfo
+	sentAt       time.Duration // clock time at which the request was sent
 	conn         *endpointConn
 	pool         *connPool
 	key          string
@@ -106,7 +107,7 @@
 		g.pool.put(key, conn, true)
 		return nil, &exchangeError{err: err}
 	}
-	resp := &response{conn: conn, pool: g.pool, key: key, writeResult: make(chan error, 1)}
+	resp := &response{sentAt: g.clock(), conn: conn, pool: g.pool, key: key, writeResult: make(chan error, 1)}
 	resp.stopCancel = context.AfterFunc(ctx, func() { conn.Close() })
 	if len(data) <= maxInlineWriteBytes {
 		n, err := conn.Write(data)
@@ -121,7 +122,7 @@
 			resp.writeResult <- err
 		}()
 	}
-	if xerr := resp.readHeader(g.headerCodec, m, id); xerr != nil {
+	if xerr := resp.readHeader(g, e.ID, m, id); xerr != nil {
 		resp.close()
 		return nil, xerr
 	}
@@ -130,7 +131,7 @@
 
 // readHeader reads the header of the response to the request with the given ID. A late or
 // duplicate response to another request is skipped.
-func (r *response) readHeader(codec HeaderCodec, m *wireRequest, id string) *exchangeError {
+func (r *response) readHeader(g *Gateway, endpoint string, m *wireRequest, id string) *exchangeError {
 	for stray := 0; ; {
 		resp, err := http.ReadResponse(r.conn.br, &http.Request{Method: m.method})
 		if err != nil {
@@ -139,7 +140,10 @@
 		if resp.StatusCode < http.StatusOK {
 			continue // an interim (1xx) response
 		}
-		reply := codec.ParseResponse(resp.StatusCode, resp.Header)
+		reply := g.headerCodec.ParseResponse(resp.StatusCode, resp.Header)
+		if !reply.Misdirected {
+			g.observeLimit(endpoint, reply, id, r.sentAt)
+		}
 		if reply.RequestID != "" && reply.RequestID != id {
 			if stray++; stray > maxStrayResponses || !drainBody(resp) {
 				return &exchangeError{sent: true, err: errors.New("the answer belongs to another request")}
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -49,6 +49,15 @@
 	NotRun        bool // the request has not run and will not run
 	Misdirected   bool // the address belongs to another endpoint, or the endpoint does not meet the request's expectations
 	WeightVersion int64
+	Limit         NamedLimit
+}
+
+// NamedLimit is what a response says about the requests a second that the endpoint takes from all
+// entries together.
+type NamedLimit struct {
+	Stated    bool // the response names a limit, readable or not
+	Valid     bool // PerSecond could be read
+	PerSecond float64
 }
 
 // HeaderCodec reads and writes the platform's HTTP headers.
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -23,6 +23,7 @@
 	maxConns        int // maximum connections of this process to the endpoint
 	choice          forward.Choice
 	placedAt        time.Duration
+	limit           float64       // limit of the endpoint that was known, forward.Unlimited if none
 	outdatedFor     time.Duration // longest time for which a newer weight version may have been set, 0 if none is
 	fetchDeadlineMs int64         // deadline of fetches, on the stores' clock
 }
@@ -59,6 +60,7 @@
 		p.outdatedFor = now - chosen.OutdatedSince
 	}
 	st := s.endpointState(p.endpoint.ID)
+	p.limit = st.limit.PerSecond()
 	st.health.Allow(now)
 	st.load.Add(p.work)
 	if pr := q.call.Prompt; pr != nil {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -33,6 +33,7 @@
 type endpointState struct {
 	load             forward.EndpointLoad
 	health           forward.Health
+	limit            forward.EndpointLimit
 	residency        forward.Residency
 	observedVersions map[string]int64 // newest weight versions seen in responses and reports, by model
 	started          int64            // Started of the list entry; another value means a restart
@@ -190,6 +191,7 @@
 	if st.started != 0 {
 		st.residency.Clear()
 		st.health = forward.Health{}
+		st.limit = forward.EndpointLimit{}
 		clear(st.observedVersions)
 		st.orderCount = 0
 	}
