--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -45,7 +45,8 @@
 }
 
 func (testHeaderCodec) ParseResponse(status int, h http.Header) ResponseInfo {
-	return ResponseInfo{RequestID: h.Get("Test-Id"), HasReceipt: h.Get("Test-Seal") != "", NotRun: h.Get("Test-Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest}
+	limit, err := strconv.ParseFloat(h.Get("Test-Limit"), 64)
+	return ResponseInfo{Limit: NamedLimit{Stated: h.Get("Test-Limit") != "", Valid: err == nil, PerSecond: limit}, RequestID: h.Get("Test-Id"), HasReceipt: h.Get("Test-Seal") != "", NotRun: h.Get("Test-Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest}
 }
 
 // testClock is a manually advanced clock.
