Share the limit that an endpoint names among the entries

Cause: no decision took notice of the limit. Class: a bound over all processes together that no process knows of, and that each could keep only for itself. Change: 4 + L entries, chosen by rendezvous hashing over the members, share a limit L, each with a bucket of its part that begins empty; the others place elsewhere. Entries tell each other limits and their ends in the load reports. Orders and reads of an endpoint's state count too. Refusals that name a limit don't count against the endpoint's health. The most urgent requests come first; a refused caller gets a time of its own to come back. Conclusion: works since few entries may each hold a burst of one request, and since no entry that can still send is left out of the count.

--- a/core/forward/limit_test.go
+++ b/core/forward/limit_test.go
@@ -33,7 +33,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			var l EndpointLimit
 			for _, s := range c.statements {
-				l.Observe(s)
+				l.Observe(s, true, s.ReceivedAt)
 			}
 			require.Equal(t, c.want, l.PerSecond())
 		})
--- a/gateway/accesslog.go
+++ b/gateway/accesslog.go
@@ -57,11 +57,12 @@
 	configVersion  int64
 	configAge      time.Duration
 	attempts       []attemptLog
-	candidates     int // endpoints of the service at the last placement; the next five count subsets
+	candidates     int // endpoints of the service at the last placement; the next six count subsets
 	usable         int // could accept the request
 	emptying       int // accepted no long prompts
 	outdated       int // had older weights than the named version
 	excluded       int // were not allowed, other than by an earlier attempt
+	overLimit      int // had no room in the limits that they named
 	tried          int // had an earlier attempt of this request
 	status         int
 	bytes          int64
@@ -72,9 +73,10 @@
 
 // countCandidates records how many candidates the last placement had, by state.
 func (l *accessLog) countCandidates(cs []forward.Candidate, tried map[string]bool) {
-	l.candidates, l.usable, l.emptying, l.outdated, l.excluded, l.tried = len(cs), 0, 0, 0, 0, 0
+	l.candidates, l.usable, l.emptying, l.outdated, l.excluded, l.overLimit, l.tried = len(cs), 0, 0, 0, 0, 0, 0
 	for _, c := range cs {
-		l.usable += boolInt(c.Usable && !c.Excluded)
+		l.usable += boolInt(c.Usable && !c.Excluded && !c.OverLimit)
+		l.overLimit += boolInt(c.OverLimit)
 		l.emptying += boolInt(c.AvoidLongRunning)
 		l.outdated += boolInt(c.Outdated)
 		l.tried += boolInt(tried[c.Endpoint.ID])
@@ -112,7 +114,7 @@
 		e = e.Str("resumes", q.call.Resumes).Str("last_event", q.call.LastEventID)
 	}
 	if l := q.accessLog; l.candidates > 0 {
-		e = e.Int("endpoints", l.candidates).Int("usable", l.usable).Int("emptying", l.emptying).Int("outdated", l.outdated).Int("excluded", l.excluded).Int("tried", l.tried)
+		e = e.Int("endpoints", l.candidates).Int("usable", l.usable).Int("emptying", l.emptying).Int("outdated", l.outdated).Int("excluded", l.excluded).Int("over_limit", l.overLimit).Int("tried", l.tried)
 	}
 	for i, a := range q.accessLog.attempts {
 		n := strconv.Itoa(i + 1)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -17,7 +17,7 @@
 	m := q.msg
 	m.header = q.msg.header.Clone()
 	o := ForwardInfo{
-		Endpoint: p.endpoint.ID, HasPrompt: q.call.Prompt != nil, Priority: forward.EffectivePriority(q.route, q.customer),
+		Endpoint: p.endpoint.ID, HasPrompt: q.call.Prompt != nil, Priority: q.priority(),
 		Salt: p.choice.Salt, WeightVersion: p.choice.Version, FetchDeadlineMs: p.fetchDeadlineMs, LastEventID: q.call.LastEventID, Remaining: remaining(q.deadline, q.g.clock()),
 	}
 	if pr := q.call.Prompt; pr != nil {
@@ -52,6 +52,9 @@
 	return q.deliver(resp, p)
 }
 
+// priority returns the request's priority, 0 is the highest.
+func (q *request) priority() int { return forward.EffectivePriority(q.route, q.customer) }
+
 // errKeyStale is returned when, after the request was placed, the configuration has become
 // too old to accept the caller's key.
 var errKeyStale = errors.New("a key may have been taken away since the request was placed")
@@ -100,7 +103,9 @@
 	defer s.mu.Unlock()
 	now := s.clock()
 	st := s.endpointState(p.endpoint.ID)
-	st.health.RecordResponse(resp.httpResp.StatusCode >= http.StatusInternalServerError, now, s.rng)
+	if !limitsRequests(resp.httpResp.StatusCode, resp.info) {
+		st.health.RecordResponse(resp.httpResp.StatusCode >= http.StatusInternalServerError, now, s.rng)
+	}
 	if q.call.Prompt != nil && resp.info.WeightVersion > 0 {
 		s.observeVersion(p.endpoint.ID, q.call.Prompt.Model, resp.info.WeightVersion)
 	}
@@ -121,12 +126,12 @@
 	defer s.mu.Unlock()
 	now := s.clock()
 	others := 0
-	cs := s.candidates(q.service.Name, nil, q.tried, now)
+	cs := s.candidates(q.service.Name, nil, q.priority(), q.tried, now)
 	if q.bound {
 		forward.KeepBuild(cs, q.build)
 	}
 	for _, c := range cs {
-		others += boolInt(!c.Excluded && c.Usable)
+		others += boolInt(!c.Excluded && !c.OverLimit && c.Usable)
 	}
 	return others > 0 && s.retryBudget(q.service.Name).CanSpend(now)
 }
--- a/gateway/config_test.go
+++ b/gateway/config_test.go
@@ -137,7 +137,7 @@
 		{ID: "old", Endpoint: &forward.Endpoint{ID: "old", Service: "s", Models: []forward.ModelState{{Name: "m", Version: 1}}}},
 		{ID: "new", Endpoint: &forward.Endpoint{ID: "new", Service: "s", Models: []forward.ModelState{{Name: "m", Version: 2}}}},
 	}, clock.read(), true)
-	for _, c := range g.state.candidates("s", &forward.Prompt{Model: "m"}, nil, clock.read()) {
+	for _, c := range g.state.candidates("s", &forward.Prompt{Model: "m"}, 0, nil, clock.read()) {
 		require.Equal(t, c.Endpoint.ID == "old", c.Excluded, c.Endpoint.ID)
 	}
 }
--- a/gateway/endpointclock.go
+++ b/gateway/endpointclock.go
@@ -44,7 +44,9 @@
 	s.mu.Lock()
 	now := s.clock()
 	_, known := s.endpointClock(now)
-	endpoints := slices.Clone(s.listedEndpoints(now))
+	endpoints := slices.DeleteFunc(slices.Clone(s.listedEndpoints(now)), func(e forward.Endpoint) bool {
+		return s.endpointState(e.ID).limit.PerSecond() != forward.Unlimited
+	})
 	if known || len(endpoints) == 0 || now < s.nextClockRead {
 		s.mu.Unlock()
 		return
--- a/gateway/era_test.go
+++ b/gateway/era_test.go
@@ -235,7 +235,7 @@
 	}
 	restarted.applyEndpoints(changes, clock.read(), true)
 	usable := func() (n int) {
-		for _, c := range restarted.state.candidates("s", &forward.Prompt{Model: "m"}, nil, clock.read()) {
+		for _, c := range restarted.state.candidates("s", &forward.Prompt{Model: "m"}, 0, nil, clock.read()) {
 			n += boolInt(!c.Excluded && c.Usable)
 		}
 		return n
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -27,6 +27,7 @@
 type exchangeError struct {
 	sent        bool // at least part of the request may have reached the endpoint
 	notRun      bool // the endpoint stated that the request has not run and will not run
+	limited     bool // the endpoint named a limit as it stated that
 	misdirected bool // the address belongs to another endpoint, or the endpoint does not meet the request's expectations
 	status      int
 	err         error
@@ -153,7 +154,7 @@
 		r.httpResp, r.info = resp, reply
 		if reply.NotRun {
 			r.discardBody()
-			return &exchangeError{sent: true, notRun: true, misdirected: reply.Misdirected, status: resp.StatusCode, err: fmt.Errorf("the endpoint refused with %d", resp.StatusCode)}
+			return &exchangeError{sent: true, notRun: true, limited: limitsRequests(resp.StatusCode, reply), misdirected: reply.Misdirected, status: resp.StatusCode, err: fmt.Errorf("the endpoint refused with %d", resp.StatusCode)}
 		}
 		if resp.StatusCode < http.StatusMultipleChoices && (!reply.HasReceipt || reply.RequestID == "" && id != "") {
 			return &exchangeError{sent: true, err: errors.New("the answer has no receipt")}
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -158,3 +159,127 @@
 		})
 	}
 }
+
+// Guards against an entry that finds out a limit only by a request of its own, and against a limit
+// that holds at an entry after the endpoint has told another one of its end.
+func TestPeersAreToldOfALimit(t *testing.T) {
+	limited := newLimitedEndpoint(t, "2")
+	g := newTestGroup(t, 2, limited.testEndpoint)
+	a, b := g.entries[0], g.entries[1]
+	limitAt := func(f *fixture) float64 {
+		f.state.mu.Lock()
+		defer f.state.mu.Unlock()
+		return f.state.endpointState("e0").limit.PerSecond()
+	}
+	require.Equal(t, 200, a.status(t, "/safe/x", "key"))
+	g.exchangeReports()
+	require.Equal(t, 2.0, limitAt(b))
+	limited.limit = ""
+	g.advance(2 * time.Second)
+	a.confirmConfig()
+	require.Equal(t, 200, a.status(t, "/safe/x", "key"))
+	g.advance(time.Millisecond)
+	g.exchangeReports()
+	require.Equal(t, forward.Unlimited, limitAt(a))
+	require.Equal(t, forward.Unlimited, limitAt(b))
+}
+
+// Guards against callers that are held, or are told to come back at the same time or too soon,
+// when the limits leave no room for their requests.
+func TestRequestsBeyondALimitAreRefusedWithATimeToComeBack(t *testing.T) {
+	limited := newLimitedEndpoint(t, "1")
+	g := newTestGroup(t, 1, limited.testEndpoint)
+	f := g.entries[0]
+	require.Equal(t, 200, f.status(t, "/safe/x", "key"))
+	last := 0.0
+	for range 5 {
+		resp, err := f.srv.Client().Do(f.request(t, "GET", "/safe/x", ""))
+		require.NoError(t, err)
+		resp.Body.Close()
+		require.Equal(t, 503, resp.StatusCode)
+		after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		require.InDelta(t, last+1, after, 0.01, "the endpoint takes one a second")
+		last = after
+	}
+	require.EqualValues(t, 1, limited.requests.Load())
+	g.advance(time.Second)
+	f.confirmConfig()
+	require.Equal(t, 200, f.status(t, "/safe/x", "key"))
+}
+
+// Guards against an endpoint that is given up as failing because it refuses requests beyond its
+// limit.
+func TestRefusalBecauseOfALimitIsNoFailure(t *testing.T) {
+	for _, notRun := range []string{"", "Test-Not-Run: 1\r\n"} {
+		e := serveRaw(t, func(r *http.Request, c net.Conn) bool {
+			_, err := fmt.Fprintf(c, "HTTP/1.1 503 Busy\r\nTest-Id: %s\r\nTest-Seal: s\r\nTest-Limit: 1000\r\n%sContent-Length: 0\r\n\r\n", r.Header.Get("Test-Id"), notRun)
+			return err == nil
+		})
+		g := newTestGroup(t, 1, e)
+		f := g.entries[0]
+		for i := range 50 {
+			require.Equal(t, 503, f.status(t, "/unsafe/x", "key"))
+			require.EqualValues(t, i+1, e.requests.Load(), "the request was not sent to the endpoint")
+			g.advance(10 * time.Millisecond)
+			f.confirmConfig()
+		}
+		f.state.mu.Lock()
+		require.True(t, f.state.endpointState("e0").health.Usable(g.clock.read()))
+		f.state.mu.Unlock()
+	}
+}
+
+// Guards against the limit of another endpoint that uses the address again, and against a late
+// answer to another request that ends a limit.
+func TestLimitOfAnotherAnswerIsNotTakenOver(t *testing.T) {
+	g := newTestGroup(t, 1, serveRaw(t, respondOK("ok")))
+	f := g.entries[0]
+	limit := func() float64 { return f.state.endpointState("e0").limit.PerSecond() }
+	f.observeLimit("e0", ResponseInfo{RequestID: "other", Limit: NamedLimit{Stated: true, Valid: true, PerSecond: 3}}, "own", g.clock.read())
+	require.Equal(t, 3.0, limit())
+	g.advance(time.Second)
+	f.observeLimit("e0", ResponseInfo{RequestID: "other"}, "own", g.clock.read())
+	require.Equal(t, 3.0, limit())
+	f.observeLimit("e0", ResponseInfo{RequestID: "own", Limit: NamedLimit{Stated: true}}, "own", g.clock.read())
+	require.Equal(t, 3.0, limit(), "an unreadable limit ends none")
+	f.observeLimit("e0", ResponseInfo{RequestID: "own"}, "own", g.clock.read())
+	require.Equal(t, forward.Unlimited, limit())
+
+	misdirected := serveRaw(t, func(r *http.Request, c net.Conn) bool {
+		_, err := io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\nTest-Limit: 1\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	})
+	f = newTestGroup(t, 1, misdirected).entries[0]
+	f.status(t, "/unsafe/x", "key")
+	require.Equal(t, forward.Unlimited, limit())
+}
+
+// Guards against less urgent requests that use up what a limit allows while more urgent ones are
+// refused.
+func TestUrgentRequestsGoFirstWithinALimit(t *testing.T) {
+	limited := newLimitedEndpoint(t, "2")
+	g := newTestGroup(t, 1, limited.testEndpoint)
+	f := g.entries[0]
+	config := *f.state.table.Config
+	config.Version++
+	config.Routes = append([]forward.Route(nil), config.Routes...)
+	for i := range config.Routes {
+		config.Routes[i].Priority = 5
+		if config.Routes[i].PathPrefix == "/unsafe/" {
+			config.Routes[i].Priority = 1
+		}
+	}
+	f.applyOperators([]forward.OperatorChange{{Config: &config}}, g.clock.read(), false)
+	require.Equal(t, 200, f.status(t, "/safe/x", "key"), "the endpoint names its limit in this answer")
+	served := map[string]int{}
+	for range 100 {
+		for _, path := range []string{"/safe/x", "/unsafe/x"} { // the less urgent request comes first
+			served[path] += boolInt(f.status(t, path, "key") == 200)
+		}
+		g.advance(100 * time.Millisecond)
+		f.confirmConfig()
+	}
+	require.GreaterOrEqual(t, served["/unsafe/x"], 15)
+	require.LessOrEqual(t, served["/safe/x"], 1)
+}
--- a/gateway/naming_test.go
+++ b/gateway/naming_test.go
@@ -79,7 +79,7 @@
 	since, _ = g.state.rollout.RetiredSince("m", 2)
 	require.LessOrEqual(t, since, named+time.Second, "version 3 was named before the peer sent its facts")
 	excluded := func() bool {
-		return g.state.candidates("s", &forward.Prompt{Model: "m"}, nil, clock.read())[0].Excluded
+		return g.state.candidates("s", &forward.Prompt{Model: "m"}, 0, nil, clock.read())[0].Excluded
 	}
 	require.False(t, excluded())
 	clock.advance(named + milliseconds(testSettings().VersionMs) - versionMargin - clock.read())
@@ -212,7 +212,7 @@
 	choose := func(at time.Duration) forward.Choice {
 		clock.now.Store(int64(at))
 		p := &forward.Prompt{Model: "m", Parts: []forward.Part{{ID: "1", Tokens: tokens}}, Tokens: tokens, MaxOutput: 1}
-		return forward.Choose(forward.PlacementRequest{Prompt: p, Engine: &forward.Engine{CapacityTokens: 10 * tokens}, Now: at, Fetchable: func(string, int64) bool { return true }}, s.candidates("s", p, nil, at))
+		return forward.Choose(forward.PlacementRequest{Prompt: p, Engine: &forward.Engine{CapacityTokens: 10 * tokens}, Now: at, Fetchable: func(string, int64) bool { return true }}, s.candidates("s", p, 0, nil, at))
 	}
 	wait := choose(named).ExpectedWait
 	require.Greater(t, wait, 100*time.Millisecond)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -59,6 +59,7 @@
 	Emptying boundedList[uint32]    // endpoints that get no long prompts before loading weights
 	Saves    boundedList[reportUse] // prompt parts that are being saved; Endpoint is the hash of the store's name
 	Loaded   boundedList[reportVersion]
+	Limits   boundedList[reportLimit]
 }
 
 // boundedList is a slice whose encoded length is checked before memory is allocated: the decoder
@@ -238,6 +239,8 @@
 	s.peerLoads.expire(s.clock())
 	r := loadReport{Protocol: reportProtocol, Member: g.memberID, Seq: seq, Uses: s.peerLoads.pendingUses, Saves: s.peerLoads.pendingSaves}
 	s.peerLoads.pendingUses, s.peerLoads.pendingSaves = nil, nil
+	g.updateLimitGroup()
+	r.Limits = s.limitsToReport(s.clock())
 	for h, l := range s.peerLoads.loaded {
 		if s.clock() >= l.expiresAt {
 			delete(s.peerLoads.loaded, h)
@@ -317,7 +320,7 @@
 			}
 		}
 	}
-	if len(r.Uses) == 0 && len(r.Loading) == 0 && len(r.Loaded) == 0 && len(r.Emptying) == 0 {
+	if len(r.Uses) == 0 && len(r.Loading) == 0 && len(r.Loaded) == 0 && len(r.Emptying) == 0 && len(r.Limits) == 0 {
 		return
 	}
 	byHash := map[uint32]string{}
@@ -346,6 +349,11 @@
 			st.loadingUntil, st.emptyingUntil, st.orderCount = 0, 0, max(st.orderCount, l.Seq)
 		}
 	}
+	for _, l := range r.Limits {
+		if id, ok := byHash[l.Endpoint]; ok {
+			s.recordLimit(id, l.statement(now), false)
+		}
+	}
 	for _, u := range r.Uses {
 		if id, ok := byHash[u.Endpoint]; ok {
 			s.endpointState(id).residency.RecordUse(u.Part, u.Tokens, s.cacheCapacity(id, now), now+peerPrefillTime)
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -74,7 +74,7 @@
 	task := forward.PlacementRequest{Prompt: p, Engine: &forward.Engine{CapacityTokens: 80_000}, FailureDomain: "a", CacheGroup: "shared"}
 	b.ReportAllocs()
 	for b.Loop() {
-		forward.Choose(task, g.state.candidates("s", p, nil, clock.read()))
+		forward.Choose(task, g.state.candidates("s", p, 0, nil, clock.read()))
 	}
 }
 
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -43,6 +43,9 @@
 	}
 	cs, c := q.choose(s, left, now)
 	q.accessLog.countCandidates(cs, q.tried)
+	if c.Index < 0 && slices.ContainsFunc(cs, func(c forward.Candidate) bool { return c.OverLimit && !c.Excluded }) {
+		return nil, q.placementError(q.limitError(s, now))
+	}
 	if c.Index < 0 && q.bound {
 		return nil, q.placementError(apierr.NewRetryable(apierr.NoEndpoint, apierr.NotRun, buildGoneRetry, "no endpoint of the build that began the stream can take the request", "send the request again later"))
 	}
@@ -61,6 +64,7 @@
 	}
 	st := s.endpointState(p.endpoint.ID)
 	p.limit = st.limit.PerSecond()
+	st.limit.Spend(p.endpoint.ID, &s.limitGroup, now)
 	st.health.Allow(now)
 	st.load.Add(p.work)
 	if pr := q.call.Prompt; pr != nil {
@@ -86,7 +90,7 @@
 // choose chooses an endpoint among the service's candidates, which it returns too. A stream that
 // can't be recorded goes to the default build unless that can't serve it in time.
 func (q *request) choose(s *state, left, now time.Duration) ([]forward.Candidate, forward.Choice) {
-	cs := s.candidates(q.service.Name, q.call.Prompt, q.tried, now)
+	cs := s.candidates(q.service.Name, q.call.Prompt, q.priority(), q.tried, now)
 	if q.bound {
 		forward.KeepBuild(cs, q.build)
 	} else if build, ok := q.buildWithoutRecord(s, now); ok {
@@ -142,12 +146,16 @@
 	st := s.endpointState(p.endpoint.ID)
 	st.load.Remove(&p.work)
 	q.accessLog.attempts = append(q.accessLog.attempts, attemptLog{p, x, now - p.placedAt})
+	if x != nil && !x.sent {
+		st.limit.Refund()
+	}
 	if x == nil || q.r.Context().Err() != nil {
 		return
 	}
 	switch {
 	case x.misdirected && p.choice.Version == 0:
 		st.health.RecordRefusal(now + misdirectedPause) // with a version in the request, the endpoint may just have other weights
+	case x.notRun && x.limited: // the limit decides when it gets further requests
 	case x.notRun:
 		st.health.RecordRefusal(now + refusalPause)
 	case !x.sent && x.err != errConnLimit && x.err != errKeyStale && x.err != errWeightsOutdated:
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -57,6 +57,7 @@
 	defer s.mu.Unlock()
 	if g.ownership.RecordJoin(m, sentAt) {
 		s.peerLoads.members = g.ownership.Members()
+		g.updateLimitGroup()
 		log.Info().Str("event", "members").Int64("era", int64(m.Era)).Int64("generation", m.Number).Int("count", len(s.peerLoads.members)).Msg("group of entries changed")
 	}
 	return !g.ownership.KnowsMembers(m)
@@ -139,6 +140,9 @@
 		g.sendOrder(ctx, st)
 		return
 	}
+	if !g.mayReadState(st.Endpoint.ID) {
+		return
+	}
 	started := g.clock()
 	rep, err := g.endpointControl.ReadState(ctx, st.Endpoint)
 	if err != nil {
@@ -168,6 +172,7 @@
 	owned, fencingToken := g.ownership.IsSoleOwner(st.Endpoint.ID, s.clock()), g.ownership.FencingToken()
 	if owned {
 		s.rollout.RecordOrderSent(st.Endpoint.ID, s.clock())
+		s.endpointState(st.Endpoint.ID).limit.Spend(st.Endpoint.ID, &s.limitGroup, s.clock())
 	}
 	s.mu.Unlock()
 	if !owned {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -34,6 +34,7 @@
 	load             forward.EndpointLoad
 	health           forward.Health
 	limit            forward.EndpointLimit
+	nextStateRead    time.Duration // when its state may be read again, if it names a limit
 	residency        forward.Residency
 	observedVersions map[string]int64 // newest weight versions seen in responses and reports, by model
 	started          int64            // Started of the list entry; another value means a restart
@@ -78,6 +79,8 @@
 	streams           *forward.StreamBuilds
 	streamLog         streamLog
 	peerLoads         peerLoads
+	limitGroup        forward.LimitGroup
+	limitQueues       map[string]*forward.LimitQueue // by service
 	settings          Settings
 }
 
@@ -86,7 +89,7 @@
 	rollout.RetireDelay = forward.RetireDelayFor(milliseconds(s.VersionMs))
 	return &state{
 		clock: clock, rng: rng, endpointList: forward.NewEndpointList(), endpoints: map[string]*endpointState{}, peerFacts: map[string]knownFacts{}, rollout: rollout,
-		retryBudgets: map[string]*retry.Budget{}, peerLoads: newPeerLoads(), settings: s, streams: forward.NewStreamBuilds(), streamLog: newStreamLog(),
+		retryBudgets: map[string]*retry.Budget{}, peerLoads: newPeerLoads(), settings: s, streams: forward.NewStreamBuilds(), streamLog: newStreamLog(), limitQueues: map[string]*forward.LimitQueue{},
 		freshness: forward.Freshness{MaxKeyAge: milliseconds(s.RevokeMs) - revokeMargin}, readConfirmed: make(chan struct{}), storeRead: make(chan struct{}), resumes: make(chan struct{}, 1),
 	}
 }
@@ -191,7 +194,8 @@
 	if st.started != 0 {
 		st.residency.Clear()
 		st.health = forward.Health{}
-		st.limit = forward.EndpointLimit{}
+		st.limit.Restart(s.clock())
+		st.nextStateRead = 0
 		clear(st.observedVersions)
 		st.orderCount = 0
 	}
@@ -210,8 +214,9 @@
 	return models
 }
 
-// candidates returns the endpoints of a service as placement candidates.
-func (s *state) candidates(service string, p *forward.Prompt, tried map[string]bool, now time.Duration) []forward.Candidate {
+// candidates returns the endpoints of a service as placement candidates for a request of the given
+// priority.
+func (s *state) candidates(service string, p *forward.Prompt, priority int, tried map[string]bool, now time.Duration) []forward.Candidate {
 	endpoints := s.listedEndpoints(now)
 	cs := make([]forward.Candidate, 0, len(endpoints))
 	for _, e := range endpoints {
@@ -226,6 +231,7 @@
 		}
 		all, long := s.rollout.Blocked(e.ID, now)
 		c.Usable = c.Usable && !all
+		c.OverLimit = s.overLimit(st, &e, priority, now)
 		c.AvoidLongRunning = long || now < st.emptyingUntil
 		if p != nil {
 			since, behind := s.rollout.OutdatedSince(e.Models, p.Model)
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -102,8 +102,8 @@
 	if !known || standard == p.endpoint.Build || !s.retryBudget(q.service.Name).CanSpend(now) {
 		return false
 	}
-	return slices.ContainsFunc(s.candidates(q.service.Name, q.call.Prompt, q.tried, now), func(c forward.Candidate) bool {
-		return c.Usable && !c.Excluded && c.Endpoint.Build == standard
+	return slices.ContainsFunc(s.candidates(q.service.Name, q.call.Prompt, q.priority(), q.tried, now), func(c forward.Candidate) bool {
+		return c.Usable && !c.Excluded && !c.OverLimit && c.Endpoint.Build == standard
 	})
 }
 
