Probe a limited endpoint at half a request a second

Cause: only an answer ends a limit, and an endpoint that takes none or few requests got one in up to 16 s. Change: the rate of probes is 0.5 a second; at low limits fewer requests may be sent at once, so that 5 in 4 s are not exceeded for a limit of 0. Conclusion: three or four entries probe, so the end is noticed within 8 s.

--- a/core/forward/limitshare.go
+++ b/core/forward/limitshare.go
@@ -7,16 +7,27 @@
 	"github.com/galenaweir/galenaweir/core/rendezvous"
 )
 
-// Parts of an endpoint's limit. An endpoint accepts one and a half times its limit over 4 s and 5
-// requests; the entries together send at most the limit over 4 s and burstRequests + the limit
-// times burstTime. The rest covers requests that arrive later than they were sent, and entries
-// that don't agree on the members for a moment. See docs/decisions/0011-endpoint-limits.md.
+// Parts of an endpoint's limit. An endpoint accepts acceptedRatio times its limit over
+// acceptedWindow and acceptedRequests more. The entries together send the limit, and
+// burstRequests and the limit's requests of burstTime at once. The rest covers requests that
+// arrive later than they were sent, and entries that don't agree on the members for a moment. See
+// docs/decisions/0011-endpoint-limits.md.
 const (
-	burstRequests = 4           // requests that all entries together may send at once
-	burstTime     = time.Second // adds the limit's requests of this time to them
-	probeRate     = 0.25        // requests a second to an endpoint that takes fewer: only an answer ends a limit
+	acceptedRatio    = 1.5
+	acceptedWindow   = 4 * time.Second
+	acceptedRequests = 5
+	burstRequests    = 4
+	burstTime        = time.Second
+	probeRate        = 0.5 // requests a second to an endpoint that takes fewer: only an answer ends a limit
 )
 
+// sharedBurst returns how many requests all entries together may send at once.
+func sharedBurst(perSecond float64) float64 {
+	window := acceptedWindow.Seconds()
+	accepted := acceptedRatio*perSecond*window + acceptedRequests
+	return min(burstRequests+perSecond*burstTime.Seconds(), accepted-max(perSecond, probeRate)*window)
+}
+
 // LimitShare is the part of an endpoint's limit that one entry may use. The zero value allows
 // nothing.
 type LimitShare struct {
@@ -28,7 +39,7 @@
 // self is one of them. Each needs a burst of one request at least, so a low limit is shared by few
 // entries; rendezvous hashing chooses them without a message.
 func ShareLimit(endpoint string, perSecond float64, self string, members []string) (LimitShare, bool) {
-	burst := burstRequests + perSecond*burstTime.Seconds()
+	burst := sharedBurst(perSecond)
 	n := len(members)
 	if burst < float64(n) {
 		n = int(burst)
