Bound the head of an endpoint's response

What callers saw: nothing at first; an entry that reads a head without end grows by 0.6 to 1.4 GB in 5 s and is ended for its memory, with all its requests.

Cause: net/http's ReadResponse has no bound of its own, neither on the status line, a header line or their number, nor on interim answers. Change: a head is read from a reader that fails after 64 KB, and after five interim answers.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -23,6 +23,19 @@
 // connection before the attempt fails.
 const maxStrayResponses = 2
 
+// Bounds on a response's head. An endpoint in trouble may send bytes without end.
+const (
+	maxResponseHeadBytes = 64 << 10
+	maxInterimResponses  = 5
+)
+
+// headTooLongError is returned by a connection from which more was read than a head may have.
+type headTooLongError struct{}
+
+func (headTooLongError) Error() string {
+	return fmt.Sprintf("the answer's head is longer than %d bytes", maxResponseHeadBytes)
+}
+
 // exchangeError is the failure of an attempt, with what is known about its effects.
 type exchangeError struct {
 	sent        bool // at least part of the request may have reached the endpoint
@@ -133,13 +146,16 @@
 // readHeader reads the header of the response to the request with the given ID. A late or
 // duplicate response to another request is skipped.
 func (r *response) readHeader(g *Gateway, endpoint string, m *wireRequest, id string) *exchangeError {
-	for stray := 0; ; {
-		resp, err := http.ReadResponse(r.conn.br, &http.Request{Method: m.method})
+	for stray, interim := 0, 0; ; {
+		resp, err := r.conn.readResponse(m.method)
 		if err != nil {
 			return &exchangeError{sent: true, err: fmt.Errorf("read the answer: %w", err)}
 		}
 		if resp.StatusCode < http.StatusOK {
-			continue // an interim (1xx) response
+			if interim++; interim > maxInterimResponses {
+				return &exchangeError{sent: true, err: fmt.Errorf("more than %d interim answers", maxInterimResponses)}
+			}
+			continue
 		}
 		reply := g.headerCodec.ParseResponse(resp.StatusCode, resp.Header)
 		if !reply.Misdirected {
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"sync"
@@ -26,6 +27,8 @@
 type endpointConn struct {
 	net.Conn
 	br          *bufio.Reader
+	headLimit   int           // bytes that may still be read, while a head is read
+	inHead      bool          // a head is read
 	idleSince   time.Duration // clock time at which it became idle
 	idleTimeout time.Duration
 	reused      bool
@@ -58,7 +61,35 @@
 		p.release(key)
 		return nil, err
 	}
-	return &endpointConn{Conn: nc, br: bufio.NewReaderSize(nc, connBufferBytes), idleTimeout: defaultEndpointIdleTimeout}, nil
+	return newEndpointConn(nc), nil
+}
+
+func newEndpointConn(nc net.Conn) *endpointConn {
+	c := &endpointConn{Conn: nc, idleTimeout: defaultEndpointIdleTimeout}
+	c.br = bufio.NewReaderSize(headReader{c}, connBufferBytes)
+	return c
+}
+
+// headReader reads from a connection. While a head is read it fails once that is too long.
+type headReader struct{ c *endpointConn }
+
+func (r headReader) Read(p []byte) (int, error) {
+	if !r.c.inHead {
+		return r.c.Conn.Read(p)
+	}
+	if r.c.headLimit <= 0 {
+		return 0, headTooLongError{}
+	}
+	n, err := r.c.Conn.Read(p[:min(len(p), r.c.headLimit)])
+	r.c.headLimit -= n
+	return n, err
+}
+
+// readResponse reads the head of a response. net/http puts no bound on the length of a head.
+func (c *endpointConn) readResponse(method string) (*http.Response, error) {
+	c.inHead, c.headLimit = true, maxResponseHeadBytes
+	defer func() { c.inHead = false }()
+	return http.ReadResponse(c.br, &http.Request{Method: method})
 }
 
 // acquire reserves one of the limit connections and returns an idle connection, or nil
