End an attempt whose long answer breaks off

What callers saw: endpoints that once broke off a long answer got fewer and fewer requests from that entry, until its restart.

Cause: once more than 256 KB of an answer had been passed on, an error ended the handler by a panic before the attempt was finished. Its load stayed on the endpoint for ever, it did not count against the endpoint's health, and the request's line showed no attempt. Change: the attempt fails like any other; the caller's connection is still cut, and such an answer is not begun again elsewhere. A failure to write to the caller doesn't count against the endpoint.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -160,14 +160,27 @@
 	if complete {
 		return nil
 	}
-	n, err := io.Copy(q.w, resp)
+	to := &callerWriter{w: q.w}
+	n, err := io.Copy(to, resp)
 	q.accessLog.bytes += n
-	if err != nil {
-		q.abort("response body ended early")
+	if err != nil && !to.failed {
+		return &exchangeError{sent: true, err: fmt.Errorf("the answer's body ended early: %w", err)}
 	}
 	return nil
 }
 
+// callerWriter writes to a caller and remembers whether that failed.
+type callerWriter struct {
+	w      io.Writer
+	failed bool
+}
+
+func (c *callerWriter) Write(p []byte) (int, error) {
+	n, err := c.w.Write(p)
+	c.failed = c.failed || err != nil
+	return n, err
+}
+
 // bodyEnds reports whether the body has ended; it reads at most one more byte into buf.
 func bodyEnds(resp *response, buf *bytes.Buffer) bool {
 	if resp.httpResp.Body == http.NoBody {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -241,6 +241,25 @@
 	require.EqualValues(t, 1, a.requests.Load(), "the first attempt did not go to this endpoint")
 }
 
+// Guards against an answer that breaks off after its head was passed on and that counts as running
+// at its endpoint for ever, or is begun again.
+func TestLongAnswerThatBreaksOffIsOver(t *testing.T) {
+	broken := serveRaw(t, func(r *http.Request, c net.Conn) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTest-Id: %s\r\nTest-Seal: s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("Test-Id"), 4*maxBufferedBytes, strings.Repeat("a", 2*maxBufferedBytes))
+		return false
+	})
+	f := newFixture(t, broken, serveRaw(t, respondOK("from the other")))
+	for _, path := range []string{"/safe/x", "/unsafe/x"} {
+		_, _, err := f.do(t, f.request(t, "GET", path, ""))
+		require.Error(t, err, "it must not look complete")
+	}
+	require.EqualValues(t, 2, broken.requests.Load())
+	require.Eventually(t, func() bool { return f.inFlight.Load() == 0 }, 5*time.Second, time.Millisecond)
+	f.state.mu.Lock()
+	defer f.state.mu.Unlock()
+	require.Zero(t, f.state.endpointState("e0").load)
+}
+
 // Guards against an error that states "not run" after an attempt that may have run, and
 // against one that does not state it although nothing ran.
 func TestErrorStatesWhetherTheRequestRan(t *testing.T) {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -281,6 +281,9 @@
 	if !x.sent {
 		return true
 	}
+	if q.headerSent && q.route.Kind != forward.Stream {
+		return false // only a stream can go on elsewhere
+	}
 	if !notRun && !q.route.Repeatable() || q.sentAttempts >= max(q.route.MaxAttempts, 1) {
 		return false
 	}
