Wait only briefly for the body of a refusal

What callers saw: a request that an endpoint had refused, and that another could have taken at once, waited until its deadline and was then refused.

Cause: the body of a refusal is read so that the connection can be used again. It was bounded by 64 KB, but not in time, so that an endpoint which sends the head and then nothing, or a byte now and then, held the request. Change: the read ends after 50 ms, and the connection is then closed. Result: TestBodyWithoutEndOfARefusalIsNotAwaited failed before in the case "silence" (503 after 5 s) and passes; its cases for bytes, chunks, extensions, chunk sizes and trailers without end, and TestEventWithoutEndIsCut, pass before and after: net/http and the relay bound those. Conclusion: one reader had a bound on bytes and none on time.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -72,3 +73,70 @@
 	require.EqualValues(t, 3, e.requests.Load())
 	require.Len(t, f.pool.idle, 1, "the connection is used again")
 }
+
+// Guards against a refusal whose body never ends and that keeps its request from being placed
+// elsewhere.
+func TestBodyWithoutEndOfARefusalIsNotAwaited(t *testing.T) {
+	for _, c := range []struct{ name, head, repeated string }{
+		{"bytes", "HTTP/1.1 503 Busy\r\nTest-Not-Run: 1\r\n\r\n", "a"},
+		{"chunks", "HTTP/1.1 503 Busy\r\nTest-Not-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"},
+		{"chunk extension", "HTTP/1.1 503 Busy\r\nTest-Not-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n1;", "a"},
+		{"chunk size", "HTTP/1.1 503 Busy\r\nTest-Not-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+		{"trailer", "HTTP/1.1 503 Busy\r\nTest-Not-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: a\r\n"},
+		{"silence", "HTTP/1.1 503 Busy\r\nTest-Not-Run: 1\r\nContent-Length: 10\r\n\r\n", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			closed := make(chan struct{})
+			endless := serveRaw(t, func(_ *http.Request, conn net.Conn) bool {
+				if c.repeated != "" {
+					sendEndlessly(conn, c.head, c.repeated)
+				} else {
+					_, _ = io.WriteString(conn, c.head)
+					_, _ = io.Copy(io.Discard, conn) // until the connection is closed
+				}
+				close(closed)
+				return false
+			})
+			f := newFixture(t, endless, serveRaw(t, respondOK("from the other")))
+			status, body, err := f.do(t, f.request(t, "POST", "/unsafe/x", "pay"))
+			require.NoError(t, err)
+			require.Equal(t, 200, status, "the endpoint stated that it has not run")
+			require.Equal(t, "from the other", body)
+			<-closed
+		})
+	}
+}
+
+// Guards against a stream whose event never ends, which is kept in memory, and against one that
+// sends a byte now and then and is never ended.
+func TestEventWithoutEndIsCut(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nTest-Seal: s\r\nTransfer-Encoding: chunked\r\nTest-Id: id-/resumable/x\r\n\r\n"
+	endless := serveRaw(t, func(_ *http.Request, conn net.Conn) bool {
+		sendEndlessly(conn, head, "1000\r\n"+strings.Repeat("a", 4096)+"\r\n")
+		return false
+	})
+	f := newFixture(t, endless, serveRaw(t, func(r *http.Request, c net.Conn) bool {
+		_, err := io.WriteString(c, head+"9\r\ndata: x\n\n\r\n0\r\n\r\n")
+		return err == nil
+	}))
+	status, body, err := f.do(t, f.request(t, "POST", "/resumable/x", ""))
+	require.NoError(t, err)
+	require.Equal(t, 200, status)
+	require.Equal(t, "data: x\n\n", body, "the stream began anew at the other endpoint")
+
+	f = newFixture(t, serveRaw(t, func(_ *http.Request, conn net.Conn) bool {
+		ticker := time.NewTicker(10 * time.Millisecond)
+		defer ticker.Stop()
+		_, err := io.WriteString(conn, head)
+		for err == nil {
+			<-ticker.C
+			_, err = io.WriteString(conn, "1\r\na\r\n")
+		}
+		return false
+	}))
+	r := f.request(t, "POST", "/stream/x", "")
+	r.Header.Set("Test-Deadline", "300")
+	status, _, err = f.do(t, r)
+	require.NoError(t, err)
+	require.Equal(t, 504, status, "ended at the caller's deadline")
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -179,9 +179,11 @@
 	}
 }
 
-// maxDrainBytes is the largest unneeded response body that is read so that the
-// connection can be reused.
-const maxDrainBytes = 64 << 10
+// Bounds on an unneeded response body that is read so that the connection can be reused.
+const (
+	maxDrainBytes = 64 << 10
+	drainTimeout  = 50 * time.Millisecond
+)
 
 // drainBody reads and discards the body. It reports whether the connection can be reused.
 func drainBody(resp *http.Response) bool {
@@ -192,7 +194,17 @@
 	return err == nil && n < maxDrainBytes
 }
 
-func (r *response) discardBody() { r.bodyComplete = drainBody(r.httpResp) }
+// discardBody reads the body of a refusal. It waits only briefly, as the request can be placed
+// elsewhere.
+func (r *response) discardBody() {
+	if r.conn.SetReadDeadline(time.Now().Add(drainTimeout)) != nil {
+		return // the connection is closed
+	}
+	r.bodyComplete = drainBody(r.httpResp)
+	if r.conn.SetReadDeadline(time.Time{}) != nil {
+		r.bodyComplete = false
+	}
+}
 
 // Read implements io.Reader for the body. It returns io.EOF only at the framed end of
 // the body.
