Bound the body of an endpoint's answer

What callers saw: an answer that never ended, until they left.

Cause: the body of an answer that is no stream was passed on for as long as the caller waited, with no bound on its bytes. Change: an answer is cut after 64 MB, so that it doesn't look complete, and the attempt counts against the endpoint's health. Streams are bounded by the length of an event and by the caller's deadline.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -161,10 +161,13 @@
 		return nil
 	}
 	to := &callerWriter{w: q.w}
-	n, err := io.Copy(to, resp)
+	n, err := io.Copy(to, io.LimitReader(resp, maxResponseBodyBytes-int64(buf.Len())))
 	q.accessLog.bytes += n
+	if err == nil && !resp.bodyComplete {
+		err = fmt.Errorf("it is longer than %d bytes", maxResponseBodyBytes)
+	}
 	if err != nil && !to.failed {
-		return &exchangeError{sent: true, err: fmt.Errorf("the answer's body ended early: %w", err)}
+		return &exchangeError{sent: true, err: fmt.Errorf("the answer's body was cut: %w", err)}
 	}
 	return nil
 }
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -107,6 +107,28 @@
 	}
 }
 
+// Guards against an answer's body without end that is passed on for as long as the caller waits,
+// and against one that looks complete because it was cut.
+func TestBodyWithoutEndIsCut(t *testing.T) {
+	for _, head := range []string{"", "Transfer-Encoding: chunked\r\n"} {
+		endless := serveRaw(t, func(r *http.Request, conn net.Conn) bool {
+			repeated := strings.Repeat("a", 4096)
+			if head != "" {
+				repeated = "1000\r\n" + repeated + "\r\n"
+			}
+			sendEndlessly(conn, "HTTP/1.1 200 OK\r\nTest-Id: "+r.Header.Get("Test-Id")+"\r\nTest-Seal: s\r\n"+head+"\r\n", repeated)
+			return false
+		})
+		f := newFixture(t, endless)
+		resp, err := f.srv.Client().Do(f.request(t, "POST", "/unsafe/x", "pay"))
+		require.NoError(t, err)
+		n, err := io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		require.Error(t, err, "it must not look complete")
+		require.LessOrEqual(t, n, int64(maxResponseBodyBytes))
+	}
+}
+
 // Guards against a stream whose event never ends, which is kept in memory, and against one that
 // sends a byte now and then and is never ended.
 func TestEventWithoutEndIsCut(t *testing.T) {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -27,6 +27,7 @@
 const (
 	maxResponseHeadBytes = 64 << 10
 	maxInterimResponses  = 5
+	maxResponseBodyBytes = 64 << 20 // of an answer that is no stream
 )
 
 // headTooLongError is returned by a connection from which more was read than a head may have.
