--- a/gateway/dial.go
+++ b/gateway/dial.go
@@ -21,6 +21,10 @@
 	controlIdleTimeout = 10 * time.Second
 )
 
+// maxControlHeadBytes is the largest head of an answer to a control call. net/http's own bound of
+// 10 MB for each call would use up the memory of an entry.
+const maxControlHeadBytes = 64 << 10
+
 // dialer detects dead peers with TCP keep-alive and TCP_USER_TIMEOUT: a network path may
 // drop a connection without a reset.
 var dialer = net.Dialer{
@@ -45,8 +49,9 @@
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, network, address)
 		},
-		DisableCompression:  true,
-		IdleConnTimeout:     controlIdleTimeout,
-		MaxIdleConnsPerHost: 2,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxControlHeadBytes,
+		IdleConnTimeout:        controlIdleTimeout,
+		MaxIdleConnsPerHost:    2,
 	}}
 }
