Bound the heads of answers to agents

Change: heads of 64 KB. Conclusion: bodies were bounded already; a page of the log may have 256 MB, which is more than an agent's memory and stays open.

--- a/agent/call.go
+++ b/agent/call.go
@@ -26,6 +26,7 @@
 const (
 	defaultServiceTimeout = 10 * time.Second
 	maxServiceAnswerBytes = 8 << 20
+	maxServiceHeadBytes   = 64 << 10               // net/http would read 10 MB
 	serviceRetryAfter     = 200 * time.Millisecond // retry delay that errors advise to entries
 )
 
@@ -62,7 +63,7 @@
 	}
 	return &serviceCalls{
 		incarnation: uuid.NewString(), held: map[string]bool{}, dispatched: dispatched,
-		transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+		transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxServiceHeadBytes},
 	}
 }
 
--- a/hostlist/hostlist.go
+++ b/hostlist/hostlist.go
@@ -36,9 +36,12 @@
 // maxListBytes limits the size of the answer.
 const maxListBytes = 4 << 20
 
+// maxHeadBytes limits the size of the answer's head; net/http would read 10 MB.
+const maxHeadBytes = 64 << 10
+
 // New returns a client of the host list service at address, an IP number and port.
 func New(address string, timeout time.Duration) *Client {
-	return &Client{url: "http://" + address + "/v1/hosts", http: &http.Client{Timeout: timeout}}
+	return &Client{url: "http://" + address + "/v1/hosts", http: &http.Client{Timeout: timeout, Transport: &http.Transport{MaxResponseHeaderBytes: maxHeadBytes}}}
 }
 
 // Hosts returns the current host list of the platform.
--- a/logsvc/logsvc.go
+++ b/logsvc/logsvc.go
@@ -65,10 +65,13 @@
 // maxPageBytes limits the size of the answer to an append or a read.
 const maxPageBytes = 256 << 20
 
+// maxHeadBytes limits the size of an answer's head; net/http would read 10 MB.
+const maxHeadBytes = 64 << 10
+
 // New returns a client of the log service at address, an IP number and port. timeout
 // limits each call; for a read, its wait is added.
 func New(address string, timeout time.Duration) *Client {
-	t := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
+	t := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes}
 	return &Client{base: "http://" + address, timeout: timeout, http: &http.Client{Transport: t}}
 }
 
--- a/protocol/streaming/streaming.go
+++ b/protocol/streaming/streaming.go
@@ -34,6 +34,7 @@
 	maxAnswerBytes      = 64 << 20
 	idleConnTimeout     = time.Minute
 	maxIdleConnsPerHost = 64
+	maxHeadBytes        = 64 << 10 // of a response; net/http would read 10 MB
 )
 
 // Client implements protocol.Engine.
@@ -42,7 +43,7 @@
 // New returns a client with its own connection pool.
 func New() *Client {
 	return &Client{http: &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: idleConnTimeout,
+		MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeadBytes,
 	}}}
 }
 
--- a/storeclient/storeclient.go
+++ b/storeclient/storeclient.go
@@ -61,6 +61,7 @@
 	generationTrailer   = "Slot-Generation"
 	maxReplyBytes       = 16 << 20
 	maxIdleConnsPerHost = 16
+	maxHeadBytes        = 64 << 10 // of a response; net/http would read 10 MB
 	idleConnTimeout     = time.Minute
 	cleanupTimeout      = time.Second // for freeing the slot of a failed Put
 )
@@ -73,7 +74,7 @@
 
 // New returns a client with the options.
 func New(o Options) *Client {
-	return &Client{opts: o, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: idleConnTimeout}}}
+	return &Client{opts: o, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeadBytes}}}
 }
 
 // Get returns the committed block of the key. After the read it verifies that the slot
