Bound the bodies of callers and of entries' metrics

Cause: where the configuration sets no limit, a caller's body was read into memory whole, whatever its length; the operators' command read the metrics of an entry without a bound. Change: 4 MB, the default of entries with agents, and 8 MB. Result: TestCallersBodyIsBoundedWithoutAConfiguredLimit failed before (a body of 16 MB was forwarded) and passes.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -162,3 +162,21 @@
 	require.NoError(t, err)
 	require.Equal(t, 504, status, "ended at the caller's deadline")
 }
+
+// Guards against a caller's body without end that is read into memory where the configuration sets
+// no limit.
+func TestCallersBodyIsBoundedWithoutAConfiguredLimit(t *testing.T) {
+	e := serveRaw(t, respondOK("ok"))
+	f := newFixture(t, e)
+	r := f.request(t, "POST", "/unsafe/x", "")
+	r.Body, r.ContentLength = io.NopCloser(io.LimitReader(endlessReader{}, 16<<20)), -1
+	status, _, err := f.do(t, r)
+	if err == nil { // the connection may be closed before the answer is read
+		require.Equal(t, 413, status)
+	}
+	require.Zero(t, e.requests.Load())
+}
+
+type endlessReader struct{}
+
+func (endlessReader) Read(p []byte) (int, error) { return len(p), nil }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -19,6 +19,8 @@
 	maxUnsentAttempts = 3                // attempts per request that ended before anything was sent
 	maxBufferedBytes  = 256 << 10        // a response up to this size is delivered only once it is complete
 	minUsefulBudget   = 5 * time.Millisecond
+
+	defaultMaxBodyBytes = 4 << 20 // of a request, applies when the configuration sets no limit
 )
 
 // request is the state of one caller's request.
@@ -150,9 +152,11 @@
 	if err := q.authenticate(s, now, age); err != nil {
 		return err
 	}
-	if limit := s.table.Config.Limits.BodyBytes; limit > 0 {
-		q.r.Body = http.MaxBytesReader(q.w, q.r.Body, limit)
+	limit := s.table.Config.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
 	}
+	q.r.Body = http.MaxBytesReader(q.w, q.r.Body, limit)
 	name := q.route.Target(s.rng.Float64())
 	if q.service = s.table.Service(name); q.service == nil {
 		q.service = &forward.Service{Name: name}
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -96,6 +97,9 @@
 	return out, nil
 }
 
+// maxStatusBytes limits the size of the metrics of an entry.
+const maxStatusBytes = 8 << 20
+
 func readStatus(ctx context.Context, address string) (Status, error) {
 	var vars struct {
 		Galenaweir struct {
@@ -114,7 +118,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return Status{}, fmt.Errorf("read metrics: status %d", resp.StatusCode)
 	}
-	if err := json.NewDecoder(resp.Body).Decode(&vars); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(&vars); err != nil {
 		return Status{}, fmt.Errorf("decode metrics: %w", err)
 	}
 	if vars.Galenaweir.Forwarding.ID == "" {
