Use no connection again after a response without an ID

What callers saw: a payment could run twice.

Cause: a response that states no request's ID, as a refusal may, can't be told from a late second copy of it. Where an endpoint sent a refusal twice, the second copy arrived as the connection was in use again; the next request counted as not run, was sent to another endpoint, and ran at both. Change: a connection is used again only after a response with the ID of its request. Result: TestLateCopyOfARefusalIsNotTakenForTheNextAnswer failed before (the second request, of a kind that may run once, ran at both endpoints) and passes.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -103,6 +103,7 @@
 	stopCancel   func() bool
 	writeResult  chan error // receives the result of writing the request
 	bodyComplete bool       // the body has been read to its end
+	identified   bool       // the response states the ID of the request
 }
 
 // exchange sends a request to an endpoint and reads the header of the response. It calls
@@ -169,6 +170,7 @@
 			continue
 		}
 		r.httpResp, r.info = resp, reply
+		r.identified = id != "" && reply.RequestID == id
 		if reply.NotRun {
 			r.discardBody()
 			return &exchangeError{sent: true, notRun: true, limited: limitsRequests(resp.StatusCode, reply), misdirected: reply.Misdirected, status: resp.StatusCode, err: fmt.Errorf("the endpoint refused with %d", resp.StatusCode)}
@@ -218,11 +220,13 @@
 }
 
 // close returns the connection to the pool if the request and the response are complete.
-// Otherwise it closes the connection, which cancels the request at the endpoint.
+// Otherwise it closes the connection, which cancels the request at the endpoint. A connection on
+// which a response stated no ID is not used again: a late second copy of the response would pass
+// for that of the next request.
 func (r *response) close() {
 	alive := r.stopCancel()
 	keep := false
-	if alive && r.bodyComplete && r.httpResp != nil && !r.httpResp.Close {
+	if alive && r.bodyComplete && r.identified && r.httpResp != nil && !r.httpResp.Close {
 		select {
 		case err := <-r.writeResult:
 			keep = err == nil
