Ignore malformed limits in peers' reports

Cause: a limit in a load report that is no number counted as 0, and one from the future would have kept all later statements from counting. The process can't be ended by one: the fields have no index or length.

--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -25,14 +25,16 @@
 	ReceivedAgoMs int64
 }
 
-// statement returns the statement on the clock of this process. A report takes some time to
-// arrive, so the statement appears to be newer by that time.
-func (l reportLimit) statement(now time.Duration) forward.LimitStatement {
-	st := forward.LimitStatement{PerSecond: l.PerSecond, SentAt: now - milliseconds(l.SentAgoMs), ReceivedAt: now - milliseconds(l.ReceivedAgoMs)}
-	if !(st.PerSecond >= 0) { // NaN too
-		st.PerSecond = 0
-	}
-	return st
+// maxStatementAgeMs is the largest age of a statement in a report. One from the future would keep
+// all later ones from counting.
+const maxStatementAgeMs = int64(24 * time.Hour / time.Millisecond)
+
+// statement returns the statement on the clock of this process, and false if it can't be valid. A
+// report takes some time to arrive, so the statement appears to be newer by that time.
+func (l reportLimit) statement(now time.Duration) (forward.LimitStatement, bool) {
+	valid := l.PerSecond >= 0 && l.ReceivedAgoMs >= 0 && l.SentAgoMs >= l.ReceivedAgoMs // NaN is not >= 0
+	ago := func(ms int64) time.Duration { return now - milliseconds(min(ms, maxStatementAgeMs)) }
+	return forward.LimitStatement{PerSecond: l.PerSecond, SentAt: ago(l.SentAgoMs), ReceivedAt: ago(l.ReceivedAgoMs)}, valid
 }
 
 // limitsRequests reports whether a response refuses a request because of the endpoint's limit, so
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -283,3 +284,16 @@
 	require.GreaterOrEqual(t, served["/unsafe/x"], 15)
 	require.LessOrEqual(t, served["/safe/x"], 1)
 }
+
+// Guards against a malformed report that sets a limit, or keeps later statements from counting.
+func TestMalformedLimitsInReportsAreIgnored(t *testing.T) {
+	for _, l := range []reportLimit{
+		{PerSecond: math.NaN()}, {PerSecond: -1}, {PerSecond: 1, SentAgoMs: 1, ReceivedAgoMs: 2}, {PerSecond: 1, SentAgoMs: math.MinInt64, ReceivedAgoMs: math.MinInt64}, {PerSecond: 1, ReceivedAgoMs: -1},
+	} {
+		_, valid := l.statement(time.Hour)
+		require.False(t, valid, l)
+	}
+	st, valid := reportLimit{PerSecond: 1, SentAgoMs: math.MaxInt64, ReceivedAgoMs: 10}.statement(time.Hour)
+	require.True(t, valid)
+	require.Less(t, st.SentAt, st.ReceivedAt)
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -350,8 +350,9 @@
 		}
 	}
 	for _, l := range r.Limits {
-		if id, ok := byHash[l.Endpoint]; ok {
-			s.recordLimit(id, l.statement(now), false)
+		id, known := byHash[l.Endpoint]
+		if st, valid := l.statement(now); known && valid {
+			s.recordLimit(id, st, false)
 		}
 	}
 	for _, u := range r.Uses {
