Let an endpoint whose order got no answer give way to others

What callers saw: with most orders answered late, endpoints stayed on old weights while orders were repeated at others each second.

Cause: an order without an answer held its place in the rollout for two seconds and was repeated meanwhile. It may still be carried out, seconds later. Change: its endpoint gives way at once and is tried again after two seconds. Result: TestOrderWithoutAnswerGivesWayToOthers: 18 endpoints are all ordered within 10 s, with the change left out they are not.

--- a/core/forward/rollout.go
+++ b/core/forward/rollout.go
@@ -330,6 +330,15 @@
 	}
 }
 
+// RecordOrderUnanswered records that an order got no answer. It may still be carried out, seconds
+// later, so the endpoint gives way to others at once.
+func (r *Rollout) RecordOrderUnanswered(id string, now time.Duration) {
+	if r.updates[id] != nil {
+		delete(r.updates, id)
+		r.deferredUntil[id] = now + deferralPeriod
+	}
+}
+
 // FleetCounts holds counts of the endpoints of a service.
 type FleetCounts struct {
 	Total        int
--- a/core/forward/rollout_test.go
+++ b/core/forward/rollout_test.go
@@ -356,3 +356,38 @@
 		require.EqualValues(t, 2, e.Models[0].Version, e.ID)
 	}
 }
+
+// Guards against orders that get no answer and are repeated at the same endpoints while others wait
+// for their first.
+func TestOrderWithoutAnswerGivesWayToOthers(t *testing.T) {
+	const (
+		n            = 18
+		orderTimeout = 800 * time.Millisecond
+		bound        = 10 * time.Second
+	)
+	es := newFleet(n, 1)
+	r := NewRollout()
+	r.AddTarget(WeightVersion{"m", 2}, 0, 0)
+	ordered, unanswered := map[string]bool{}, map[string]time.Duration{}
+	for now := time.Duration(0); now < bound; now += 50 * time.Millisecond {
+		for id, at := range unanswered {
+			if now >= at {
+				delete(unanswered, id)
+				r.RecordOrderUnanswered(id, now)
+			}
+		}
+		var managed []ManagedEndpoint
+		for _, e := range es {
+			managed = append(managed, ManagedEndpoint{Endpoint: e, HandoverDone: true})
+		}
+		for _, s := range r.NextSteps(managed, map[string]FleetCounts{"s": {Total: n}}, now) {
+			if s.IsOrder {
+				r.RecordOrderSent(s.Endpoint.ID, now)
+				ordered[s.Endpoint.ID], unanswered[s.Endpoint.ID] = true, now+orderTimeout
+			} else {
+				r.RecordReport(s.Endpoint.ID, EndpointReport{Models: s.Endpoint.Models}, now)
+			}
+		}
+	}
+	require.Len(t, ordered, n, "all are ordered within the bound")
+}
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -181,6 +181,11 @@
 	status, err := g.endpointControl.SendLoadOrder(ctx, LoadOrder{
 		Endpoint: st.Endpoint, Model: st.Model, Version: st.Version, Owner: g.settings.ID, FencingToken: fencingToken, ExpectedOrderCount: st.OrderSeq,
 	})
+	if err != nil {
+		s.mu.Lock()
+		s.rollout.RecordOrderUnanswered(st.Endpoint.ID, s.clock())
+		s.mu.Unlock()
+	}
 	e := log.Info()
 	if err != nil || status >= http.StatusBadRequest {
 		e = log.Warn()
