Order the endpoints in turn that got no answer to their orders

After two seconds the first endpoints came back and went before those that had never been ordered. Change: of endpoints on the same version, those go first that have not been ordered, or the longest ago.

--- a/core/forward/rollout.go
+++ b/core/forward/rollout.go
@@ -352,7 +352,7 @@
 // or is updated beside them once its weights have expired.
 func (r *Rollout) NextSteps(managed []ManagedEndpoint, fleets map[string]FleetCounts, now time.Duration) []RolloutStep {
 	slices.SortFunc(managed, func(a, b ManagedEndpoint) int {
-		return cmp.Or(cmp.Compare(oldestVersion(a.Endpoint), oldestVersion(b.Endpoint)), cmp.Compare(a.LongRunning, b.LongRunning), cmp.Compare(a.Endpoint.ID, b.Endpoint.ID))
+		return cmp.Or(cmp.Compare(oldestVersion(a.Endpoint), oldestVersion(b.Endpoint)), cmp.Compare(r.deferredUntil[a.Endpoint.ID], r.deferredUntil[b.Endpoint.ID]), cmp.Compare(a.LongRunning, b.LongRunning), cmp.Compare(a.Endpoint.ID, b.Endpoint.ID))
 	})
 	changing, loading := map[string]int{}, map[string]int{}
 	for service, f := range fleets {
