Test limits in every kind of answer and a restart past the version bound

Change: TestLimitIsReadFromEveryKindOfAnswer, TestReadsOfTheStateCountTowardsALimit, TestRestartAfterTheBoundUsesNoOlderWeights. Conclusion: no change of logic.

--- a/gateway/era_test.go
+++ b/gateway/era_test.go
@@ -247,6 +247,36 @@
 	require.Zero(t, usable(), "the bound holds")
 }
 
+// Guards against older weights that come into use again when all processes restart after their
+// bound, while orders to load the newer ones are still to be carried out. Load pattern: a version
+// is named, orders get no answer, all processes are lost (deploy/days/unbarred.toml).
+func TestRestartAfterTheBoundUsesNoOlderWeights(t *testing.T) {
+	namings := &memoryNamings{}
+	g, clock := newGateway(t)
+	g.namingStore = namings
+	g.applyOperators(nil, clock.read(), true)
+	named := []forward.OperatorChange{{Weights: &forward.WeightVersion{Model: "m", Version: 2}}}
+	g.applyOperators(named, clock.read(), false)
+	require.NoError(t, g.saveNaming(t.Context(), <-g.namingsToSave))
+	for _, killedAfter := range []time.Duration{milliseconds(testSettings().VersionMs) - versionMargin, milliseconds(testSettings().VersionMs) + time.Second} {
+		clock.advance(killedAfter - clock.read() + time.Hour)
+		restarted := New(Options{Settings: testSettings(), Clock: clock.read, HeaderCodec: testHeaderCodec{}, NamingStore: namings, WallClock: g.wallClock})
+		restarted.applyOperators(named, clock.read(), true)
+		endpoint := func(version int64) []forward.EndpointChange {
+			return []forward.EndpointChange{{ID: "e", Endpoint: &forward.Endpoint{ID: "e", Service: "s", Models: []forward.ModelState{{Name: "m", Version: version}}}}}
+		}
+		excluded := func() bool {
+			return restarted.state.candidates("s", &forward.Prompt{Model: "m"}, 0, nil, clock.read())[0].Excluded
+		}
+		restarted.applyEndpoints(endpoint(1), clock.read(), true)
+		require.True(t, excluded(), "before the naming is recovered")
+		restarted.applyNamings(namings.saved)
+		require.True(t, excluded(), "after it is recovered")
+		restarted.applyEndpoints(endpoint(2), clock.read(), false)
+		require.False(t, excluded(), "the order was carried out late")
+	}
+}
+
 // Guards against older weights that are used past their bound after a restart, because a
 // process was suspended between reading its clock and the time of day.
 func TestSuspensionDoesNotPostponeASavedNaming(t *testing.T) {
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -297,3 +297,46 @@
 	require.True(t, valid)
 	require.Less(t, st.SentAt, st.ReceivedAt)
 }
+
+// Guards against calls of this process's own that a limit doesn't count, or that it holds up for
+// ever.
+func TestReadsOfTheStateCountTowardsALimit(t *testing.T) {
+	limited := newLimitedEndpoint(t, "2")
+	g := newTestGroup(t, 1, limited.testEndpoint)
+	f := g.entries[0]
+	require.True(t, f.mayReadState("e0"), "no limit is known yet")
+	require.Equal(t, 200, f.status(t, "/safe/x", "key"))
+	g.advance(10 * time.Second)
+	f.confirmConfig()
+	reads, served := 0, 0
+	for range 100 {
+		reads += boolInt(f.mayReadState("e0"))
+		served += boolInt(f.status(t, "/safe/x", "key") == 200)
+		g.advance(100 * time.Millisecond)
+		f.confirmConfig()
+	}
+	require.InDelta(t, 20, reads, 1, "two a second: an endpoint that loads weights gets nothing else")
+	burst := 6 // 4 and the limit of a second
+	require.LessOrEqual(t, served, burst, "the reads have used what the limit allows")
+}
+
+// Guards against a limit that is read only from successful answers that are no streams.
+func TestLimitIsReadFromEveryKindOfAnswer(t *testing.T) {
+	for name, answer := range map[string]string{
+		"refusal":      "HTTP/1.1 503 Busy\r\nTest-Id: %s\r\nTest-Limit: 3\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"too many":     "HTTP/1.1 429 Too Many\r\nTest-Id: %s\r\nTest-Limit: 3\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"failure":      "HTTP/1.1 500 Failed\r\nTest-Id: %s\r\nTest-Seal: s\r\nTest-Limit: 3\r\nContent-Length: 0\r\n\r\n",
+		"stream":       "HTTP/1.1 200 OK\r\nTest-Id: %s\r\nTest-Seal: s\r\nTest-Limit: 3\r\nContent-Length: 9\r\n\r\ndata: x\n\n",
+		"stream's cut": "HTTP/1.1 200 OK\r\nTest-Id: %s\r\nTest-Seal: s\r\nTest-Limit: 3\r\nContent-Length: 90\r\n\r\ndata",
+	} {
+		e := serveRaw(t, func(r *http.Request, c net.Conn) bool {
+			_, _ = fmt.Fprintf(c, answer, r.Header.Get("Test-Id"))
+			return false
+		})
+		f := newTestGroup(t, 1, e).entries[0]
+		f.status(t, "/stream/x", "key")
+		f.state.mu.Lock()
+		require.Equal(t, 3.0, f.state.endpointState("e0").limit.PerSecond(), name)
+		f.state.mu.Unlock()
+	}
+}
