Test that unsent attempts don't count towards a limit

Change: TestUnsentAttemptsDoNotCountTowardsALimit. Result: it fails without the refund and passes with it. Conclusion: no change of logic.

--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -340,3 +340,23 @@
 		f.state.mu.Unlock()
 	}
 }
+
+// Guards against attempts of which nothing was sent that use up what a limit allows.
+func TestUnsentAttemptsDoNotCountTowardsALimit(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close()) // connections are refused
+	g := newTestGroup(t, 1, &testEndpoint{address: l.Addr().String()})
+	f := g.entries[0]
+	f.state.mu.Lock()
+	f.state.recordLimit("e0", forward.LimitStatement{PerSecond: 1, SentAt: g.clock.read(), ReceivedAt: g.clock.read()}, true)
+	f.state.mu.Unlock()
+	g.advance(time.Second)
+	f.confirmConfig()
+	for range 3 {
+		require.Equal(t, 503, f.status(t, "/unsafe/x", "key"))
+	}
+	f.state.mu.Lock()
+	defer f.state.mu.Unlock()
+	require.True(t, f.state.endpointState("e0").limit.Allows("e0", &f.state.limitGroup, g.clock.read()))
+}
