Use a limit that is named again after it had ended

What callers would have seen: an endpoint that names a limit for the second time gets no requests at all until it restarts.

Cause: as a limit ended, the share of an unlimited rate was computed, with a burst that is no number; the tokens stayed that way. Found on reading the change again, before it landed. Change: an endpoint without a limit has no bucket.

--- a/core/forward/limitqueue.go
+++ b/core/forward/limitqueue.go
@@ -56,8 +56,3 @@
 	}
 	return sum / float64(max(members, 1))
 }
-
-// MinInterval returns the time between two calls to an endpoint that together use its whole limit.
-func (l *EndpointLimit) MinInterval() time.Duration {
-	return time.Duration(float64(time.Second) / max(l.PerSecond(), probeRate))
-}
--- a/core/forward/limitshare.go
+++ b/core/forward/limitshare.go
@@ -113,6 +113,10 @@
 // Refresh brings this process's part up to date with the limit and the members. It is called as the
 // limit changes too, since the part counts from then on.
 func (l *EndpointLimit) Refresh(endpoint string, g *LimitGroup, now time.Duration) {
+	if l.PerSecond() == Unlimited {
+		l.bucket, l.bucketFor = limitBucket{}, bucketInputs{}
+		return
+	}
 	if inputs := (bucketInputs{l.PerSecond(), g.generation}); l.bucketFor != inputs {
 		l.bucketFor = inputs
 		share, ok := ShareLimit(endpoint, l.PerSecond(), g.self, g.members)
@@ -149,3 +153,8 @@
 		l.bucket.tokens = min(l.bucket.tokens+1, l.bucket.share.Burst)
 	}
 }
+
+// MinInterval returns the time between two calls to an endpoint that together use its whole limit.
+func (l *EndpointLimit) MinInterval() time.Duration {
+	return time.Duration(float64(time.Second) / max(l.PerSecond(), probeRate))
+}
--- a/core/forward/limitshare_test.go
+++ b/core/forward/limitshare_test.go
@@ -380,3 +380,20 @@
 		})
 	}
 }
+
+// Guards against a limit that is named again after it had ended and then allows nothing, or too
+// much at once.
+func TestLimitIsNamedAgain(t *testing.T) {
+	s := newLimitSim(1, 4, 5, 20)
+	for range 3 {
+		s.run(10*time.Second, nil)
+		s.name(Unlimited)
+		s.run(5*time.Second, nil)
+		s.name(5)
+		s.arrivals = slices.DeleteFunc(s.arrivals, func(at time.Duration) bool { return at <= s.now+limitSimTransit })
+		start := len(s.arrivals)
+		s.run(10*time.Second, nil)
+		require.GreaterOrEqual(t, len(s.arrivals)-start, 25, "half of the limit")
+		require.LessOrEqual(t, s.mostIn4s(), allowedIn4s(5))
+	}
+}
