Take a forgotten limit over from peers again

Cause: an entry that had heard nothing of a limit for a minute forgot it in the same way as after a restart of the endpoint, and ignored its peers, who still held it, until the endpoint's next answer. Change: forgetting a limit doesn't make earlier statements invalid.

--- a/core/forward/limit.go
+++ b/core/forward/limit.go
@@ -46,7 +46,7 @@
 // Expire forgets a limit that has not been stated for a long time.
 func (l *EndpointLimit) Expire(now time.Duration) {
 	if l.known && now >= l.statedAt+limitMaxAge {
-		l.Restart(now)
+		*l = EndpointLimit{ignored: l.ignored}
 	}
 }
 
--- a/core/forward/limitshare_test.go
+++ b/core/forward/limitshare_test.go
@@ -318,6 +318,8 @@
 	require.Equal(t, 2.0, told.PerSecond())
 	told.Expire(now + limitMaxAge)
 	require.Equal(t, Unlimited, told.PerSecond())
+	told.Observe(LimitStatement{2, now, now}, false, now+2*limitMaxAge)
+	require.Equal(t, 2.0, told.PerSecond(), "a peer still holds it")
 }
 
 // Guards against a limit of an endpoint before its restart that holds after it.
