Read limits from the answers to control calls

Cause: an endpoint whose weights are too old gets no requests, and one that refuses orders gets an order a second and a read of its state before each. Its answers to these named a limit, which only answers to requests were read for. Change: limits are read from the answers to control calls too; an answer without one ends none. After an order the next read of the state waits longer.

--- a/gateway/endpointclock.go
+++ b/gateway/endpointclock.go
@@ -57,7 +57,8 @@
 	for _, e := range endpoints[:min(clockReadAttempts, len(endpoints))] {
 		started := g.clock()
 		attempt, cancel := context.WithTimeout(ctx, clockReportTimeout)
-		rep, err := g.endpointControl.ReadState(attempt, e)
+		rep, limit, err := g.endpointControl.ReadState(attempt, e)
+		g.observeControlLimit(e.ID, limit, started)
 		cancel()
 		if err != nil {
 			log.Warn().Str("event", "report_unread").Str("endpoint", e.ID).Err(err).Msg("cannot read the endpoints' clock")
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -123,8 +123,9 @@
 	ExpectedOrderCount int64 // number of orders accepted before; the endpoint rejects the order if its own count differs
 }
 
-// EndpointControl sends load orders to endpoints and reads their state.
+// EndpointControl sends load orders to endpoints and reads their state. Both calls also return the
+// limit that the answer names.
 type EndpointControl interface {
-	ReadState(ctx context.Context, e forward.Endpoint) (forward.EndpointReport, error)
-	SendLoadOrder(ctx context.Context, o LoadOrder) (status int, err error)
+	ReadState(ctx context.Context, e forward.Endpoint) (forward.EndpointReport, NamedLimit, error)
+	SendLoadOrder(ctx context.Context, o LoadOrder) (status int, limit NamedLimit, err error)
 }
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -68,6 +68,20 @@
 	}
 }
 
+// observeControlLimit records the limit that the answer to a control call names. An answer without
+// one ends none, as only requests are known to be answered with it.
+func (g *Gateway) observeControlLimit(endpoint string, l NamedLimit, sentAt time.Duration) {
+	if !l.Valid {
+		return
+	}
+	s := g.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.recordLimit(endpoint, forward.LimitStatement{PerSecond: l.PerSecond, SentAt: sentAt, ReceivedAt: s.clock()}, true) {
+		g.requestReport()
+	}
+}
+
 // recordLimit applies a statement about an endpoint's limit, from its response or from a peer. It
 // logs a change of the limit and reports whether there is one.
 func (s *state) recordLimit(endpoint string, statement forward.LimitStatement, firstHand bool) bool {
@@ -170,3 +184,14 @@
 	st.limit.Spend(endpoint, &s.limitGroup, now)
 	return true
 }
+
+// countOrder counts a load order, which doesn't wait for a limit. The next read of the endpoint's
+// state makes up for it.
+func (s *state) countOrder(endpoint string, now time.Duration) {
+	st := s.endpointState(endpoint)
+	if st.limit.PerSecond() == forward.Unlimited {
+		return
+	}
+	st.nextStateRead = max(st.nextStateRead, now) + st.limit.MinInterval()
+	st.limit.Spend(endpoint, &s.limitGroup, now)
+}
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math"
@@ -360,3 +361,61 @@
 	defer f.state.mu.Unlock()
 	require.True(t, f.state.endpointState("e0").limit.Allows("e0", &f.state.limitGroup, g.clock.read()))
 }
+
+// loadOrders is an EndpointControl whose endpoints refuse orders and name a limit in the answers.
+type loadOrders struct {
+	clock *testClock
+	limit NamedLimit
+	mu    sync.Mutex
+	calls []time.Duration
+}
+
+func (o *loadOrders) call() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.calls = append(o.calls, o.clock.read())
+}
+
+func (o *loadOrders) ReadState(context.Context, forward.Endpoint) (forward.EndpointReport, NamedLimit, error) {
+	o.call()
+	return forward.EndpointReport{Models: []forward.ModelState{{Name: "m", Version: 1}}}, o.limit, nil
+}
+
+func (o *loadOrders) SendLoadOrder(context.Context, LoadOrder) (int, NamedLimit, error) {
+	o.call()
+	return http.StatusConflict, o.limit, nil
+}
+
+// Guards against orders and reads of the state that exceed the limit of an endpoint which gets no
+// requests, as its weights are too old, and refuses its orders.
+func TestOrdersKeepTheLimitOfAnEndpointWithoutRequests(t *testing.T) {
+	for _, c := range []struct {
+		perSecond float64
+		allowed   int
+	}{{0, 5}, {0.3, 6}, {1, 11}} {
+		g := newTestGroup(t, 1)
+		f := g.entries[0]
+		orders := &loadOrders{clock: g.clock, limit: NamedLimit{Stated: true, Valid: true, PerSecond: c.perSecond}}
+		f.endpointControl = orders
+		f.applyEndpoints([]forward.EndpointChange{{ID: "e", Endpoint: &forward.Endpoint{ID: "e", Service: "s", Models: []forward.ModelState{{Name: "m", Version: 1}}}}}, g.clock.read(), true)
+		f.applyOperators([]forward.OperatorChange{{Weights: &forward.WeightVersion{Model: "m", Version: 2}}}, g.clock.read(), false)
+		for i := range 400 {
+			if i%3 == 0 {
+				g.join(nil, forward.Generation{Number: 1})
+			}
+			f.state.mu.Lock()
+			managed, fleets := f.managedEndpoints(g.clock.read())
+			steps := f.state.rollout.NextSteps(managed, fleets, g.clock.read())
+			f.state.mu.Unlock()
+			for _, s := range steps {
+				f.runStep(t.Context(), s)
+			}
+			g.advance(100 * time.Millisecond)
+			f.confirmConfig()
+		}
+		require.NotEmpty(t, orders.calls)
+		e := limitedEndpoint{arrivals: orders.calls}
+		require.LessOrEqual(t, e.mostIn(4*time.Second, orders.calls[0]+500*time.Millisecond), c.allowed, "limit %g", c.perSecond)
+		require.Greater(t, len(orders.calls), 10, "the endpoint is not given up")
+	}
+}
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -144,7 +144,8 @@
 		return
 	}
 	started := g.clock()
-	rep, err := g.endpointControl.ReadState(ctx, st.Endpoint)
+	rep, limit, err := g.endpointControl.ReadState(ctx, st.Endpoint)
+	g.observeControlLimit(st.Endpoint.ID, limit, started)
 	if err != nil {
 		log.Warn().Str("event", "report_unread").Str("endpoint", st.Endpoint.ID).Err(err).Msg("cannot read the endpoint's state; retrying")
 		return
@@ -172,15 +173,17 @@
 	owned, fencingToken := g.ownership.IsSoleOwner(st.Endpoint.ID, s.clock()), g.ownership.FencingToken()
 	if owned {
 		s.rollout.RecordOrderSent(st.Endpoint.ID, s.clock())
-		s.endpointState(st.Endpoint.ID).limit.Spend(st.Endpoint.ID, &s.limitGroup, s.clock())
+		s.countOrder(st.Endpoint.ID, s.clock())
 	}
 	s.mu.Unlock()
 	if !owned {
 		return
 	}
-	status, err := g.endpointControl.SendLoadOrder(ctx, LoadOrder{
+	started := g.clock()
+	status, limit, err := g.endpointControl.SendLoadOrder(ctx, LoadOrder{
 		Endpoint: st.Endpoint, Model: st.Model, Version: st.Version, Owner: g.settings.ID, FencingToken: fencingToken, ExpectedOrderCount: st.OrderSeq,
 	})
+	g.observeControlLimit(st.Endpoint.ID, limit, started)
 	if err != nil {
 		s.mu.Lock()
 		s.rollout.RecordOrderUnanswered(st.Endpoint.ID, s.clock())
