Search only the new bytes of a stream for complete events

What callers saw: an endpoint that sends an event without end occupied a processor for seconds before it was cut at 1 MB.

Cause: after each read, all that had arrived of an event was searched for its end, which takes time with the square of its length. Change: only the new bytes, and three before them, are searched. TestSeparatorsOfEventsMayArriveInPieces fails without the three bytes.

--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -28,9 +28,14 @@
 			return
 		}
 		var passed, pending []byte
+		var buffer eventBuffer
 		for at := 0; at < len(stream); at += size {
-			pending = append(pending, stream[at:min(at+size, len(stream))]...)
+			piece := stream[at:min(at+size, len(stream))]
+			pending = append(pending, piece...)
 			end := completeEventsLen(pending)
+			events := buffer.add(piece)
+			require.True(t, bytes.Equal(pending[:end], events), "a search of the new bytes alone finds the same events")
+			buffer.remove(len(events))
 			require.True(t, end == 0 || bytes.HasSuffix(pending[:end], []byte("\n\n")) || bytes.HasSuffix(pending[:end], []byte("\r\n\r\n")))
 			require.NotContains(t, lastEventID(pending[:end]), "\n")
 			passed = append(passed, pending[:end]...)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -12,6 +12,8 @@
 const (
 	relayBufferBytes = 4096
 	maxEventBytes    = 1 << 20
+
+	maxSeparatorBytes = len("\r\n\r\n") // between two events
 )
 
 var errTruncatedEvent = errors.New("the stream ended in the middle of an event")
@@ -19,23 +21,22 @@
 // relay forwards the events of a stream as they arrive. It forwards only complete events,
 // so that another endpoint can resume after the last one.
 func (q *request) relay(resp *response, p *placement) *exchangeError {
-	var pending []byte
+	var events eventBuffer
 	buf := make([]byte, relayBufferBytes)
 	for {
 		n, err := resp.Read(buf)
-		pending = append(pending, buf[:n]...)
-		if end := completeEventsLen(pending); end > 0 {
+		if complete := events.add(buf[:n]); len(complete) > 0 {
 			q.recordFirstEvent(p)
 			if err := q.bindTo(p); err != nil {
 				return &exchangeError{sent: true, err: err}
 			}
-			if werr := q.forwardEvents(resp, pending[:end]); werr != nil {
+			if werr := q.forwardEvents(resp, complete); werr != nil {
 				return nil // the caller has disconnected
 			}
-			pending = append(pending[:0], pending[end:]...)
+			events.remove(len(complete))
 		}
 		switch {
-		case err == io.EOF && len(pending) == 0:
+		case err == io.EOF && len(events.pending) == 0:
 			if !q.headerSent {
 				q.writeHeader(resp, -1)
 			}
@@ -45,7 +46,7 @@
 			return q.streamError(errTruncatedEvent)
 		case err != nil:
 			return q.streamError(err)
-		case len(pending) > maxEventBytes:
+		case len(events.pending) > maxEventBytes:
 			return q.streamError(fmt.Errorf("an event is longer than %d bytes", maxEventBytes))
 		}
 	}
@@ -81,6 +82,24 @@
 	s.observeFetch(p, s.clock())
 }
 
+// eventBuffer holds the bytes of a stream until their event is complete.
+type eventBuffer struct{ pending []byte }
+
+// add appends bytes and returns the complete events. It searches only the new bytes, and those
+// before in which a separator may have begun: an event may arrive in many pieces.
+func (b *eventBuffer) add(p []byte) []byte {
+	searched := max(len(b.pending)-maxSeparatorBytes+1, 0)
+	b.pending = append(b.pending, p...)
+	end := completeEventsLen(b.pending[searched:])
+	if end == 0 {
+		return nil
+	}
+	return b.pending[:searched+end]
+}
+
+// remove removes events that were returned by add.
+func (b *eventBuffer) remove(n int) { b.pending = append(b.pending[:0], b.pending[n:]...) }
+
 // completeEventsLen returns the length of the complete events at the start of b.
 func completeEventsLen(b []byte) int {
 	end := 0
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -80,3 +80,22 @@
 	require.NoError(t, err)
 	require.Equal(t, sseEvent(2), string(rest))
 }
+
+// Guards against events that are not recognized as complete because their separator arrives in
+// pieces.
+func TestSeparatorsOfEventsMayArriveInPieces(t *testing.T) {
+	for _, separator := range []string{"\n\n", "\r\n\r\n"} {
+		text := "id: 1" + separator + "id: 2" + separator
+		for size := 1; size <= len(text); size++ {
+			var b eventBuffer
+			got := ""
+			for rest := text; rest != ""; rest = rest[min(size, len(rest)):] {
+				events := b.add([]byte(rest[:min(size, len(rest))]))
+				got += string(events)
+				b.remove(len(events))
+			}
+			require.Equal(t, text, got, "pieces of %d bytes", size)
+			require.Empty(t, b.pending)
+		}
+	}
+}
