Log connections closed for being idle, and requests without an answer

Change: idle_connection_closed with the caller's address, the timeout it was closed under and the one in force; for a request that ends without an answer the caller's address, whether the body was read, the time left and the cause. Conclusion: a close at the older timeout, or with a request's line of the same address at the same moment, names the cause.

--- a/gateway/accesslog.go
+++ b/gateway/accesslog.go
@@ -68,6 +68,7 @@
 	bytes          int64
 	firstByteDelay time.Duration
 	aborted        string
+	bodyRead       bool // the request has been read whole
 	err            *apierr.Error
 }
 
@@ -138,6 +139,9 @@
 	}
 	if x := q.accessLog.err; x != nil {
 		e = e.Str("kind", string(x.Kind)).Str("ran", string(x.Ran)).Dur("retry_after_ms", x.RetryAfter).Str("reason", x.Message)
+		if x.Kind == apierr.Cancelled { // ends without an answer
+			e = e.Str("caller", q.r.RemoteAddr).Bool("body_read", q.accessLog.bodyRead).Dur("time_left_ms", remaining(q.deadline, q.g.clock())).AnErr("cause", x.Cause)
+		}
 	}
 	e.Msg("request ended")
 }
--- a/gateway/idle.go
+++ b/gateway/idle.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/phuslu/log"
 )
 
 // idleCloser closes caller connections that have been idle for the configured timeout. Unlike
@@ -27,6 +29,10 @@
 		delete(i.timers, c)
 	}
 	if s == http.StateIdle {
-		i.timers[c] = time.AfterFunc(i.timeout(), func() { c.Close() })
+		timeout := i.timeout()
+		i.timers[c] = time.AfterFunc(timeout, func() {
+			c.Close()
+			log.Info().Str("event", "idle_connection_closed").Str("caller", c.RemoteAddr().String()).Dur("timeout_ms", timeout).Dur("timeout_now_ms", i.timeout()).Msg("a caller sent no request within the idle timeout")
+		})
 	}
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -216,6 +216,7 @@
 		}
 		return apierr.New(apierr.Cancelled, apierr.NotRun, "the request ended early", "send it again").WithCause(err)
 	}
+	q.accessLog.bodyRead = true
 	h := q.r.Header.Clone()
 	removeHopByHopHeaders(h)
 	if q.r.Header.Get("User-Agent") == "" {
