Test that the idle timeout cuts no request

Change: four tests in virtual time, over connections in memory: a head that arrives as the timeout ends, callers that reuse a connection at that moment, and a timeout that is raised or cut while a connection is idle. serveOn is taken out of serve so that tests can serve from a listener of their own.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -216,6 +216,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w; free the port or change the address in the settings", address, err)
 	}
+	return g.serveOn(l, h), nil
+}
+
+// serveOn serves requests from a listener until the returned server is closed.
+func (g *Gateway) serveOn(l net.Listener, h http.Handler) *http.Server {
 	idle := newIdleCloser(func() time.Duration {
 		if d := time.Duration(g.idleTimeout.Load()); d > 0 {
 			return d
@@ -229,10 +234,10 @@
 	}
 	go func() {
 		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			log.Error().Str("event", "listener_ended").Str("address", address).Err(err).Msg("HTTP server ended")
+			log.Error().Str("event", "listener_ended").Str("address", l.Addr().String()).Err(err).Msg("HTTP server ended")
 		}
 	}()
-	return srv, nil
+	return srv
 }
 
 func (g *Gateway) followOperators(ctx context.Context) {
--- /dev/null
+++ b/gateway/idle_test.go
@@ -0,0 +1,189 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaweir/galenaweir/core/forward"
+	"github.com/galenaweir/galenaweir/wait"
+)
+
+// pipeListener accepts in-memory connections, whose deadlines follow the virtual time of a test.
+type pipeListener struct {
+	conns chan net.Conn
+	once  sync.Once
+	done  chan struct{}
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error   { l.once.Do(func() { close(l.done) }); return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// idleFixture serves callers with a configured idle timeout in virtual time.
+type idleFixture struct {
+	*Gateway
+	t        *testing.T
+	listener *pipeListener
+	clock    *testClock
+}
+
+func newIdleFixture(t *testing.T, idleTimeout time.Duration, h http.Handler) *idleFixture {
+	t.Helper()
+	clock := &testClock{}
+	f := &idleFixture{Gateway: New(Options{Settings: testSettings(), Clock: clock.start(time.Hour), Seed: 1, HeaderCodec: testHeaderCodec{}}), t: t, listener: newPipeListener(), clock: clock}
+	f.setIdleTimeout(1, idleTimeout)
+	srv := f.serveOn(f.listener, h)
+	t.Cleanup(func() { srv.Close() })
+	return f
+}
+
+func (f *idleFixture) setIdleTimeout(version int64, d time.Duration) {
+	f.applyOperators([]forward.OperatorChange{{Config: &forward.Config{Version: version, Limits: forward.Limits{IdleTimeout: d}}}}, f.clock.read(), false)
+}
+
+// idleCaller is a caller with one connection that it keeps open.
+type idleCaller struct {
+	t    *testing.T
+	conn net.Conn
+	br   *bufio.Reader
+}
+
+func (f *idleFixture) connect() *idleCaller {
+	f.t.Helper()
+	near, far := net.Pipe()
+	f.listener.conns <- far
+	f.t.Cleanup(func() { near.Close() })
+	return &idleCaller{f.t, near, bufio.NewReader(near)}
+}
+
+const idleTestRequest = "GET / HTTP/1.1\r\nHost: service.test\r\n\r\n"
+
+// call sends a request and reads the answer.
+func (c *idleCaller) call() error {
+	if _, err := io.WriteString(c.conn, idleTestRequest); err != nil {
+		return err
+	}
+	return c.readAnswer()
+}
+
+func (c *idleCaller) readAnswer() error {
+	resp, err := http.ReadResponse(c.br, nil)
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
+
+// isClosedWithin reports whether the connection is closed within a time.
+func (c *idleCaller) isClosedWithin(d time.Duration) bool {
+	c.t.Helper()
+	require.NoError(c.t, c.conn.SetReadDeadline(time.Now().Add(d)))
+	_, err := c.br.Peek(1)
+	require.Error(c.t, err, "the entry sent something without a request")
+	require.NoError(c.t, c.conn.SetReadDeadline(time.Time{}))
+	ne, isNet := err.(net.Error)
+	return !isNet || !ne.Timeout()
+}
+
+var answerOK = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+
+// Guards against a request that gets no answer because its head was still arriving when the idle
+// timeout ended.
+func TestRequestThatBeginsBeforeTheIdleTimeoutIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const timeout = time.Second
+		f := newIdleFixture(t, timeout, answerOK)
+		c := f.connect()
+		require.NoError(t, c.call())
+		require.False(t, c.isClosedWithin(timeout-time.Millisecond))
+		half := len(idleTestRequest) / 2
+		_, err := io.WriteString(c.conn, idleTestRequest[:half])
+		require.NoError(t, err)
+		require.False(t, c.isClosedWithin(100*time.Millisecond), "the head is on its way")
+		_, err = io.WriteString(c.conn, idleTestRequest[half:])
+		require.NoError(t, err)
+		require.NoError(t, c.readAnswer())
+	})
+}
+
+// Guards against a connection that is closed for being idle while a request runs on it. The callers
+// reuse their connections at the very moment at which the idle timeout ends.
+func TestIdleTimeoutEndsNoRunningRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			timeout = time.Second
+			callers = 200
+		)
+		var began, answered atomic.Int64
+		f := newIdleFixture(t, timeout, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("Test-Again") == "" {
+				return
+			}
+			began.Add(1)
+			wait.For(r.Context(), 100*time.Millisecond)
+		}))
+		var wg sync.WaitGroup
+		for range callers {
+			c := f.connect()
+			wg.Go(func() {
+				if c.call() != nil {
+					return
+				}
+				wait.For(t.Context(), timeout)
+				if _, err := io.WriteString(c.conn, "GET / HTTP/1.1\r\nHost: service.test\r\nTest-Again: 1\r\n\r\n"); err == nil && c.readAnswer() == nil {
+					answered.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+		require.Equal(t, began.Load(), answered.Load(), "requests began and weren't answered")
+	})
+}
+
+// Guards against idle connections that are closed at an older, shorter idle timeout while their
+// callers rely on the one in force.
+func TestRaisedIdleTimeoutHoldsForIdleConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newIdleFixture(t, 300*time.Millisecond, answerOK)
+		c := f.connect()
+		require.NoError(t, c.call())
+		require.False(t, c.isClosedWithin(200*time.Millisecond))
+		f.setIdleTimeout(2, 10*time.Second)
+		require.False(t, c.isClosedWithin(7800*time.Millisecond), "callers reuse connections for up to four fifths of the timeout")
+		require.NoError(t, c.call())
+	})
+}
+
+// Guards against idle connections that stay open under an older, longer idle timeout.
+func TestLoweredIdleTimeoutHoldsForIdleConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newIdleFixture(t, time.Minute, answerOK)
+		c := f.connect()
+		require.NoError(t, c.call())
+		require.False(t, c.isClosedWithin(200*time.Millisecond))
+		f.setIdleTimeout(2, time.Second)
+		require.True(t, c.isClosedWithin(10*time.Second))
+	})
+}
