End idle caller connections by a read deadline

Cause: callers' requests got neither an answer nor a refusal. A timer closed a connection when it had been idle for the configured timeout, without looking whether a request had begun: net/http reports a connection as active only once the head has been read, and a timer that has fired can't be stopped. Change: the idle timeout is the read deadline of the connection, so that the goroutine that would read the next request is the one that ends the connection. It reads once more as the deadline passes, for bytes that have just arrived; the first bytes of a head end the idle time. Conclusion: two parties decided over one connection without a common order.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -221,19 +221,19 @@
 
 // serveOn serves requests from a listener until the returned server is closed.
 func (g *Gateway) serveOn(l net.Listener, h http.Handler) *http.Server {
-	idle := newIdleCloser(func() time.Duration {
+	idle := &idleListener{Listener: l, timeout: func() time.Duration {
 		if d := time.Duration(g.idleTimeout.Load()); d > 0 {
 			return d
 		}
 		return defaultCallerIdleTimeout
-	})
+	}}
 	srv := &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: idle.connState,
 		ErrorLog:                     stdlog.New(io.Discard, "", 0), // it would log data that callers sent
 		DisableGeneralOptionsHandler: true,
 	}
 	go func() {
-		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := srv.Serve(idle); !errors.Is(err, http.ErrServerClosed) {
 			log.Error().Str("event", "listener_ended").Str("address", l.Addr().String()).Err(err).Msg("HTTP server ended")
 		}
 	}()
