Apply a changed idle timeout to idle connections

Cause: a connection kept the idle timeout that was in force when it became idle. After a raise it was closed at the old one, while callers reuse connections for up to four fifths of the new one: each reuse at the old timeout raced with the close, and only beside a change of the configuration, as callers otherwise stay below the timeout. After a cut it stayed open for too long. Change: a change moves the read deadlines of idle connections. A raise holds from the beginning of the idle time; a cut counts from the change, as callers may not know it yet.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -220,7 +220,7 @@
 	}
 	s.table = forward.NewTable(c)
 	s.streams.SetRoutes(c.Routes)
-	g.idleTimeout.Store(int64(c.Limits.IdleTimeout))
+	g.idleConns.setTimeout(c.Limits.IdleTimeout)
 	log.Info().Str("event", "config_applied").Int64("version", c.Version).Int("routes", len(c.Routes)).Int("customers", len(c.Customers)).
 		Dur("read_ms", age).Msg("configuration in force")
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,9 +77,9 @@
 	peerConn        *net.UDPConn
 	reportRequests  chan struct{}
 
-	draining    atomic.Bool
-	inFlight    atomic.Int64
-	idleTimeout atomic.Int64 // of caller connections, in nanoseconds
+	draining  atomic.Bool
+	inFlight  atomic.Int64
+	idleConns *idleConns
 
 	requests           *expvar.Int
 	refusals           *expvar.Map
@@ -102,6 +102,7 @@
 		state: newState(s, o.Clock, rand.New(rand.NewPCG(o.Seed, o.Seed))), pool: newConnPool(o.Clock),
 		ownership:          forward.Ownership{Self: member, Lease: orderLease, Handover: milliseconds(s.OrderHandoverMs) + orderTransitTime},
 		memberID:           member,
+		idleConns:          newIdleConns(),
 		reportRequests:     make(chan struct{}, 1),
 		requests:           metrics.Default.Counter("forwarded_requests"),
 		refusals:           metrics.Default.LabeledCounter("forward_refusals"),
@@ -221,19 +222,13 @@
 
 // serveOn serves requests from a listener until the returned server is closed.
 func (g *Gateway) serveOn(l net.Listener, h http.Handler) *http.Server {
-	idle := &idleListener{Listener: l, timeout: func() time.Duration {
-		if d := time.Duration(g.idleTimeout.Load()); d > 0 {
-			return d
-		}
-		return defaultCallerIdleTimeout
-	}}
 	srv := &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: idle.connState,
+		Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.idleConns.connState,
 		ErrorLog:                     stdlog.New(io.Discard, "", 0), // it would log data that callers sent
 		DisableGeneralOptionsHandler: true,
 	}
 	go func() {
-		if err := srv.Serve(idle); !errors.Is(err, http.ErrServerClosed) {
+		if err := srv.Serve(idleListener{l, g.idleConns}); !errors.Is(err, http.ErrServerClosed) {
 			log.Error().Str("event", "listener_ended").Str("address", l.Addr().String()).Err(err).Msg("HTTP server ended")
 		}
 	}()
