Read a request that is refused before closing its connection

Cause: a refusal before the body was read closed the connection of a caller that asks for that, with bytes unread. The kernel then resets the connection, and on a slow link the reset can overtake the refusal. net/http reads the rest of a body only where the connection stays open. Change: the rest of the body, up to 256 KB and 1 s, is read before the refusal is sent. A caller that waits for a leave to send its body isn't given one.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -20,7 +20,9 @@
 	maxBufferedBytes  = 256 << 10        // a response up to this size is delivered only once it is complete
 	minUsefulBudget   = 5 * time.Millisecond
 
-	defaultMaxBodyBytes = 4 << 20 // of a request, applies when the configuration sets no limit
+	defaultMaxBodyBytes = 4 << 20   // of a request, applies when the configuration sets no limit
+	maxDiscardedBytes   = 256 << 10 // of the body of a request that is refused
+	maxDiscardTime      = time.Second
 )
 
 // request is the state of one caller's request.
@@ -39,6 +41,7 @@
 	tried          map[string]bool
 	sentAttempts   int  // attempts in which the request was sent
 	unsentAttempts int  // attempts that ended before anything was sent
+	bodyBegun      bool // the body has been read, at least in part
 	headerSent     bool // the response header has been sent to the caller
 	lastEventID    string
 	bound          bool   // only endpoints of one build may go on with the stream
@@ -205,6 +208,7 @@
 // readBody reads the complete body and prepares the request, so that it can be sent to more
 // than one endpoint.
 func (q *request) readBody() *apierr.Error {
+	q.bodyBegun = true
 	rc := http.NewResponseController(q.w)
 	_ = rc.SetReadDeadline(time.Now().Add(remaining(q.deadline, q.g.clock()))) // httptest.ResponseRecorder does not support deadlines
 	body, err := io.ReadAll(q.r.Body)
@@ -226,6 +230,19 @@
 	return nil
 }
 
+// discardBody reads the rest of a request that is refused before its body has been read. If the
+// caller wants the connection closed, net/http would close it with unread bytes, and the reset could
+// overtake the refusal.
+func (q *request) discardBody() {
+	if q.bodyBegun || q.r.ContentLength == 0 || q.r.Header.Get("Expect") != "" {
+		return
+	}
+	rc := http.NewResponseController(q.w)
+	_ = rc.SetReadDeadline(time.Now().Add(maxDiscardTime))   // httptest.ResponseRecorder does not support deadlines
+	_, _ = io.CopyN(io.Discard, q.r.Body, maxDiscardedBytes) // the refusal is sent whether or not the body arrives whole
+	_ = rc.SetReadDeadline(time.Time{})
+}
+
 // forward sends the request to endpoints until one has responded or no further attempt is
 // allowed.
 func (q *request) forward(ctx context.Context) *apierr.Error {
--- /dev/null
+++ b/gateway/unanswered_test.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// answerStatus reads the head of an answer and returns its status.
+func answerStatus(t *testing.T, c net.Conn) int {
+	t.Helper()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if !assert.NoError(t, err) {
+		return 0
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	assert.NoError(t, err)
+	return resp.StatusCode
+}
+
+// connect opens an in-memory connection to a gateway that serves callers.
+func connect(t *testing.T, g *Gateway) net.Conn {
+	t.Helper()
+	l := newPipeListener()
+	srv := g.serveOn(l, g)
+	t.Cleanup(func() { srv.Close() })
+	near, far := net.Pipe()
+	t.Cleanup(func() { near.Close() })
+	l.conns <- far
+	return near
+}
+
+// Guards against a refusal that the caller doesn't get because the entry closes the connection while
+// the body of the request is on its way: closing with unread bytes resets the connection.
+func TestRefusedRequestIsReadBeforeItsConnectionIsClosed(t *testing.T) {
+	for _, connection := range []string{"keep-alive", "close"} {
+		t.Run(connection, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g, _ := newGateway(t) // no configuration has been read, so it refuses and closes the connection
+				c := connect(t, g)
+				const pieces, pieceBytes = 36, 2 << 10
+				_, err := fmt.Fprintf(c, "POST /unsafe/x HTTP/1.1\r\nHost: service.test\r\nConnection: %s\r\nContent-Length: %d\r\n\r\n", connection, pieces*pieceBytes)
+				require.NoError(t, err)
+				status := make(chan int, 1)
+				go func() { status <- answerStatus(t, c) }()
+				for range pieces {
+					time.Sleep(2 * time.Millisecond) // a link of 10 Mbit/s
+					_, err := io.WriteString(c, strings.Repeat("x", pieceBytes))
+					require.NoError(t, err, "the connection was closed before the body was read")
+				}
+				require.Equal(t, http.StatusServiceUnavailable, <-status)
+			})
+		})
+	}
+}
