Refuse a request whose body doesn't arrive in its time

Cause: any error of reading a body but one over the limit counted as a caller that has left, the end of the request's own time too, so that the caller got no answer. Worse, net/http then waited without a deadline for the rest of the body, so that the connection stayed open without an answer for as long as its caller waited. Change: the end of the time is answered with 408, not run, a kind of its own (request_timeout), and the connection is closed. The read deadline stays after an error.

--- a/core/apierr/apierr.go
+++ b/core/apierr/apierr.go
@@ -31,6 +31,7 @@
 	Forbidden        Kind = "forbidden"         // 403
 	NotFound         Kind = "not_found"         // 404
 	UnknownModel     Kind = "unknown_model"     // 404
+	RequestTimeout   Kind = "request_timeout"   // 408
 	KeyExpired       Kind = "key_expired"       // 409
 	AnswerNotKept    Kind = "answer_not_kept"   // 409
 	TooLarge         Kind = "too_large"         // 413
@@ -52,7 +53,7 @@
 
 var statuses = map[Kind]int{
 	InvalidRequest: 400, InvalidKey: 400, Unauthenticated: 401, Forbidden: 403,
-	NotFound: 404, UnknownModel: 404, KeyExpired: 409, AnswerNotKept: 409,
+	NotFound: 404, UnknownModel: 404, RequestTimeout: 408, KeyExpired: 409, AnswerNotKept: 409,
 	TooLarge: 413, KeyReused: 422, RateLimited: 429, Cancelled: 499,
 	Internal: 500, EndpointFailed: 502, OutcomeUnknown: 502, Overloaded: 503,
 	DeadlineUnmet: 503, Draining: 503, NotReady: 503, LogUnavailable: 503,
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -209,15 +210,15 @@
 // than one endpoint.
 func (q *request) readBody() *apierr.Error {
 	q.bodyBegun = true
-	rc := http.NewResponseController(q.w)
-	_ = rc.SetReadDeadline(time.Now().Add(remaining(q.deadline, q.g.clock()))) // httptest.ResponseRecorder does not support deadlines
-	body, err := io.ReadAll(q.r.Body)
-	_ = rc.SetReadDeadline(time.Time{})
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return apierr.New(apierr.TooLarge, apierr.NotRun, fmt.Sprintf("the body is longer than %d bytes", tooLarge.Limit), "send a shorter body")
-		}
+	body, err := q.readWithin(remaining(q.deadline, q.g.clock()))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return apierr.New(apierr.TooLarge, apierr.NotRun, fmt.Sprintf("the body is longer than %d bytes", tooLarge.Limit), "send a shorter body")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		q.w.Header().Set("Connection", "close") // the rest of the body may still come
+		return apierr.NewRetryable(apierr.RequestTimeout, apierr.NotRun, overloadRetryAfter, "the body did not arrive within the request's time", "send the request again with a longer deadline").WithCause(err)
+	case err != nil:
 		return apierr.New(apierr.Cancelled, apierr.NotRun, "the request ended early", "send it again").WithCause(err)
 	}
 	q.accessLog.bodyRead = true
@@ -230,6 +231,18 @@
 	return nil
 }
 
+// readWithin reads the body within a time. After an error the deadline stays, as net/http would wait
+// without end for the rest of the body.
+func (q *request) readWithin(limit time.Duration) ([]byte, error) {
+	rc := http.NewResponseController(q.w)
+	_ = rc.SetReadDeadline(time.Now().Add(limit)) // httptest.ResponseRecorder does not support deadlines
+	body, err := io.ReadAll(q.r.Body)
+	if err == nil {
+		_ = rc.SetReadDeadline(time.Time{})
+	}
+	return body, err
+}
+
 // discardBody reads the rest of a request that is refused before its body has been read. If the
 // caller wants the connection closed, net/http would close it with unread bytes, and the reset could
 // overtake the refusal.
--- a/gateway/unanswered_test.go
+++ b/gateway/unanswered_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/galenaweir/galenaweir/core/forward"
 )
 
 // answerStatus reads the head of an answer and returns its status.
@@ -62,3 +64,18 @@
 		})
 	}
 }
+
+// Guards against a request that gets no answer because its body has not arrived whole when its time
+// ends.
+func TestRequestThatArrivesTooSlowlyIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, clock := newGateway(t)
+		g.applyOperators([]forward.OperatorChange{{Config: &forward.Config{Version: 1, Routes: []forward.Route{{Name: "r", Host: "service.test", PathPrefix: "/", Timeout: time.Second, Targets: []forward.Target{{Service: "s", Weight: 1}}}}}}}, clock.read(), true)
+		clock.advance(time.Minute) // past the start, in which requests are refused
+		g.applyOperators(nil, clock.read(), false)
+		c := connect(t, g)
+		_, err := io.WriteString(c, "POST /x HTTP/1.1\r\nHost: service.test\r\nContent-Length: 100\r\n\r\nhalf")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusRequestTimeout, answerStatus(t, c))
+	})
+}
