Set no read deadline for a request without a body

Cause: the read deadline for the body was set and cleared for each request. Without a body, net/http already waits at that time for the caller to leave: if the process was held up between the two calls for longer than the request's time, the deadline passed there, the request's context ended and the request was dropped without an answer. Change: no deadline is set where there is no body. Result: TestRequestWithoutABodyHasNoReadDeadline failed before and passes. The hold-up itself was not reproduced.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -231,9 +231,13 @@
 	return nil
 }
 
-// readWithin reads the body within a time. After an error the deadline stays, as net/http would wait
-// without end for the rest of the body.
+// readWithin reads the body within a time. A request without a body gets no read deadline: net/http
+// already waits for the caller to leave, and would take a deadline that passes for that. After an
+// error the deadline stays, as net/http would wait without end for the rest of the body.
 func (q *request) readWithin(limit time.Duration) ([]byte, error) {
+	if q.r.ContentLength == 0 {
+		return nil, nil
+	}
 	rc := http.NewResponseController(q.w)
 	_ = rc.SetReadDeadline(time.Now().Add(limit)) // httptest.ResponseRecorder does not support deadlines
 	body, err := io.ReadAll(q.r.Body)
--- a/gateway/unanswered_test.go
+++ b/gateway/unanswered_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -79,3 +80,28 @@
 		require.Equal(t, http.StatusRequestTimeout, answerStatus(t, c))
 	})
 }
+
+// deadlineRecorder records the read deadlines that a handler sets.
+type deadlineRecorder struct {
+	*httptest.ResponseRecorder
+	deadlines []time.Time
+}
+
+func (d *deadlineRecorder) SetReadDeadline(t time.Time) error {
+	d.deadlines = append(d.deadlines, t)
+	return nil
+}
+
+// Guards against a request that gets no answer because a read deadline passes after it has been read
+// whole: net/http then ends its context as if the caller had left.
+func TestRequestWithoutABodyHasNoReadDeadline(t *testing.T) {
+	f := newFixture(t, serveRaw(t, respondOK("answer")))
+	w := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
+	r := httptest.NewRequest("GET", "/safe/x", nil)
+	r.Host = "service.test"
+	r.Header.Set("Test-Key", "key")
+	r.Header.Set("Test-Id", "id")
+	f.ServeHTTP(w, r)
+	require.Equal(t, http.StatusOK, w.Code)
+	require.Empty(t, w.deadlines)
+}
