Let a begun stream go on without another check of its key

Cause: a stream that has begun and needs another endpoint was ended by closing its connection if the configuration had become too old to accept keys meanwhile. The bound on removed keys counts from when a request is sent, and the key of this one was accepted then. Change: keys are checked again before an attempt only as long as nothing of the answer has been sent. Of the other ends of begun streams, those without an endpoint, attempt, time or retry budget left remain needed.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/galenaweir/galenaweir/core/forward"
 )
@@ -84,18 +85,22 @@
 // checkKeyFreshness returns errKeyStale if the configuration has become too old to accept the
 // caller's key.
 func (q *request) checkKeyFreshness() error {
-	if q.customer == nil || q.route.Public {
-		return nil
-	}
 	s := q.g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.freshness.KeysValid(s.clock()) {
+	if q.keyExpired(s, s.clock()) {
 		return errKeyStale
 	}
 	return nil
 }
 
+// keyExpired reports whether the configuration has become too old to accept the caller's key. A
+// stream that has begun goes on: its key was accepted, and ending it would lose what its caller has
+// got. The caller holds the state's mutex.
+func (q *request) keyExpired(s *state, now time.Duration) bool {
+	return q.customer != nil && !q.route.Public && !q.headerSent && !s.freshness.KeysValid(now)
+}
+
 // observeResponse updates the health and the weight version of an endpoint from its response.
 func (q *request) observeResponse(p *placement, resp *response) {
 	s := q.g.state
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -34,7 +34,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
-	if q.customer != nil && !q.route.Public && !s.freshness.KeysValid(now) {
+	if q.keyExpired(s, now) {
 		return nil, q.placementError(staleConfigError("a key may have been taken away since the configuration was read"))
 	}
 	left := remaining(q.deadline, now)
--- a/gateway/unanswered_test.go
+++ b/gateway/unanswered_test.go
@@ -105,3 +105,31 @@
 	require.Equal(t, http.StatusOK, w.Code)
 	require.Empty(t, w.deadlines)
 }
+
+// Guards against a stream that ends before its time because the key with which it was accepted
+// can't be checked again when it has to go on at another endpoint.
+func TestBegunStreamGoesOnWithoutAnotherKeyCheck(t *testing.T) {
+	var f *fixture
+	event := func(n int) string { return fmt.Sprintf("id: %d\ndata: x\n\n", n) }
+	head := func(r *http.Request) string {
+		return "HTTP/1.1 200 OK\r\nTest-Id: " + r.Header.Get("Test-Id") + "\r\nTest-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	}
+	chunk := func(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+	breaks := serveRaw(t, func(r *http.Request, c net.Conn) bool {
+		_, _ = io.WriteString(c, head(r)+chunk(event(1)))
+		f.clock.advance(4950 * time.Millisecond) // the log has not been readable for longer than keys are accepted
+		return false
+	})
+	goesOn := serveRaw(t, func(r *http.Request, c net.Conn) bool {
+		_, err := io.WriteString(c, head(r)+chunk(event(2))+"0\r\n\r\n")
+		return err == nil
+	})
+	f = newFixture(t, breaks, goesOn)
+	for i := range f.state.table.Config.Routes {
+		f.state.table.Config.Routes[i].Timeout = time.Minute
+	}
+	status, body, err := f.do(t, f.request(t, "GET", "/resumable/x", ""))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, event(1)+event(2), body)
+}
