Answer and log a request in which the program panics

Cause: net/http ends such a request by closing its connection, and its log, which may hold data of callers, is discarded: no answer and no trace. Change: the panic is logged with its stack, and the request is answered with 500, or cut if its answer has begun. Result: TestRequestThatPanicsIsAnswered failed before and passes. The load of the attempt that panicked stays counted.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -7,9 +7,12 @@
 	"io"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"strings"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/galenaweir/galenaweir/core/apierr"
 	"github.com/galenaweir/galenaweir/core/forward"
 )
@@ -73,6 +76,7 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	defer q.writeAccessLog()
+	defer q.recoverPanic()
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -95,6 +99,20 @@
 	}
 }
 
+// recoverPanic answers a request in which a fault of the program has panicked. net/http would close
+// the connection, and its log, which may hold data of callers, is discarded.
+func (q *request) recoverPanic() {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if err, ok := v.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		panic(v) // the connection is to be closed
+	}
+	log.Error().Str("event", "request_panicked").Str("request", q.call.ID).Any("panic", v).Str("stack", string(debug.Stack())).Msg("report this line to the developers")
+	q.refuse(apierr.New(apierr.Internal, apierr.RanUnknown, "the program has a fault", "report the request's ID to the operators"))
+}
+
 // requestTarget returns the path and query exactly as the caller sent them. The scheme and host of
 // an absolute target are removed; net/http has already set Request.Host from them.
 func requestTarget(r *http.Request) string {
--- a/gateway/unanswered_test.go
+++ b/gateway/unanswered_test.go
@@ -133,3 +133,19 @@
 	require.Equal(t, http.StatusOK, status)
 	require.Equal(t, event(1)+event(2), body)
 }
+
+// panickingCodec fails on each request of a caller.
+type panickingCodec struct{ testHeaderCodec }
+
+func (panickingCodec) ParseRequest(http.Header) (RequestInfo, error) { panic("out of range") }
+
+// Guards against a fault of the program that ends a request without an answer and without a trace.
+func TestRequestThatPanicsIsAnswered(t *testing.T) {
+	f := newFixture(t, serveRaw(t, respondOK("answer")))
+	f.headerCodec = panickingCodec{}
+	status, body, err := f.do(t, f.request(t, "GET", "/safe/x", ""))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusInternalServerError, status)
+	require.Contains(t, body, `"ran":"unknown"`)
+	require.Zero(t, f.inFlight.Load())
+}
