Accept the headers that a configuration may allow

Cause: no code reads the configured limits on the size of a head and on the time for it. A head over 36 KB was refused with 431 whatever the configuration allowed, and one that took over 10 s was cut without an answer. Result: TestRaisedHeaderLimitIsInForce failed before (the answer was cut while the caller still sent its head) and passes. Conclusion: of the four limits of a configuration, the size of bodies and the idle time are followed as they change, the other two are bounds of the program. A caller may hold 128 KB of a connection's head, not 36.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,10 +23,11 @@
 	"github.com/galenaweir/galenaweir/wait"
 )
 
-// Limits on connections from callers.
+// Limits on connections from callers. Those on headers don't change while the process runs, so they
+// leave room for what a configuration may allow; limits_beyond_program is logged if it allows more.
 const (
-	headerTimeout            = 10 * time.Second // for receiving the request headers
-	maxHeaderBytes           = 32 << 10
+	headerTimeout            = 30 * time.Second // for receiving the request headers
+	maxHeaderBytes           = 128 << 10
 	defaultCallerIdleTimeout = time.Minute // applies until the configuration sets the idle timeout
 )
 
--- a/gateway/unanswered_test.go
+++ b/gateway/unanswered_test.go
@@ -149,3 +149,22 @@
 	require.Contains(t, body, `"ran":"unknown"`)
 	require.Zero(t, f.inFlight.Load())
 }
+
+// Guards against requests that are refused although they are within limits which a configuration has
+// raised.
+func TestRaisedHeaderLimitIsInForce(t *testing.T) {
+	f := newFixture(t, serveRaw(t, respondOK("answer")))
+	config := *f.state.table.Config
+	config.Version, config.Limits.HeaderBytes = 2, 128<<10
+	f.applyOperators([]forward.OperatorChange{{Config: &config}}, f.clock.read(), false)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	srv := f.serveOn(l, f.Gateway)
+	t.Cleanup(func() { srv.Close() })
+	f.srv.URL = "http://" + l.Addr().String()
+	r := f.request(t, "GET", "/safe/x", "")
+	r.Header.Set("X-Other", strings.Repeat("x", 100<<10))
+	status, _, err := f.do(t, r)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+}
