Let a planned stop drop no request that has begun to arrive

Cause: in a planned stop http.Server.Shutdown closes connections that net/http takes for idle, which it does until the head of a request has been read, and it drops requests whose head was read after the stop had begun. It is the fault of the idle timer: another party closes a connection without knowing whether a request has begun. Change: the stop ends idle connections through their read deadlines, closes the listener and waits until the other connections have ended; Shutdown isn't used. New connections count as idle until their first byte. Conclusion: the same class of fault as the idle timer.

--- /dev/null
+++ b/gateway/callerconns.go
@@ -0,0 +1,250 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/galenaweir/galenaweir/wait"
+)
+
+const (
+	// idleTimeoutSlack is how long connections stay open beyond the idle timeout. Callers may go by
+	// a raised timeout from its acknowledgement on, before this process has read it.
+	idleTimeoutSlack = 3 * time.Second
+	// lastReadTime is how long a connection is read once more as its idle timeout ends, for bytes
+	// that have arrived meanwhile.
+	lastReadTime = time.Millisecond
+	// closedPollInterval is the pause between two looks whether all connections are closed.
+	closedPollInterval = 5 * time.Millisecond
+)
+
+// callerConns ends caller connections that have been idle for the configured timeout. Unlike
+// http.Server.IdleTimeout, the timeout can change while a server runs, also for connections that
+// are idle already.
+//
+// The timeout is a read deadline, so that the goroutine that would read the next request ends the
+// connection. A timer or a planned stop that closes it from outside can't know whether a request has
+// begun.
+type callerConns struct {
+	mu          sync.Mutex
+	idleTimeout time.Duration
+	headTimeout time.Duration // for the head of a request, from its first byte on
+	draining    bool          // idle connections are ended at once
+	open        int
+	idle        map[*callerConn]idlePeriod
+}
+
+// idlePeriod is the time in which no byte of the next request has been read.
+type idlePeriod struct{ since, until time.Time }
+
+func newCallerConns() *callerConns {
+	return &callerConns{idleTimeout: defaultCallerIdleTimeout, headTimeout: defaultHeadTimeout, idle: map[*callerConn]idlePeriod{}}
+}
+
+// changed returns the period of a connection that is idle while the timeout changes at the time
+// now. A raise holds from the beginning of the period. After a cut, callers that still go by the
+// former timeout get the time to learn of it.
+func (p idlePeriod) changed(timeout time.Duration, now time.Time) idlePeriod {
+	until := p.since.Add(timeout + idleTimeoutSlack)
+	if until.Before(p.until) {
+		until = now.Add(timeout + idleTimeoutSlack)
+		if until.After(p.until) {
+			until = p.until
+		}
+	}
+	return idlePeriod{p.since, until}
+}
+
+// setTimeouts sets the timeouts; 0 stands for the default.
+func (cs *callerConns) setTimeouts(idle, head time.Duration) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.headTimeout = cmp.Or(head, defaultHeadTimeout)
+	idle = cmp.Or(idle, defaultCallerIdleTimeout)
+	if idle == cs.idleTimeout || cs.draining {
+		return
+	}
+	cs.idleTimeout = idle
+	now := time.Now()
+	for c, p := range cs.idle {
+		cs.setPeriod(c, p.changed(idle, now))
+	}
+}
+
+// drain ends the idle connections, and each other one as it becomes idle. It returns when all
+// connections are closed, or with an error when ctx is done.
+func (cs *callerConns) drain(ctx context.Context) error {
+	cs.mu.Lock()
+	cs.draining = true
+	now := time.Now()
+	for c, p := range cs.idle {
+		cs.setPeriod(c, idlePeriod{p.since, now})
+	}
+	cs.mu.Unlock()
+	for cs.openCount() > 0 {
+		if !wait.For(ctx, closedPollInterval) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (cs *callerConns) openCount() int {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return cs.open
+}
+
+// setPeriod sets the idle period of a connection and its read deadline. The caller holds the mutex.
+func (cs *callerConns) setPeriod(c *callerConn, p idlePeriod) {
+	cs.idle[c] = p
+	_ = c.Conn.SetReadDeadline(p.until) // fails only if the connection is closed
+}
+
+// beginIdle begins the idle period of a connection.
+func (cs *callerConns) beginIdle(c *callerConn) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	now := time.Now()
+	until := now.Add(cs.idleTimeout + idleTimeoutSlack)
+	if cs.draining {
+		until = now
+	}
+	cs.setPeriod(c, idlePeriod{now, until})
+}
+
+// beginHead ends the idle period of a connection from which the first bytes of a request have been
+// read. It does nothing if the connection is not idle.
+func (cs *callerConns) beginHead(c *callerConn) error {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	if _, ok := cs.idle[c]; !ok {
+		return nil
+	}
+	delete(cs.idle, c)
+	c.headUntil = time.Now().Add(cs.headTimeout)
+	return c.Conn.SetReadDeadline(c.headUntil)
+}
+
+// period returns the idle period of a connection, and false if it is not idle.
+func (cs *callerConns) period(c *callerConn) (idlePeriod, bool) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	p, ok := cs.idle[c]
+	return p, ok
+}
+
+// connState follows the states of a connection; see http.Server.ConnState. It is called by the
+// goroutine that reads the connection.
+func (cs *callerConns) connState(nc net.Conn, s http.ConnState) {
+	c, ok := nc.(*callerConn)
+	if !ok {
+		return
+	}
+	switch s {
+	case http.StateIdle:
+		cs.beginIdle(c)
+	case http.StateActive: // the head has been read
+		cs.mu.Lock()
+		delete(cs.idle, c) // it may have arrived together with the request before
+		cs.mu.Unlock()
+		c.headUntil = time.Time{}
+		_ = c.Conn.SetReadDeadline(time.Time{}) // fails only if the connection is closed
+	case http.StateNew, http.StateHijacked, http.StateClosed:
+	}
+}
+
+// callerListener accepts caller connections.
+type callerListener struct {
+	net.Listener
+	conns *callerConns
+}
+
+// Accept implements net.Listener.
+func (l callerListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &callerConn{Conn: nc, conns: l.conns}
+	l.conns.mu.Lock()
+	l.conns.open++
+	l.conns.mu.Unlock()
+	l.conns.beginIdle(c)
+	return c, nil
+}
+
+// callerConn is a connection from a caller. The timeouts of net/http that set read deadlines must be
+// off for its server.
+type callerConn struct {
+	net.Conn
+	conns     *callerConns
+	headUntil time.Time // read deadline while the head of a request is read; used by the reading goroutine
+	closed    sync.Once
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.closed.Do(func() {
+		c.conns.mu.Lock()
+		defer c.conns.mu.Unlock()
+		c.conns.open--
+		delete(c.conns.idle, c)
+	})
+	return c.Conn.Close()
+}
+
+// SetReadDeadline implements net.Conn. net/http clears the deadline when a connection becomes idle
+// and when it begins to read a head; the deadlines of this package then stay.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	if !t.IsZero() {
+		return c.Conn.SetReadDeadline(t)
+	}
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	if p, ok := c.conns.idle[c]; ok {
+		return c.Conn.SetReadDeadline(p.until)
+	}
+	return c.Conn.SetReadDeadline(c.headUntil)
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		period, ok := c.conns.period(c)
+		if !ok {
+			return 0, err
+		}
+		now := time.Now()
+		if now.Before(period.until) { // a raised timeout
+			n, err = c.Conn.Read(p)
+			continue
+		}
+		if n, err = c.readOnceMore(p); n == 0 {
+			log.Info().Str("event", "idle_connection_closed").Str("caller", c.RemoteAddr().String()).Dur("idle_ms", now.Sub(period.since)).Msg("a caller sent no request within the idle timeout")
+			return 0, err
+		}
+	}
+	if n > 0 {
+		if derr := c.conns.beginHead(c); derr != nil && err == nil {
+			err = derr
+		}
+	}
+	return n, err
+}
+
+func (c *callerConn) readOnceMore(p []byte) (int, error) {
+	if err := c.Conn.SetReadDeadline(time.Now().Add(lastReadTime)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(p)
+}
--- a/gateway/idle_test.go
+++ b/gateway/callerconns_test.go
@@ -46,6 +46,7 @@
 	*Gateway
 	t        *testing.T
 	listener *pipeListener
+	server   *callerServer
 	clock    *testClock
 }
 
@@ -54,8 +55,8 @@
 	clock := &testClock{}
 	f := &idleFixture{Gateway: New(Options{Settings: testSettings(), Clock: clock.start(time.Hour), Seed: 1, HeaderCodec: testHeaderCodec{}}), t: t, listener: newPipeListener(), clock: clock}
 	f.setIdleTimeout(1, idleTimeout)
-	srv := f.serveOn(f.listener, h)
-	t.Cleanup(func() { srv.Close() })
+	f.server = serveOn(f.listener, h, f.callerConns)
+	t.Cleanup(func() { f.server.Close() })
 	return f
 }
 
@@ -223,3 +224,36 @@
 		})
 	}
 }
+
+// Guards against a request that is dropped because its head is still arriving as a planned stop
+// closes idle connections.
+func TestDrainAnswersRequestsThatHaveBegun(t *testing.T) {
+	for _, first := range []int{1, len(idleTestRequest) / 2, len(idleTestRequest) - 1} {
+		t.Run(fmt.Sprintf("%d bytes arrive first", first), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newIdleFixture(t, time.Minute, answerOK)
+				reused, unused, begun := f.connect(), f.connect(), f.connect()
+				require.NoError(t, reused.call())
+				require.NoError(t, begun.call())
+				for _, c := range []*idleCaller{reused, unused} {
+					_, err := io.WriteString(c.conn, idleTestRequest[:first])
+					require.NoError(t, err)
+				}
+				stopped := make(chan struct{})
+				go func() {
+					f.drain(f.server)
+					close(stopped)
+				}()
+				require.False(t, begun.isClosedWithin(drainDelay-time.Millisecond))
+				require.True(t, begun.isClosedWithin(time.Second), "no request has begun on this connection")
+				for _, c := range []*idleCaller{reused, unused} {
+					require.False(t, c.isClosedWithin(100*time.Millisecond), "the head is on its way")
+					_, err := io.WriteString(c.conn, idleTestRequest[first:])
+					require.NoError(t, err)
+					require.NoError(t, c.readAnswer())
+				}
+				<-stopped
+			})
+		})
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,11 +23,13 @@
 	"github.com/galenaweir/galenaweir/wait"
 )
 
-// Limits on connections from callers. Those on headers don't change while the process runs, so they
-// leave room for what a configuration may allow; limits_beyond_program is logged if it allows more.
+// Limits on connections from callers.
 const (
-	headerTimeout            = 30 * time.Second // for receiving the request headers
+	// maxHeaderBytes doesn't change while the process runs, so it leaves room for what a
+	// configuration may allow; limits_beyond_program is logged if it allows more.
 	maxHeaderBytes           = 128 << 10
+	defaultHeadTimeout       = 10 * time.Second // applies until the configuration sets the timeout of a head
+	maxHeadTimeout           = 30 * time.Second
 	defaultCallerIdleTimeout = time.Minute // applies until the configuration sets the idle timeout
 )
 
@@ -78,9 +80,9 @@
 	peerConn        *net.UDPConn
 	reportRequests  chan struct{}
 
-	draining  atomic.Bool
-	inFlight  atomic.Int64
-	idleConns *idleConns
+	draining    atomic.Bool
+	inFlight    atomic.Int64
+	callerConns *callerConns
 
 	requests           *expvar.Int
 	refusals           *expvar.Map
@@ -103,7 +105,7 @@
 		state: newState(s, o.Clock, rand.New(rand.NewPCG(o.Seed, o.Seed))), pool: newConnPool(o.Clock),
 		ownership:          forward.Ownership{Self: member, Lease: orderLease, Handover: milliseconds(s.OrderHandoverMs) + orderTransitTime},
 		memberID:           member,
-		idleConns:          newIdleConns(),
+		callerConns:        newCallerConns(),
 		reportRequests:     make(chan struct{}, 1),
 		requests:           metrics.Default.Counter("forwarded_requests"),
 		refusals:           metrics.Default.LabeledCounter("forward_refusals"),
@@ -133,18 +135,18 @@
 		return fmt.Errorf("listen on %s for load reports: %w; free the port or change peerPorts in the settings", g.memberID, err)
 	}
 	defer g.peerConn.Close()
-	callers, err := g.serve(g.settings.CallerAddress, g)
+	callers, err := serve(g.settings.CallerAddress, g, g.callerConns)
 	if err != nil {
 		return err
 	}
-	ready, err := g.serve(g.settings.ReadyAddress, http.HandlerFunc(g.serveReady))
+	ready, err := serve(g.settings.ReadyAddress, http.HandlerFunc(g.serveReady), newCallerConns())
 	if err != nil {
 		return err
 	}
 	metrics.Default.Gauge("forwarding", func() any { return g.Status() })
 	if g.settings.MetricsPort > 0 {
 		address := net.JoinHostPort(g.settings.Host, strconv.Itoa(g.settings.MetricsPort))
-		m, err := g.serve(address, metricsHandler())
+		m, err := serve(address, metricsHandler(), newCallerConns())
 		if err != nil {
 			return err
 		}
@@ -184,17 +186,17 @@
 
 // drain gives the balancer time to move callers to other entries, then closes the
 // caller connections once their requests are complete.
-func (g *Gateway) drain(callers *http.Server) {
+func (g *Gateway) drain(callers *callerServer) {
 	g.draining.Store(true)
 	log.Info().Str("event", "draining").Int64("in_flight", g.inFlight.Load()).Msg("reporting not ready")
 	grace := seconds(g.settings.GraceS) - exitMargin
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	wait.For(ctx, drainDelay)
-	if err := callers.Shutdown(ctx); err != nil {
+	if err := callers.drain(ctx); err != nil {
 		log.Warn().Str("event", "drain_cut").Int64("in_flight", g.inFlight.Load()).Err(err).Msg("closing connections with unfinished requests at the end of the grace period")
-		_ = callers.Close() // the process exits next
 	}
+	_ = callers.Close() // the process exits next
 }
 
 func (g *Gateway) leave() {
@@ -213,27 +215,41 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-func (g *Gateway) serve(address string, h http.Handler) (*http.Server, error) {
+// callerServer serves HTTP on a listener.
+type callerServer struct {
+	*http.Server
+	listener net.Listener
+	conns    *callerConns
+}
+
+// drain accepts no further connections and ends the open ones when their requests are complete.
+// http.Server.Shutdown would also drop requests whose heads have just been read.
+func (c *callerServer) drain(ctx context.Context) error {
+	_ = c.listener.Close() // the server is closed next, which reports nothing new
+	return c.conns.drain(ctx)
+}
+
+func serve(address string, h http.Handler, conns *callerConns) (*callerServer, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w; free the port or change the address in the settings", address, err)
 	}
-	return g.serveOn(l, h), nil
+	return serveOn(l, h, conns), nil
 }
 
 // serveOn serves requests from a listener until the returned server is closed.
-func (g *Gateway) serveOn(l net.Listener, h http.Handler) *http.Server {
+func serveOn(l net.Listener, h http.Handler, conns *callerConns) *callerServer {
 	srv := &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.idleConns.connState,
+		Handler: h, MaxHeaderBytes: maxHeaderBytes, ConnState: conns.connState,
 		ErrorLog:                     stdlog.New(io.Discard, "", 0), // it would log data that callers sent
 		DisableGeneralOptionsHandler: true,
 	}
 	go func() {
-		if err := srv.Serve(idleListener{l, g.idleConns}); !errors.Is(err, http.ErrServerClosed) {
+		if err := srv.Serve(callerListener{l, conns}); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			log.Error().Str("event", "listener_ended").Str("address", l.Addr().String()).Err(err).Msg("HTTP server ended")
 		}
 	}()
-	return srv
+	return &callerServer{srv, l, conns}
 }
 
 func (g *Gateway) followOperators(ctx context.Context) {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -393,6 +393,10 @@
 		return err == nil
 	})
 	f := newFixture(t, e)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := serveOn(l, f.Gateway, f.callerConns)
+	f.srv.URL = "http://" + l.Addr().String()
 	done := make(chan string)
 	go func() {
 		_, body, err := f.do(t, f.request(t, "POST", "/unsafe/x", "pay"))
@@ -401,12 +405,12 @@
 	<-arrived
 	stopped := make(chan struct{})
 	go func() {
-		f.drain(f.srv.Config)
+		f.drain(server)
 		close(stopped)
 	}()
 	require.Eventually(t, func() bool { return !f.Ready() }, time.Second, time.Millisecond)
 	require.Eventually(t, func() bool {
-		c, err := net.Dial("tcp", f.srv.Listener.Addr().String())
+		c, err := net.Dial("tcp", l.Addr().String())
 		if err == nil {
 			c.Close()
 		}
--- a/gateway/unanswered_test.go
+++ b/gateway/unanswered_test.go
@@ -34,7 +34,7 @@
 func connect(t *testing.T, g *Gateway) net.Conn {
 	t.Helper()
 	l := newPipeListener()
-	srv := g.serveOn(l, g)
+	srv := serveOn(l, g, g.callerConns)
 	t.Cleanup(func() { srv.Close() })
 	near, far := net.Pipe()
 	t.Cleanup(func() { near.Close() })
@@ -159,7 +159,7 @@
 	f.applyOperators([]forward.OperatorChange{{Config: &config}}, f.clock.read(), false)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	srv := f.serveOn(l, f.Gateway)
+	srv := serveOn(l, f.Gateway, f.callerConns)
 	t.Cleanup(func() { srv.Close() })
 	f.srv.URL = "http://" + l.Addr().String()
 	r := f.request(t, "GET", "/safe/x", "")
