Follow the configured time for a head

Cause: no code reads the configured time within which a caller sends the head of a request; it was 10 s, then 30 s, whatever the configuration said. Callers that may take longer were cut without an answer. Change: callerConns sets the read deadline of a head from the configuration in force as its first byte arrives; 10 s without one.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -220,9 +220,9 @@
 	}
 	s.table = forward.NewTable(c)
 	s.streams.SetRoutes(c.Routes)
-	g.callerConns.setTimeouts(c.Limits.IdleTimeout, maxHeadTimeout)
-	if c.Limits.HeaderBytes > maxHeaderBytes || c.Limits.HeaderTimeout > maxHeadTimeout {
-		log.Warn().Str("event", "limits_beyond_program").Int64("version", c.Version).Int("header_bytes", c.Limits.HeaderBytes).Int("max_header_bytes", maxHeaderBytes).Dur("header_timeout_ms", c.Limits.HeaderTimeout).Dur("max_header_timeout_ms", maxHeadTimeout).Msg("the configuration allows callers more than this program takes; lower the limits in it")
+	g.callerConns.setTimeouts(c.Limits.IdleTimeout, c.Limits.HeaderTimeout)
+	if c.Limits.HeaderBytes > maxHeaderBytes {
+		log.Warn().Str("event", "limits_beyond_program").Int64("version", c.Version).Int("header_bytes", c.Limits.HeaderBytes).Int("max_header_bytes", maxHeaderBytes).Msg("the configuration allows longer headers than this program takes; lower the limit in it")
 	}
 	log.Info().Str("event", "config_applied").Int64("version", c.Version).Int("routes", len(c.Routes)).Int("customers", len(c.Customers)).
 		Dur("read_ms", age).Msg("configuration in force")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,8 +29,7 @@
 	// configuration may allow; limits_beyond_program is logged if it allows more.
 	maxHeaderBytes           = 128 << 10
 	defaultHeadTimeout       = 10 * time.Second // applies until the configuration sets the timeout of a head
-	maxHeadTimeout           = 30 * time.Second
-	defaultCallerIdleTimeout = time.Minute // applies until the configuration sets the idle timeout
+	defaultCallerIdleTimeout = time.Minute      // applies until the configuration sets the idle timeout
 )
 
 // Readiness and shutdown.
--- a/gateway/unanswered_test.go
+++ b/gateway/unanswered_test.go
@@ -168,3 +168,24 @@
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, status)
 }
+
+// Guards against a caller that is cut although its head arrives within the time that a configuration
+// has raised, and against one that holds a connection beyond that time.
+func TestConfiguredTimeoutOfAHeadIsInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newIdleFixture(t, time.Minute, answerOK)
+		f.applyOperators([]forward.OperatorChange{{Config: &forward.Config{Version: 2, Limits: forward.Limits{IdleTimeout: time.Minute, HeaderTimeout: 40 * time.Second}}}}, f.clock.read(), false)
+		whole, late := f.connect(), f.connect()
+		for _, c := range []*idleCaller{whole, late} {
+			_, err := io.WriteString(c.conn, idleTestRequest[:10])
+			require.NoError(t, err)
+		}
+		require.False(t, whole.isClosedWithin(39*time.Second))
+		_, err := io.WriteString(whole.conn, idleTestRequest[10:])
+		require.NoError(t, err)
+		require.NoError(t, whole.readAnswer())
+		require.NoError(t, late.conn.SetReadDeadline(time.Now().Add(2*time.Second)))
+		_, err = io.ReadAll(late.br)
+		require.NoError(t, err, "the connection is still open")
+	})
+}
