End the wait for the rest of a refused request

Cause: discardBody cleared its read deadline also when the rest of the body hadn't come. net/http then reads up to 256 KB of the rest without a time limit, where the connection is to stay open before it sends the refusal: the caller got no refusal and the connection and its goroutine stayed for as long as the caller waited. Change: unless the body has come whole, the deadline stays and the connection is closed. Result: go test ./gateway -run TestRefusalDoesNotWaitForARequestThatStalls fails before (no answer within 2 s of virtual time) and passes with -race. Conclusion: an end without an answer that a caller can meet at each refusal before its body has been read (401, 404, 503).

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -267,14 +267,18 @@
 
 // discardBody reads the rest of a request that is refused before its body has been read. If the
 // caller wants the connection closed, net/http would close it with unread bytes, and the reset could
-// overtake the refusal.
+// overtake the refusal. If the rest doesn't come, the connection is closed and the read deadline
+// stays: net/http would wait for the rest without end, also before it sends the refusal.
 func (q *request) discardBody() {
 	if q.bodyBegun || q.r.ContentLength == 0 || q.r.Header.Get("Expect") != "" {
 		return
 	}
 	rc := http.NewResponseController(q.w)
-	_ = rc.SetReadDeadline(time.Now().Add(maxDiscardTime))   // httptest.ResponseRecorder does not support deadlines
-	_, _ = io.CopyN(io.Discard, q.r.Body, maxDiscardedBytes) // the refusal is sent whether or not the body arrives whole
+	_ = rc.SetReadDeadline(time.Now().Add(maxDiscardTime)) // httptest.ResponseRecorder does not support deadlines
+	if _, err := io.CopyN(io.Discard, q.r.Body, maxDiscardedBytes); !errors.Is(err, io.EOF) {
+		q.w.Header().Set("Connection", "close")
+		return
+	}
 	_ = rc.SetReadDeadline(time.Time{})
 }
 
--- a/gateway/unanswered_test.go
+++ b/gateway/unanswered_test.go
@@ -42,6 +42,16 @@
 	return near
 }
 
+// newServingGateway returns a gateway with one route that has left its start behind.
+func newServingGateway(t *testing.T) *Gateway {
+	t.Helper()
+	g, clock := newGateway(t)
+	g.applyOperators([]forward.OperatorChange{{Config: &forward.Config{Version: 1, Routes: []forward.Route{{Name: "r", Host: "service.test", PathPrefix: "/", Timeout: time.Second, Targets: []forward.Target{{Service: "s", Weight: 1}}}}}}}, clock.read(), true)
+	clock.advance(time.Minute) // past the start, in which requests are refused
+	g.applyOperators(nil, clock.read(), false)
+	return g
+}
+
 // Guards against a refusal that the caller doesn't get because the entry closes the connection while
 // the body of the request is on its way: closing with unread bytes resets the connection.
 func TestRefusedRequestIsReadBeforeItsConnectionIsClosed(t *testing.T) {
@@ -70,11 +80,7 @@
 // ends.
 func TestRequestThatArrivesTooSlowlyIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g, clock := newGateway(t)
-		g.applyOperators([]forward.OperatorChange{{Config: &forward.Config{Version: 1, Routes: []forward.Route{{Name: "r", Host: "service.test", PathPrefix: "/", Timeout: time.Second, Targets: []forward.Target{{Service: "s", Weight: 1}}}}}}}, clock.read(), true)
-		clock.advance(time.Minute) // past the start, in which requests are refused
-		g.applyOperators(nil, clock.read(), false)
-		c := connect(t, g)
+		c := connect(t, newServingGateway(t))
 		_, err := io.WriteString(c, "POST /x HTTP/1.1\r\nHost: service.test\r\nContent-Length: 100\r\n\r\nhalf")
 		require.NoError(t, err)
 		require.Equal(t, http.StatusRequestTimeout, answerStatus(t, c))
@@ -189,3 +195,21 @@
 		require.NoError(t, err, "the connection is still open")
 	})
 }
+
+// Guards against a refusal that the caller doesn't get as long as the rest of its request stays out:
+// net/http reads the rest without a time limit before it sends an answer or closes the connection.
+func TestRefusalDoesNotWaitForARequestThatStalls(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 100", "Transfer-Encoding: chunked", "Content-Length: 400000"} {
+		t.Run(framing, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := connect(t, newServingGateway(t))
+				_, err := io.WriteString(c, "POST /unknown HTTP/1.1\r\nHost: other.test\r\n"+framing+"\r\n\r\n4\r\nhalf\r\n")
+				require.NoError(t, err)
+				require.NoError(t, c.SetReadDeadline(time.Now().Add(2*maxDiscardTime)))
+				require.Equal(t, http.StatusNotFound, answerStatus(t, c))
+				_, err = c.Read(make([]byte, 1))
+				require.ErrorIs(t, err, io.EOF, "the connection stays open")
+			})
+		})
+	}
+}
