Refuse a request whose body is malformed

Cause: each error of reading a body but its limit and its time counted as a caller that has left. A chunk without a length, or a trailer longer than net/http takes (4 KB), ended with a closed connection while the caller waited. Change: an error of reading with the request's context still alive is answered with 400, not run, and the connection is closed. net/http ends the context when the connection itself fails. Conclusion: of the ends of readBody, only a failed connection remains without an answer.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -236,6 +236,9 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		q.w.Header().Set("Connection", "close") // the rest of the body may still come
 		return apierr.NewRetryable(apierr.RequestTimeout, apierr.NotRun, overloadRetryAfter, "the body did not arrive within the request's time", "send the request again with a longer deadline").WithCause(err)
+	case err != nil && q.r.Context().Err() == nil: // net/http ends the context if the connection fails
+		q.w.Header().Set("Connection", "close") // where the next request begins is not known
+		return apierr.New(apierr.InvalidRequest, apierr.NotRun, "the body is malformed", "correct its chunks or its trailer").WithCause(err)
 	case err != nil:
 		return apierr.New(apierr.Cancelled, apierr.NotRun, "the request ended early", "send it again").WithCause(err)
 	}
--- a/gateway/unanswered_test.go
+++ b/gateway/unanswered_test.go
@@ -213,3 +213,22 @@
 		})
 	}
 }
+
+// Guards against a request that gets no answer because its body is no body in the protocol, while its
+// caller waits.
+func TestMalformedBodyIsRefused(t *testing.T) {
+	for name, body := range map[string]string{
+		"no length of a chunk": "zz\r\n",
+		"a long trailer":       "0\r\nX-Other: " + strings.Repeat("x", 8<<10) + "\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := connect(t, newServingGateway(t))
+				go func() {
+					_, _ = io.WriteString(c, "POST /x HTTP/1.1\r\nHost: service.test\r\nTransfer-Encoding: chunked\r\n\r\n"+body) // the refusal may come first
+				}()
+				require.Equal(t, http.StatusBadRequest, answerStatus(t, c))
+			})
+		})
+	}
+}
