Read what has arrived before a connection ends

Cause: as the idle period ended, the connection was read once more with a deadline of 1 ms. A Go read whose deadline has passed fails without looking for bytes. A process that is held up between the two calls (a small share of a core, a freeze that ended all idle periods at once) closed a connection with a whole request unread. The deadline of a head, which may be short by the configuration, did the same to a head that needs more than one read (4 KB). Change: a connection ends at one of these deadlines only if the socket has nothing to be read, without a time limit to that look. Nothing else can set a deadline between the look and the read, as the idle period has been ended. Connections in memory, which only tests use, are read once more as before. A caller that sends slowly gains at most what has arrived at the deadline, bounded by the size of a head.

--- a/gateway/callerconns.go
+++ b/gateway/callerconns.go
@@ -8,9 +8,11 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/phuslu/log"
+	"golang.org/x/sys/unix"
 
 	"github.com/galenaweir/galenaweir/wait"
 )
@@ -19,8 +21,8 @@
 	// idleTimeoutSlack is how long connections stay open beyond the idle timeout. Callers may go by
 	// a raised timeout from its acknowledgement on, before this process has read it.
 	idleTimeoutSlack = 3 * time.Second
-	// lastReadTime is how long a connection is read once more as its idle timeout ends, for bytes
-	// that have arrived meanwhile.
+	// lastReadTime is how long a connection that isn't a socket is read once more as its idle
+	// timeout ends, for bytes that have arrived meanwhile.
 	lastReadTime = time.Millisecond
 	// closedPollInterval is the pause between two looks whether all connections are closed.
 	closedPollInterval = 5 * time.Millisecond
@@ -216,21 +218,25 @@
 	return c.Conn.SetReadDeadline(c.headUntil)
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. The end of the idle period, or of the time for a head, ends the
+// connection only if nothing has arrived.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
-		period, ok := c.conns.period(c)
-		if !ok {
+		period, idle := c.conns.period(c)
+		if !idle && c.headUntil.IsZero() { // a deadline of the handler or of net/http
 			return 0, err
 		}
 		now := time.Now()
-		if now.Before(period.until) { // a raised timeout
+		if idle && now.Before(period.until) { // a raised timeout
 			n, err = c.Conn.Read(p)
 			continue
 		}
-		if n, err = c.readOnceMore(p); n == 0 {
+		n, err = c.readArrived(p)
+		if n == 0 && idle {
 			log.Info().Str("event", "idle_connection_closed").Str("caller", c.RemoteAddr().String()).Dur("idle_ms", now.Sub(period.since)).Msg("a caller sent no request within the idle timeout")
+		}
+		if n == 0 {
 			return 0, err
 		}
 	}
@@ -242,6 +248,48 @@
 	return n, err
 }
 
+// readArrived reads what has arrived at a connection whose read deadline has passed. A read with a
+// deadline, however late, could fail with bytes unread: the process may be held up before it begins.
+func (c *callerConn) readArrived(p []byte) (int, error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return c.readOnceMore(p)
+	}
+	if !hasArrived(sc) {
+		return 0, os.ErrDeadlineExceeded
+	}
+	if err := c.conns.beginHead(c); err != nil { // from here on nothing else sets a deadline
+		return 0, err
+	}
+	if err := c.Conn.SetReadDeadline(time.Time{}); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(p)
+	if derr := c.Conn.SetReadDeadline(c.headUntil); err == nil {
+		err = derr
+	}
+	return n, err
+}
+
+// hasArrived reports whether a read from a socket would return at once.
+func hasArrived(sc syscall.Conn) bool {
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true // the read fails
+	}
+	arrived := true
+	_ = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		err := error(unix.EINTR)
+		for errors.Is(err, unix.EINTR) {
+			_, _, err = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		}
+		arrived = !errors.Is(err, unix.EAGAIN)
+	}) // after an error the read fails
+	return arrived
+}
+
+// readOnceMore reads from a connection in memory.
 func (c *callerConn) readOnceMore(p []byte) (int, error) {
 	if err := c.Conn.SetReadDeadline(time.Now().Add(lastReadTime)); err != nil {
 		return 0, err
--- a/gateway/callerconns_test.go
+++ b/gateway/callerconns_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"github.com/galenaweir/galenaweir/core/forward"
 	"github.com/galenaweir/galenaweir/wait"
@@ -257,3 +259,54 @@
 		})
 	}
 }
+
+// heldUpConn is a connection of a process that is held up each time after it has set a read deadline:
+// the deadline has passed before the read begins.
+type heldUpConn struct{ *net.TCPConn }
+
+func (c heldUpConn) SetReadDeadline(d time.Time) error {
+	if !d.IsZero() {
+		d = time.Unix(1, 0)
+	}
+	return c.TCPConn.SetReadDeadline(d)
+}
+
+// awaitUnread waits until bytes have arrived at a connection.
+func awaitUnread(t *testing.T, c *net.TCPConn, n int) {
+	t.Helper()
+	raw, err := c.SyscallConn()
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		unread := 0
+		require.NoError(t, raw.Control(func(fd uintptr) { unread, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }))
+		return unread >= n
+	}, 10*time.Second, time.Millisecond)
+}
+
+// Guards against a request that is dropped although it has arrived, because the process was held up
+// while it read it: a read with a deadline that has passed fails even if there are bytes to be read.
+func TestRequestThatHasArrivedIsReadAfterAHoldUp(t *testing.T) {
+	for _, headBytes := range []int{100, 20 << 10} {
+		t.Run(fmt.Sprintf("a head of %d bytes", headBytes), func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer l.Close()
+			c, err := net.Dial("tcp", l.Addr().String())
+			require.NoError(t, err)
+			defer c.Close()
+			accepted, err := l.Accept()
+			require.NoError(t, err)
+			request := "GET / HTTP/1.1\r\nHost: service.test\r\nConnection: close\r\nX-Other: " + strings.Repeat("x", headBytes) + "\r\n\r\n"
+			_, err = io.WriteString(c, request)
+			require.NoError(t, err)
+			awaitUnread(t, accepted.(*net.TCPConn), len(request))
+			conns := newCallerConns()
+			conns.draining = true // the idle period of the connection ends at once
+			listener := newPipeListener()
+			srv := serveOn(listener, answerOK, conns)
+			defer srv.Close()
+			listener.conns <- heldUpConn{accepted.(*net.TCPConn)}
+			require.Equal(t, http.StatusOK, answerStatus(t, c))
+		})
+	}
+}
