Let net/http close caller connections for writing

Cause: connections of callers are wrapped since the idle timeout is a read deadline, and the wrapper hid CloseWrite. net/http ends a refusal of its own (431 without a length, 413) by closing for writing, and closes the rest 500 ms later so that a reset doesn't overtake the answer. Without it the caller saw the end 500 ms late. Change: the wrapper passes CloseWrite on. Conclusion: the other optional method that net/http looks for on a connection is ReadFrom, which the entry doesn't come to use.

--- a/gateway/callerconns.go
+++ b/gateway/callerconns.go
@@ -218,6 +218,15 @@
 	return c.Conn.SetReadDeadline(c.headUntil)
 }
 
+// CloseWrite closes the connection for writing, if it can be. net/http uses it so that a refusal of
+// its own isn't overtaken by a reset.
+func (c *callerConn) CloseWrite() error {
+	if cw, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return cw.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
 // Read implements net.Conn. The end of the idle period, or of the time for a head, ends the
 // connection only if nothing has arrived.
 func (c *callerConn) Read(p []byte) (int, error) {
--- a/gateway/callerconns_test.go
+++ b/gateway/callerconns_test.go
@@ -310,3 +310,34 @@
 		})
 	}
 }
+
+// closeWriteConn records whether its side has been closed for writing.
+type closeWriteConn struct {
+	net.Conn
+	closed *atomic.Bool
+}
+
+func (c closeWriteConn) CloseWrite() error {
+	c.closed.Store(true)
+	return nil
+}
+
+// Guards against an answer that the caller takes for unfinished, or that a reset overtakes: where
+// net/http refuses a request by itself, it ends the answer by closing its side of the connection and
+// waits before it closes the other.
+func TestAnswerOfNetHTTPEndsByClosingForWriting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		listener := newPipeListener()
+		srv := serveOn(listener, answerOK, newCallerConns())
+		defer srv.Close()
+		near, far := net.Pipe()
+		defer near.Close()
+		var closed atomic.Bool
+		listener.conns <- closeWriteConn{far, &closed}
+		go func() {
+			_, _ = io.WriteString(near, "GET / HTTP/1.1\r\nX-Other: "+strings.Repeat("x", 2*maxHeaderBytes)+"\r\n\r\n") // the refusal comes first
+		}()
+		require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, answerStatus(t, near))
+		require.True(t, closed.Load())
+	})
+}
