Close connections with the answers sent during a planned stop

Cause: only requests that began after the stop were answered with Connection: close. The connection of one that ran as the stop began was closed as its answer ended, without notice, so that a caller that reused it at once lost its request. Change: whether the connection is closed is decided when the answer's head is sent. Conclusion: the caller knows of the close before it can begin another request; streams whose head had been sent before the stop keep the crossing.

--- a/gateway/accesslog.go
+++ b/gateway/accesslog.go
@@ -34,6 +34,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	q.discardBody()
+	q.closeWhileDraining()
 	body := errorBody{Kind: e.Kind, Ran: e.Ran, Message: e.Message, Remedy: e.Remedy, RetryAfterMs: e.RetryAfter.Milliseconds(), RequestID: q.call.ID}
 	data, err := json.Marshal(map[string]errorBody{"error": body})
 	if err != nil {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -202,6 +202,7 @@
 
 // writeHeader sends the status and the end-to-end headers of an endpoint's response.
 func (q *request) writeHeader(resp *response, length int64) {
+	q.closeWhileDraining()
 	h := q.w.Header()
 	connection := h.Get("Connection")
 	removeHopByHopHeaders(resp.httpResp.Header)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -77,9 +77,6 @@
 	defer g.inFlight.Add(-1)
 	defer q.writeAccessLog()
 	defer q.recoverPanic()
-	if g.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	err := q.admit()
 	if err != nil && err.Kind == apierr.StaleReplica && g.state.awaitReadAfterResume(r.Context()) {
 		err = q.admit()
@@ -285,6 +282,14 @@
 	_ = rc.SetReadDeadline(time.Time{})
 }
 
+// closeWhileDraining makes an answer that is about to be sent the last one on its connection if a
+// planned stop is under way.
+func (q *request) closeWhileDraining() {
+	if q.g.draining.Load() {
+		q.w.Header().Set("Connection", "close")
+	}
+}
+
 // forward sends the request to endpoints until one has responded or no further attempt is
 // allowed.
 func (q *request) forward(ctx context.Context) *apierr.Error {
--- a/gateway/unanswered_test.go
+++ b/gateway/unanswered_test.go
@@ -232,3 +232,33 @@
 		})
 	}
 }
+
+// Guards against a caller that reuses a connection as a planned stop ends it: an answer that is sent
+// while the stop is under way says that the connection is closed, also if its request came before.
+func TestAnswerDuringAPlannedStopClosesItsConnection(t *testing.T) {
+	for _, path := range []string{"/unsafe/x", "/stream/x", "/unsafe/refused"} {
+		t.Run(path, func(t *testing.T) {
+			arrived, release := make(chan struct{}), make(chan struct{})
+			f := newFixture(t, serveRaw(t, func(r *http.Request, c net.Conn) bool {
+				close(arrived)
+				<-release
+				if r.URL.Path == "/unsafe/refused" {
+					return false
+				}
+				return respondOK("id: 1\n\n")(r, c)
+			}))
+			closes := make(chan bool, 1)
+			go func() {
+				resp, err := f.srv.Client().Do(f.request(t, "POST", path, "pay"))
+				if assert.NoError(t, err) {
+					closes <- resp.Close
+					resp.Body.Close()
+				}
+			}()
+			<-arrived
+			f.draining.Store(true)
+			close(release)
+			require.True(t, <-closes)
+		})
+	}
+}
