Test that a stopping server drops no request that has begun

Cause: process.Server, which serves callers of the entries that don't run forward, stops by http.Server.Shutdown: it closes connections that net/http takes for idle, which it does until a head has been read, and drops requests whose head was read after the stop began. The mend isn't small: the server speaks TLS, under which a read deadline belongs to the connection below, and HTTP/2, which needs the GOAWAY that Shutdown sends.

--- a/process/process_test.go
+++ b/process/process_test.go
@@ -1,9 +1,11 @@
 package process
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"syscall"
 	"testing"
@@ -68,3 +70,30 @@
 	require.Equal(t, http.StatusNoContent, status("/healthz"))
 	require.Equal(t, http.StatusOK, status("/debug/vars"))
 }
+
+// Guards against a request that is dropped because its head is still arriving as the server shuts
+// down.
+func TestShutdownAnswersRequestsThatHaveBegun(t *testing.T) {
+	s, err := Serve("127.0.0.1:0", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), nil)
+	require.NoError(t, err)
+	defer s.Close()
+	c, err := net.Dial("tcp", s.Address())
+	require.NoError(t, err)
+	defer c.Close()
+	const request = "GET / HTTP/1.1\r\nHost: service.test\r\n\r\n"
+	br := bufio.NewReader(c)
+	call := func(part string) {
+		_, err := io.WriteString(c, part)
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(br, nil)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+	}
+	call(request)
+	_, err = io.WriteString(c, request[:10])
+	require.NoError(t, err)
+	expired, cancel := context.WithCancel(t.Context())
+	cancel()
+	_ = s.Shutdown(expired)
+	call(request[10:])
+}
