Log what an attempt that broke off had received, and its endpoint's fate

Change: an attempt that ended by EOF or reset writes the line attempt_broke_off with these fields. Whether the endpoint ended is found out by at most two connections beside the request; at most 64 such checks run at once. No decision depends on it.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -40,6 +40,7 @@
 		return xerr
 	}
 	defer resp.close()
+	p.headArrived = true
 	q.observeResponse(p, resp)
 	if q.shouldRetryResponse(resp) {
 		return &exchangeError{sent: true, status: resp.httpResp.StatusCode, err: fmt.Errorf("the endpoint failed with %d", resp.httpResp.StatusCode)}
--- /dev/null
+++ b/gateway/breakoff.go
@@ -0,0 +1,115 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/phuslu/log"
+)
+
+// Bounds on what is done for an attempt that broke off.
+const (
+	endpointCheckTimeout = 300 * time.Millisecond // a refusal takes a round trip of a few milliseconds
+	endpointSettleTime   = 20 * time.Millisecond  // an endpoint that ends closes its connections and its listener one after the other
+	maxEndpointChecks    = 64                     // at once
+	maxLoggedParts       = 8
+	maxLoggedPartBytes   = 32 // of a part's ID
+)
+
+// endpointFate says whether an endpoint ended when a connection to it did.
+type endpointFate string
+
+// The fates of an endpoint.
+const (
+	fateUnknown endpointFate = "unknown"
+	fateAlive   endpointFate = "alive" // only the connection ended
+	fateEnded   endpointFate = "ended" // it refuses connections
+)
+
+// brokeOff reports whether an attempt ended because the endpoint closed or reset the connection.
+func (e *exchangeError) brokeOff() bool {
+	if e == nil || !e.sent || e.notRun {
+		return false
+	}
+	for _, target := range []error{io.EOF, io.ErrUnexpectedEOF, errTruncatedEvent, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(e.err, target) {
+			return true
+		}
+	}
+	return false
+}
+
+// sharedParts returns the IDs of the parts of the prompt that other requests may contain, up to
+// bounds on their number and length.
+func (q *request) sharedParts() string {
+	if q.call.Prompt == nil {
+		return ""
+	}
+	var ids []string
+	for _, p := range q.call.Prompt.SharedParts() {
+		if len(ids) == maxLoggedParts {
+			ids = append(ids, "...")
+			break
+		}
+		ids = append(ids, p.ID[:min(len(p.ID), maxLoggedPartBytes)])
+	}
+	return strings.Join(ids, ",")
+}
+
+// logBreakOff finds out whether the endpoint of an attempt that broke off has ended, and logs it
+// with what the endpoint had sent by then.
+func (q *request) logBreakOff(p *placement, x *exchangeError) {
+	if !x.brokeOff() || q.r.Context().Err() != nil {
+		return
+	}
+	g, e := q.g, p.endpoint
+	line := log.Info().Str("event", "attempt_broke_off").Str("request", q.call.ID).Str("endpoint", e.ID).Str("build", e.Build).Int64("weights", p.choice.Version).
+		Str("parts", q.sharedParts()).Bool("head", p.headArrived).Int("events", p.events).Dur("took_ms", g.clock()-p.placedAt)
+	select {
+	case g.endpointChecks <- struct{}{}:
+	default:
+		line.Str("fate", string(fateUnknown)).Msg("too many checks are under way to find out whether the endpoint has ended")
+		return
+	}
+	go func() {
+		defer func() { <-g.endpointChecks }()
+		line.Str("fate", string(checkEndpoint(e.Address))).Msg("the endpoint closed the connection of an attempt")
+	}()
+}
+
+// checkEndpoint finds out whether the endpoint at an address has ended.
+func checkEndpoint(address string) endpointFate {
+	ctx, cancel := context.WithTimeout(context.Background(), endpointCheckTimeout)
+	defer cancel()
+	for range 2 {
+		nc, err := dialer.DialContext(ctx, "tcp", address)
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return fateEnded
+		case err != nil:
+			return fateUnknown
+		}
+		settled := time.NewTimer(endpointSettleTime)
+		select {
+		case <-settled.C:
+		case <-ctx.Done():
+			settled.Stop()
+		}
+		open := isReusable(newEndpointConn(nc))
+		nc.Close()
+		if open {
+			return fateAlive
+		}
+	}
+	return fateUnknown
+}
+
+// countEvents returns the number of events in complete events.
+func countEvents(events []byte) int {
+	return bytes.Count(events, []byte("\n\n")) + bytes.Count(events, []byte("\r\n\r\n"))
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -78,6 +78,7 @@
 	memberID        string
 	peerConn        *net.UDPConn
 	reportRequests  chan struct{}
+	endpointChecks  chan struct{} // holds a value for each check of an endpoint that is under way
 
 	draining    atomic.Bool
 	inFlight    atomic.Int64
@@ -106,6 +107,7 @@
 		memberID:           member,
 		callerConns:        newCallerConns(),
 		reportRequests:     make(chan struct{}, 1),
+		endpointChecks:     make(chan struct{}, maxEndpointChecks),
 		requests:           metrics.Default.Counter("forwarded_requests"),
 		refusals:           metrics.Default.LabeledCounter("forward_refusals"),
 		rejectedReports:    metrics.Default.Counter("stray_load_reports"),
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -26,6 +26,8 @@
 	limit           float64       // limit of the endpoint that was known, forward.Unlimited if none
 	outdatedFor     time.Duration // longest time for which a newer weight version may have been set, 0 if none is
 	fetchDeadlineMs int64         // deadline of fetches, on the stores' clock
+	headArrived     bool          // the head of the response has arrived
+	events          int           // complete events that have arrived
 }
 
 // place chooses an endpoint and adds the request to its load.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -26,6 +26,7 @@
 	for {
 		n, err := resp.Read(buf)
 		if complete := events.add(buf[:n]); len(complete) > 0 {
+			p.events += countEvents(complete)
 			q.recordFirstEvent(p)
 			if err := q.bindTo(p); err != nil {
 				return &exchangeError{sent: true, err: err}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -306,6 +306,7 @@
 		}
 		xerr := q.sendTo(ctx, p)
 		q.finishAttempt(p, xerr)
+		q.logBreakOff(p, xerr)
 		if xerr == nil {
 			return nil
 		}
