--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -34,6 +34,12 @@
 		}
 		c.Timeout = time.Duration(n) * time.Millisecond
 	}
+	if v := h.Get("Test-Prompt"); v != "" {
+		c.Prompt = &forward.Prompt{Model: "m", Tokens: 100, MaxOutput: 8}
+		for id := range strings.SplitSeq(v, ",") {
+			c.Prompt.Parts = append(c.Prompt.Parts, forward.Part{ID: id, Tokens: 10})
+		}
+	}
 	return c, nil
 }
 
