Refuse requests with a part of a prompt that ends endpoints

Change: an attempt that broke off before its first complete event is a trial against its shared parts if the endpoint refuses a connection right after and is listed as ready. Events clear the parts. Entries tell each other in the load reports, at once and five times, and a starting entry learns the held parts with the peers' facts. A request with a held part is refused with 503, prompt_part_held, before it is sent, also as a further attempt or a resumed stream. The table of placement candidates, retries and the check before sending use the same decision.

Conclusion: the entry saves held parts through PartStore, which the platform doesn't implement yet.

--- a/core/forward/choose.go
+++ b/core/forward/choose.go
@@ -195,8 +195,11 @@
 }
 
 // weightVersion returns the endpoint's weight version of a model, 0 if unknown.
-func (c *Candidate) weightVersion(model string) int64 {
-	for _, m := range c.Endpoint.Models {
+func (c *Candidate) weightVersion(model string) int64 { return c.Endpoint.WeightVersion(model) }
+
+// WeightVersion returns the endpoint's weight version of a model, 0 if unknown.
+func (e *Endpoint) WeightVersion(model string) int64 {
+	for _, m := range e.Models {
 		if m.Name == model {
 			return m.Version
 		}
--- a/core/forward/partevidence.go
+++ b/core/forward/partevidence.go
@@ -70,6 +70,17 @@
 	return p
 }
 
+// Shift returns the part with its times on another clock.
+func (p SuspectPart) Shift(by time.Duration) SuspectPart {
+	p = p.clone()
+	p.LastUse += by
+	for i := range p.Trials {
+		p.Trials[i].SentAt += by
+		p.Trials[i].EndedAt += by
+	}
+	return p
+}
+
 // weight returns the weight of the evidence: the heaviest sequence of trials each of which was
 // sent after the one before had ended. Endpoints that end together count once.
 func (p *SuspectPart) weight() int {
--- a/core/forward/parthold_test.go
+++ b/core/forward/parthold_test.go
@@ -315,7 +315,7 @@
 	require.True(t, h.OwnsHeld(owner, h.members))
 	require.False(t, h.OwnsHeld(other, h.members))
 	require.Empty(t, h.ToReport(owner, h.members, 10, h.now))
-	h.now += ownerRepeatPause
+	h.now += OwnerRepeatPause
 	require.Empty(t, h.ToReport(other, h.members, 10, h.now))
 	require.Len(t, h.ToReport(owner, h.members, 10, h.now), 1)
 	require.Empty(t, h.ToReport(owner, h.members, 10, h.now))
@@ -328,7 +328,7 @@
 	for range 20 {
 		heard.Merge(h.parts[partKey("p")].clone(), false, h.now)
 		require.Empty(t, heard.ToReport(other, h.members, 10, h.now))
-		h.now += ownerRepeatPause
+		h.now += OwnerRepeatPause
 	}
 	h.now += useReportPause
 	heard.Merge(h.parts[partKey("p")].clone(), false, h.now)
--- a/core/forward/partreport.go
+++ b/core/forward/partreport.go
@@ -11,7 +11,7 @@
 // What entries tell each other of suspect parts.
 const (
 	partRepeats       = 5                // reports with a change; datagrams are lost
-	ownerRepeatPause  = time.Second      // the owner of a held part repeats it, for entries that start, stood still or were cut off
+	OwnerRepeatPause  = time.Second      // the owner of a held part repeats it, for entries that start, stood still or were cut off
 	othersRepeatPause = 10 * time.Second // others do if they haven't heard of it for so long
 	useReportPause    = 5 * time.Minute  // well within suspectLifetime
 )
@@ -37,8 +37,8 @@
 		return true
 	}
 	pause := othersRepeatPause
-	if now >= s.told.at+ownerRepeatPause && rendezvous.Owner(s.Key, members) == self {
-		pause = ownerRepeatPause
+	if now >= s.told.at+OwnerRepeatPause && rendezvous.Owner(s.Key, members) == self {
+		pause = OwnerRepeatPause
 	}
 	return now >= s.told.at+pause
 }
--- a/gateway/accesslog.go
+++ b/gateway/accesslog.go
@@ -59,13 +59,15 @@
 	configVersion  int64
 	configAge      time.Duration
 	attempts       []attemptLog
-	candidates     int // endpoints of the service at the last placement; the next six count subsets
-	usable         int // could accept the request
-	emptying       int // accepted no long prompts
-	outdated       int // had older weights than the named version
-	excluded       int // were not allowed, other than by an earlier attempt
-	overLimit      int // had no room in the limits that they named
-	tried          int // had an earlier attempt of this request
+	candidates     int                   // endpoints of the service at the last placement; the next six count subsets
+	usable         int                   // could accept the request
+	emptying       int                   // accepted no long prompts
+	outdated       int                   // had older weights than the named version
+	excluded       int                   // were not allowed, other than by an earlier attempt
+	overLimit      int                   // had no room in the limits that they named
+	tried          int                   // had an earlier attempt of this request
+	held           int                   // may not get the request because of a held part of its prompt
+	heldParts      []forward.SuspectPart // for which the request was refused
 	status         int
 	bytes          int64
 	firstByteDelay time.Duration
@@ -119,6 +121,14 @@
 	if l := q.accessLog; l.candidates > 0 {
 		e = e.Int("endpoints", l.candidates).Int("usable", l.usable).Int("emptying", l.emptying).Int("outdated", l.outdated).Int("excluded", l.excluded).Int("over_limit", l.overLimit).Int("tried", l.tried)
 	}
+	if q.accessLog.held > 0 {
+		e = e.Int("held", q.accessLog.held)
+	}
+	for i := range q.accessLog.heldParts {
+		p, n := &q.accessLog.heldParts[i], strconv.Itoa(i+1)
+		crashes, witnesses := describeTrials(p)
+		e = e.Str("held_part_"+n, p.Name).Str("held_key_"+n, partKeyText(p.Key)).Strs("held_crashes_"+n, crashes).Strs("held_entries_"+n, witnesses)
+	}
 	for i, a := range q.accessLog.attempts {
 		n := strconv.Itoa(i + 1)
 		e = e.Str("endpoint_"+n, a.placement.endpoint.ID).Str("build_"+n, a.placement.endpoint.Build).Dur("expected_ms_"+n, a.placement.choice.ExpectedWait).Int("cached_"+n, a.placement.choice.CachedTokens).Int("fetched_"+n, a.placement.choice.FetchedTokens).Int("read_"+n, a.placement.choice.RecomputedTokens).
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -65,6 +65,9 @@
 // which prompts may begin on the endpoint's weights.
 var errWeightsOutdated = errors.New("newer weights were named too long ago for the endpoint that the request was placed on")
 
+// errPartHeld is returned when, after the request was placed, a part of its prompt has become held.
+var errPartHeld = errors.New("a part of the prompt has become held since the request was placed")
+
 // checkPlacement returns an error if a placed request may no longer be sent to its endpoint:
 // this process may have been suspended since, or connecting may have taken long.
 func (q *request) checkPlacement(p *placement) error {
@@ -80,6 +83,9 @@
 	if since, outdated := s.rollout.RetiredSince(q.call.Prompt.Model, p.choice.Version); outdated && p.choice.Version > 0 && s.clock()+p.choice.ExpectedWait >= s.versionExpiry(since) {
 		return errWeightsOutdated
 	}
+	if p.probe == nil && !q.checkHeld(s, s.clock()).SoundAt(placeOf(&p.endpoint, p.choice.Version)) {
+		return errPartHeld
+	}
 	return nil
 }
 
@@ -112,6 +118,7 @@
 	if !limitsRequests(resp.httpResp.StatusCode, resp.info) {
 		st.health.RecordResponse(resp.httpResp.StatusCode >= http.StatusInternalServerError, now, s.rng)
 	}
+	q.observeLife(p, resp)
 	if q.call.Prompt != nil && resp.info.WeightVersion > 0 {
 		s.observeVersion(p.endpoint.ID, q.call.Prompt.Model, resp.info.WeightVersion)
 	}
@@ -133,6 +140,7 @@
 	now := s.clock()
 	others := 0
 	cs := s.candidates(q.service.Name, nil, q.priority(), q.tried, now)
+	q.excludeHeld(s, cs, now)
 	if q.bound {
 		forward.KeepBuild(cs, q.build)
 	}
@@ -164,6 +172,9 @@
 	}
 	q.accessLog.bytes = int64(buf.Len())
 	if complete {
+		if q.accessLog.status < http.StatusMultipleChoices {
+			q.recordSound(p)
+		}
 		return nil
 	}
 	to := &callerWriter{w: q.w}
--- a/gateway/breakoff.go
+++ b/gateway/breakoff.go
@@ -10,13 +10,16 @@
 	"time"
 
 	"github.com/phuslu/log"
+
+	"github.com/galenaweir/galenaweir/core/forward"
 )
 
 // Bounds on what is done for an attempt that broke off.
 const (
 	endpointCheckTimeout = 300 * time.Millisecond // a refusal takes a round trip of a few milliseconds
+	maxCheckWait         = 100 * time.Millisecond // for which a further attempt waits
 	endpointSettleTime   = 20 * time.Millisecond  // an endpoint that ends closes its connections and its listener one after the other
-	maxEndpointChecks    = 64                     // at once
+	maxEndpointChecks    = 64                     // at once; an attempt beyond them is no evidence
 	maxLoggedParts       = 8
 	maxLoggedPartBytes   = 32 // of a part's ID
 )
@@ -61,25 +64,68 @@
 	return strings.Join(ids, ",")
 }
 
-// logBreakOff finds out whether the endpoint of an attempt that broke off has ended, and logs it
-// with what the endpoint had sent by then.
-func (q *request) logBreakOff(p *placement, x *exchangeError) {
+// observeBreakOff finds out whether the endpoint of an attempt that broke off has ended, and logs it
+// with what the endpoint had sent by then. If the endpoint ended before the first complete event,
+// it suspects the parts of the prompt. A further attempt waits for that, as it obeys what is held.
+func (q *request) observeBreakOff(ctx context.Context, p *placement, x *exchangeError) {
 	if !x.brokeOff() || q.r.Context().Err() != nil {
 		return
 	}
-	g, e := q.g, p.endpoint
+	g, e, endedAt := q.g, &p.endpoint, q.g.clock()
 	line := log.Info().Str("event", "attempt_broke_off").Str("request", q.call.ID).Str("endpoint", e.ID).Str("build", e.Build).Int64("weights", p.choice.Version).
-		Str("parts", q.sharedParts()).Bool("head", p.headArrived).Int("events", p.events).Dur("took_ms", g.clock()-p.placedAt)
-	select {
-	case g.endpointChecks <- struct{}{}:
-	default:
-		line.Str("fate", string(fateUnknown)).Msg("too many checks are under way to find out whether the endpoint has ended")
+		Str("parts", q.sharedParts()).Bool("head", p.headArrived).Int("events", p.events).Dur("took_ms", endedAt-p.placedAt)
+	check, evidence := g.beginCheck(e), p.events == 0 && len(q.suspectKeys()) > 0
+	recorded := make(chan struct{})
+	go func() {
+		defer close(recorded)
+		<-check.done
+		line.Str("fate", string(check.fate)).Msg("the endpoint closed the connection of an attempt")
+		if evidence && check.fate == fateEnded {
+			q.recordCrash(p, endedAt)
+		}
+	}()
+	if !evidence {
 		return
 	}
+	limit := time.NewTimer(maxCheckWait)
+	defer limit.Stop()
+	select {
+	case <-recorded:
+	case <-limit.C:
+	case <-ctx.Done():
+	}
+}
+
+// endpointCheck is a check whether an endpoint has ended, on behalf of all attempts that broke off
+// meanwhile.
+type endpointCheck struct {
+	done chan struct{}
+	fate endpointFate
+}
+
+// beginCheck begins to check whether an endpoint has ended, or returns the check that is under way.
+func (g *Gateway) beginCheck(e *forward.Endpoint) *endpointCheck {
+	s, start := g.state, startOf(e)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c := s.endpointChecks[start]; c != nil {
+		return c
+	}
+	c := &endpointCheck{done: make(chan struct{}), fate: fateUnknown}
+	if len(s.endpointChecks) >= maxEndpointChecks {
+		close(c.done)
+		return c
+	}
+	s.endpointChecks[start] = c
+	address := e.Address
 	go func() {
-		defer func() { <-g.endpointChecks }()
-		line.Str("fate", string(checkEndpoint(e.Address))).Msg("the endpoint closed the connection of an attempt")
+		c.fate = checkEndpoint(address)
+		s.mu.Lock()
+		delete(s.endpointChecks, start)
+		s.mu.Unlock()
+		close(c.done)
 	}()
+	return c
 }
 
 // checkEndpoint finds out whether the endpoint at an address has ended.
--- a/gateway/facts.go
+++ b/gateway/facts.go
@@ -46,6 +46,7 @@
 	Answers  int64  // AskedAt of the message that this one answers, 0 if none
 	Config   int64
 	Named    boundedList[factNaming]
+	Parts    boundedList[reportPart] // held parts, in an answer
 }
 
 // factNaming is a weight version that was named less than the version bound ago.
@@ -159,6 +160,9 @@
 	for _, n := range s.rollout.Namings(now - milliseconds(s.settings.VersionMs)) {
 		f.Named = append(f.Named, factNaming{n.Model, n.Version, n.Previous, (now - n.SetAt + time.Millisecond - 1).Milliseconds(), (now - n.KnownAt).Milliseconds()})
 	}
+	if answers != 0 {
+		f.Parts = encodeParts(s.parts.Held(), maxFactPartBytes, now)
+	}
 	s.mu.Unlock()
 	data, err := encodeMessage(&f)
 	if err != nil || len(data) > maxDatagram {
@@ -221,6 +225,7 @@
 	}
 	known.config, known.domain, known.receivedAt = f.Config, f.Domain, now
 	s.peerFacts[f.Member] = known
+	g.applyParts(f.Parts, now)
 	for _, n := range f.Named {
 		if n.Version <= 0 || n.Previous < 0 || n.KnownMs < 0 || n.AgeMs < n.KnownMs || n.AgeMs > s.settings.VersionMs {
 			continue
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,6 +52,7 @@
 	EndpointControl EndpointControl
 	StoreClient     StoreClient
 	NamingStore     NamingStore
+	PartStore       PartStore        // nil if held parts aren't kept over the loss of all entries
 	StreamStore     StreamStore      // nil if no stream may be resumed by its caller
 	WallClock       func() time.Time // time of day, time.Now if nil
 }
@@ -69,6 +70,7 @@
 	storeClient     StoreClient
 	namingStore     NamingStore
 	streamStore     StreamStore
+	partStore       PartStore
 	wallClock       func() time.Time
 	namingsToSave   chan forward.Naming
 	factsRequests   chan struct{}
@@ -78,7 +80,6 @@
 	memberID        string
 	peerConn        *net.UDPConn
 	reportRequests  chan struct{}
-	endpointChecks  chan struct{} // holds a value for each check of an endpoint that is under way
 
 	draining    atomic.Bool
 	inFlight    atomic.Int64
@@ -100,14 +101,13 @@
 		wallClock = time.Now
 	}
 	return &Gateway{
-		namingStore: o.NamingStore, streamStore: o.StreamStore, wallClock: wallClock, namingsToSave: make(chan forward.Naming, maxNamingsToSave), factsRequests: make(chan struct{}, 1),
+		namingStore: o.NamingStore, streamStore: o.StreamStore, partStore: o.PartStore, wallClock: wallClock, namingsToSave: make(chan forward.Naming, maxNamingsToSave), factsRequests: make(chan struct{}, 1),
 		settings: s, clock: o.Clock, createdAt: o.Clock(), headerCodec: o.HeaderCodec, operators: o.Operators, endpoints: o.Endpoints, groupClient: o.GroupClient, endpointControl: o.EndpointControl, storeClient: o.StoreClient,
 		state: newState(s, o.Clock, rand.New(rand.NewPCG(o.Seed, o.Seed))), pool: newConnPool(o.Clock),
 		ownership:          forward.Ownership{Self: member, Lease: orderLease, Handover: milliseconds(s.OrderHandoverMs) + orderTransitTime},
 		memberID:           member,
 		callerConns:        newCallerConns(),
 		reportRequests:     make(chan struct{}, 1),
-		endpointChecks:     make(chan struct{}, maxEndpointChecks),
 		requests:           metrics.Default.Counter("forwarded_requests"),
 		refusals:           metrics.Default.LabeledCounter("forward_refusals"),
 		rejectedReports:    metrics.Default.Counter("stray_load_reports"),
@@ -155,7 +155,7 @@
 	}
 	background, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){g.followOperators, g.followEndpoints, g.maintainMembership, g.sendReports, g.runRollouts, g.followStores, g.cleanStores, g.pollAfterResume, g.exchangeFacts, g.saveNamings, g.recoverNamings, g.keepProofs, g.recordStreams, g.maintainStreams} {
+	for _, f := range []func(context.Context){g.followOperators, g.followEndpoints, g.maintainMembership, g.sendReports, g.runRollouts, g.followStores, g.cleanStores, g.pollAfterResume, g.exchangeFacts, g.saveNamings, g.recoverNamings, g.keepProofs, g.recordStreams, g.maintainStreams, g.keepParts} {
 		wg.Go(func() { f(background) })
 	}
 	log.Info().Str("event", "started").Str("callers", g.settings.CallerAddress).Str("ready", g.settings.ReadyAddress).Str("log", g.settings.LogAddress).Msg("serving")
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -60,6 +60,7 @@
 	Saves    boundedList[reportUse] // prompt parts that are being saved; Endpoint is the hash of the store's name
 	Loaded   boundedList[reportVersion]
 	Limits   boundedList[reportLimit]
+	Parts    boundedList[reportPart]
 }
 
 // boundedList is a slice whose encoded length is checked before memory is allocated: the decoder
@@ -228,6 +229,9 @@
 	s := g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.parts.OwnsHeld(g.memberID, s.peerLoads.members) {
+		return min(s.peerLoads.interval(), forward.OwnerRepeatPause)
+	}
 	return s.peerLoads.interval()
 }
 
@@ -241,6 +245,7 @@
 	s.peerLoads.pendingUses, s.peerLoads.pendingSaves = nil, nil
 	g.updateLimitGroup()
 	r.Limits = s.limitsToReport(s.clock())
+	r.Parts = g.partsToReport(s.clock())
 	for h, l := range s.peerLoads.loaded {
 		if s.clock() >= l.expiresAt {
 			delete(s.peerLoads.loaded, h)
@@ -320,6 +325,7 @@
 			}
 		}
 	}
+	g.applyParts(r.Parts, now)
 	if len(r.Uses) == 0 && len(r.Loading) == 0 && len(r.Loaded) == 0 && len(r.Emptying) == 0 && len(r.Limits) == 0 {
 		return
 	}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/galenaweir/galenaweir/core/apierr"
 	"github.com/galenaweir/galenaweir/core/forward"
 )
@@ -23,11 +25,12 @@
 	maxConns        int // maximum connections of this process to the endpoint
 	choice          forward.Choice
 	placedAt        time.Duration
-	limit           float64       // limit of the endpoint that was known, forward.Unlimited if none
-	outdatedFor     time.Duration // longest time for which a newer weight version may have been set, 0 if none is
-	fetchDeadlineMs int64         // deadline of fetches, on the stores' clock
-	headArrived     bool          // the head of the response has arrived
-	events          int           // complete events that have arrived
+	limit           float64              // limit of the endpoint that was known, forward.Unlimited if none
+	outdatedFor     time.Duration        // longest time for which a newer weight version may have been set, 0 if none is
+	fetchDeadlineMs int64                // deadline of fetches, on the stores' clock
+	headArrived     bool                 // the head of the response has arrived
+	events          int                  // complete events that have arrived
+	probe           *forward.HeldRequest // set if the request is sent to find out whether a held part is sound
 }
 
 // place chooses an endpoint and adds the request to its load.
@@ -45,6 +48,9 @@
 	}
 	cs, c := q.choose(s, left, now)
 	q.accessLog.countCandidates(cs, q.tried)
+	if c.Index < 0 && q.accessLog.held > 0 && !slices.ContainsFunc(cs, func(c forward.Candidate) bool { return !c.Excluded }) {
+		return nil, q.placementError(q.heldError(now))
+	}
 	if c.Index < 0 && slices.ContainsFunc(cs, func(c forward.Candidate) bool { return c.OverLimit && !c.Excluded }) {
 		return nil, q.placementError(q.limitError(s, now))
 	}
@@ -64,6 +70,12 @@
 	if chosen := &cs[c.Index]; chosen.Outdated {
 		p.outdatedFor = now - chosen.OutdatedSince
 	}
+	if q.held != nil {
+		if q.held.BeginProbe(placeOf(&p.endpoint, c.Version), now) {
+			p.probe = q.held
+			log.Info().Str("event", "part_probed").Str("request", q.call.ID).Str("endpoint", p.endpoint.ID).Str("part", q.held.Parts[0].Name).Msg("a request with a held part is sent to find out whether the part is sound")
+		}
+	}
 	st := s.endpointState(p.endpoint.ID)
 	p.limit = st.limit.PerSecond()
 	st.limit.Spend(p.endpoint.ID, &s.limitGroup, now)
@@ -93,6 +105,7 @@
 // can't be recorded goes to the default build unless that can't serve it in time.
 func (q *request) choose(s *state, left, now time.Duration) ([]forward.Candidate, forward.Choice) {
 	cs := s.candidates(q.service.Name, q.call.Prompt, q.priority(), q.tried, now)
+	q.excludeHeld(s, cs, now)
 	if q.bound {
 		forward.KeepBuild(cs, q.build)
 	} else if build, ok := q.buildWithoutRecord(s, now); ok {
@@ -147,6 +160,9 @@
 	now := s.clock()
 	st := s.endpointState(p.endpoint.ID)
 	st.load.Remove(&p.work)
+	if p.probe != nil {
+		p.probe.EndProbe()
+	}
 	q.accessLog.attempts = append(q.accessLog.attempts, attemptLog{p, x, now - p.placedAt})
 	if x != nil && !x.sent {
 		st.limit.Refund()
@@ -160,7 +176,7 @@
 	case x.notRun && x.limited: // the limit decides when it gets further requests
 	case x.notRun:
 		st.health.RecordRefusal(now + refusalPause)
-	case !x.sent && x.err != errConnLimit && x.err != errKeyStale && x.err != errWeightsOutdated:
+	case !x.sent && x.err != errConnLimit && x.err != errPartHeld && x.err != errKeyStale && x.err != errWeightsOutdated:
 		st.health.RecordRefusal(now + unreachablePause)
 		st.health.RecordFailure(now, s.rng)
 	case x.sent && x.err != errUnrecorded && remaining(q.deadline, now) > 0:
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -32,6 +32,7 @@
 	idleSince   time.Duration // clock time at which it became idle
 	idleTimeout time.Duration
 	reused      bool
+	openedAt    time.Duration // clock time at which connecting began
 }
 
 // connPool holds idle connections and counts the connections in use, per endpoint.
@@ -56,12 +57,15 @@
 	if c != nil || err != nil {
 		return c, err
 	}
+	openedAt := p.clock()
 	nc, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		p.release(key)
 		return nil, err
 	}
-	return newEndpointConn(nc), nil
+	c = newEndpointConn(nc)
+	c.openedAt = openedAt
+	return c, nil
 }
 
 func newEndpointConn(nc net.Conn) *endpointConn {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -26,6 +26,9 @@
 	for {
 		n, err := resp.Read(buf)
 		if complete := events.add(buf[:n]); len(complete) > 0 {
+			if p.events == 0 {
+				q.recordSound(p)
+			}
 			p.events += countEvents(complete)
 			q.recordFirstEvent(p)
 			if err := q.bindTo(p); err != nil {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -48,9 +48,11 @@
 	bodyBegun      bool // the body has been read, at least in part
 	headerSent     bool // the response header has been sent to the caller
 	lastEventID    string
-	bound          bool   // only endpoints of one build may go on with the stream
-	build          uint64 // key of that build
-	allRefused     bool   // every endpoint that received the request stated that it did not run
+	bound          bool                 // only endpoints of one build may go on with the stream
+	build          uint64               // key of that build
+	allRefused     bool                 // every endpoint that received the request stated that it did not run
+	partKeys       []uint64             // of the prompt's shared parts, once they are needed
+	held           *forward.HeldRequest // why it is held, nil if it isn't
 	accessLog      accessLog
 }
 
@@ -305,8 +307,8 @@
 			return err
 		}
 		xerr := q.sendTo(ctx, p)
+		q.observeBreakOff(ctx, p, xerr)
 		q.finishAttempt(p, xerr)
-		q.logBreakOff(p, xerr)
 		if xerr == nil {
 			return nil
 		}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -81,6 +81,9 @@
 	peerLoads         peerLoads
 	limitGroup        forward.LimitGroup
 	limitQueues       map[string]*forward.LimitQueue // by service
+	parts             *forward.PartHolds
+	partSaver         partSaver
+	endpointChecks    map[forward.EndpointStart]*endpointCheck // under way
 	settings          Settings
 }
 
@@ -90,6 +93,7 @@
 	return &state{
 		clock: clock, rng: rng, endpointList: forward.NewEndpointList(), endpoints: map[string]*endpointState{}, peerFacts: map[string]knownFacts{}, rollout: rollout,
 		retryBudgets: map[string]*retry.Budget{}, peerLoads: newPeerLoads(), settings: s, streams: forward.NewStreamBuilds(), streamLog: newStreamLog(), limitQueues: map[string]*forward.LimitQueue{},
+		parts: forward.NewPartHolds(), partSaver: newPartSaver(), endpointChecks: map[forward.EndpointStart]*endpointCheck{},
 		freshness: forward.Freshness{MaxKeyAge: milliseconds(s.RevokeMs) - revokeMargin}, readConfirmed: make(chan struct{}), storeRead: make(chan struct{}), resumes: make(chan struct{}, 1),
 	}
 }
