Save held parts in the log, and let one in by hand

Cause: after the loss of all entries no peer knows which parts of prompts are held, and nobody could let a part in again that is held wrongly.

Change: the owner of a part saves it in the topic keyed.galenaweir-parts as it becomes held, and at most every ten minutes while its requests come; it deletes the record when the part is let in or forgotten. Entries read the topic at the start. POST /parts/release?key=KEY on the metrics port, from the entry's own host, takes the evidence back at all entries; /debug/vars lists the held parts.

--- a/cmd/galenaweir-entry/forward.go
+++ b/cmd/galenaweir-entry/forward.go
@@ -53,7 +53,7 @@
 	drain, _ := process.ShutdownSignals()
 	g := gateway.New(gateway.Options{
 		Settings: s, Clock: gateway.Boottime, Seed: rand.Uint64(), HeaderCodec: platform.HeaderCodec{},
-		Operators: logClient.OperatorFeed(), Endpoints: logClient.EndpointFeed(), GroupClient: logClient, EndpointControl: engines, StoreClient: engines, NamingStore: logClient, StreamStore: logClient,
+		Operators: logClient.OperatorFeed(), Endpoints: logClient.EndpointFeed(), GroupClient: logClient, EndpointControl: engines, StoreClient: engines, NamingStore: logClient, StreamStore: logClient, PartStore: logClient,
 	})
 	go c.reloadOnSIGHUP(g)
 	err = g.Run(drain)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -147,7 +147,7 @@
 	metrics.Default.Gauge("forwarding", func() any { return g.Status() })
 	if g.settings.MetricsPort > 0 {
 		address := net.JoinHostPort(g.settings.Host, strconv.Itoa(g.settings.MetricsPort))
-		m, err := serve(address, metricsHandler(), newCallerConns())
+		m, err := serve(address, g.metricsHandler(), newCallerConns())
 		if err != nil {
 			return err
 		}
@@ -169,9 +169,10 @@
 	return ready.Close()
 }
 
-func metricsHandler() http.Handler {
+func (g *Gateway) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("POST /parts/release", g.serveRelease)
 	return mux
 }
 
--- a/gateway/partstore.go
+++ b/gateway/partstore.go
@@ -16,6 +16,7 @@
 const (
 	partSaveTimeout  = 600 * time.Millisecond
 	partSaveRetry    = time.Second
+	partSaveCheck    = 10 * time.Second // for parts that this process has come to own
 	partSaveInterval = 10 * time.Minute // of a part whose requests go on coming, well within the time after which it is forgotten
 	partLoadAttempts = 10
 	partLoadPause    = 300 * time.Millisecond
@@ -71,7 +72,7 @@
 	g.recoverParts(ctx)
 	failed := false
 	for {
-		pause := partSaveInterval
+		pause := partSaveCheck
 		if failed {
 			pause = partSaveRetry
 		}
@@ -127,6 +128,9 @@
 	now, unixMs := s.clock(), g.wallClock().UnixMilli()
 	members := s.peerLoads.members
 	var list []StoredPart
+	if len(members) == 0 {
+		return nil // it isn't known yet who writes
+	}
 	for key := range s.partSaver.released {
 		if rendezvous.Owner(key, members) != g.memberID {
 			delete(s.partSaver.released, key)
@@ -169,14 +173,15 @@
 	now, unixMs := s.clock(), g.wallClock().UnixMilli()
 	held := 0
 	for _, p := range stored {
+		s.partSaver.savedAt[p.Part.Key] = now
 		// The time of day may have been set back since.
 		part := p.Part.Shift(now - milliseconds(max(unixMs, p.SavedUnixMs)))
 		if change, changed := s.parts.Merge(part, false, now); changed {
 			held++
 			logPart(log.Warn().Str("event", "part_held"), &change.Part).Dur("age_ms", now-part.LastUse).Msg("the log has this part of a prompt as one under which endpoints ended; requests with it are refused")
 		}
-		if slices.ContainsFunc(s.parts.Held(), func(h forward.SuspectPart) bool { return h.Key == part.Key }) {
-			s.partSaver.savedAt[part.Key] = now
+		if !slices.ContainsFunc(s.parts.Held(), func(h forward.SuspectPart) bool { return h.Key == part.Key }) {
+			s.partSaver.released[part.Key] = true // its requests ceased to come long ago
 		}
 	}
 	log.Info().Str("event", "parts_read").Int("records", len(stored)).Int("held", held).Msg("read the held parts from the log")
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -33,6 +33,60 @@
 	OwnedEndpoints []string          `json:"holds"`      // endpoints that this process may send orders to
 	Rollouts       map[string]string `json:"rollouts"`   // rollout stage by endpoint, for rollouts of this process
 	InFlight       int64             `json:"in_flight"`
+	HeldParts      []HeldPart        `json:"held_parts"` // parts of prompts that are held
+}
+
+// HeldPart is a part of prompts that is held because endpoints ended under requests with it.
+type HeldPart struct {
+	Part      string   `json:"part"`
+	Key       string   `json:"key"`         // names it for ReleasePart
+	Crashes   []string `json:"crashes"`     // the endpoints
+	Entries   []string `json:"entries"`     // whose requests were on them
+	LastUseMs int64    `json:"last_use_ms"` // time since the last request with it
+}
+
+func (s *state) heldParts(now time.Duration) []HeldPart {
+	out := []HeldPart{}
+	for _, p := range s.parts.Held() {
+		crashes, witnesses := describeTrials(&p)
+		out = append(out, HeldPart{p.Name, partKeyText(p.Key), crashes, witnesses, (now - p.LastUse).Milliseconds()})
+	}
+	return out
+}
+
+// ReleasePart takes back the evidence against a part of prompts, at all entries. It reports whether
+// there was any.
+func (g *Gateway) ReleasePart(key uint64) bool {
+	s := g.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	change, held := s.parts.Release(key, now)
+	if held {
+		g.recordPartChange(change, now)
+	}
+	g.requestReport()
+	return held
+}
+
+// serveRelease lets the part in again whose key the query names. It accepts calls from its own host
+// only, as the metrics port is open to all.
+func (g *Gateway) serveRelease(w http.ResponseWriter, r *http.Request) {
+	from, _, err := net.SplitHostPort(r.RemoteAddr)
+	if ip := net.ParseIP(from); err != nil || from != g.settings.Host && !ip.IsLoopback() {
+		http.Error(w, "call this from the entry's own host", http.StatusForbidden)
+		return
+	}
+	key, err := strconv.ParseUint(r.URL.Query().Get("key"), 16, 64)
+	if err != nil {
+		http.Error(w, "name the part by its key, as in key=5c1e07a25c1e07a2; it is in the lines part_held", http.StatusBadRequest)
+		return
+	}
+	if !g.ReleasePart(key) {
+		http.Error(w, "no part with this key is held", http.StatusNotFound)
+		return
+	}
+	fmt.Fprintln(w, "requests with the part are served again")
 }
 
 // Status returns the current state of this process.
@@ -44,7 +98,7 @@
 	now := s.clock()
 	st := Status{
 		ID: g.settings.ID, Ready: ready, WeightVersions: s.rollout.NewestTargets(), Members: len(s.peerLoads.members), Generation: g.ownership.FencingToken(), Era: int64(s.eras.Newest()),
-		Rollouts: s.rollout.Stages(), InFlight: g.inFlight.Load(), OwnedEndpoints: []string{},
+		Rollouts: s.rollout.Stages(), InFlight: g.inFlight.Load(), OwnedEndpoints: []string{}, HeldParts: s.heldParts(now),
 	}
 	if age, known := s.freshness.Age(now); known {
 		st.ConfigAgeMs = age.Milliseconds()
