Test guards of caller connections that no test held

Cause: with a guard removed, all tests passed: an idle connection that is never closed (also with the deadlines of net/http in force), a head on a reused connection without its time, an idle period left on a request that came with the one before, a stop that waits out its grace period although all is closed, idle periods left in the map, a connection left open after 408, a caller told to send a body that is refused. Change: tests for each; those on the stop, the slow body and the head are stricter. Conclusion: not held by a test: setTimeouts during a stop, a raise that comes as the deadline passes, the length of the slack.

--- a/gateway/callerconns_test.go
+++ b/gateway/callerconns_test.go
@@ -171,6 +171,42 @@
 	})
 }
 
+// Guards against idle connections that stay open: one that was used, and one that never was.
+func TestIdleConnectionIsClosed(t *testing.T) {
+	for _, isUsed := range []bool{true, false} {
+		t.Run(fmt.Sprintf("used %v", isUsed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const timeout = time.Second
+				c := newIdleFixture(t, timeout, answerOK).connect()
+				if isUsed {
+					require.NoError(t, c.call())
+				}
+				require.True(t, c.isClosedWithin(timeout+idleTimeoutSlack+time.Second))
+			})
+		})
+	}
+}
+
+// Guards against a request that is cut at the idle timeout because it arrived together with the one
+// before, so that the connection never waited for it.
+func TestRequestThatArrivesWithTheOneBeforeIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const timeout = time.Second
+		var wasCut atomic.Bool
+		f := newIdleFixture(t, timeout, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			if !wait.For(r.Context(), 2*(timeout+idleTimeoutSlack)) {
+				wasCut.Store(true)
+			}
+		}))
+		c := f.connect()
+		_, err := io.WriteString(c.conn, idleTestRequest+idleTestRequest)
+		require.NoError(t, err)
+		require.NoError(t, c.readAnswer())
+		require.NoError(t, c.readAnswer())
+		require.False(t, wasCut.Load())
+	})
+}
+
 // Guards against idle connections that are closed at an older, shorter idle timeout while their
 // callers rely on the one in force.
 func TestRaisedIdleTimeoutHoldsForIdleConnections(t *testing.T) {
@@ -242,6 +278,7 @@
 					require.NoError(t, err)
 				}
 				stopped := make(chan struct{})
+				start := time.Now()
 				go func() {
 					f.drain(f.server)
 					close(stopped)
@@ -255,6 +292,8 @@
 					require.NoError(t, c.readAnswer())
 				}
 				<-stopped
+				require.Less(t, time.Since(start), drainDelay+time.Second, "the stop waits although all connections are closed")
+				require.Empty(t, f.callerConns.idle)
 			})
 		})
 	}
--- a/gateway/unanswered_test.go
+++ b/gateway/unanswered_test.go
@@ -83,7 +83,10 @@
 		c := connect(t, newServingGateway(t))
 		_, err := io.WriteString(c, "POST /x HTTP/1.1\r\nHost: service.test\r\nContent-Length: 100\r\n\r\nhalf")
 		require.NoError(t, err)
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(2*time.Second)))
 		require.Equal(t, http.StatusRequestTimeout, answerStatus(t, c))
+		_, err = c.Read(make([]byte, 1))
+		require.ErrorIs(t, err, io.EOF, "the connection stays open")
 	})
 }
 
@@ -181,8 +184,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newIdleFixture(t, time.Minute, answerOK)
 		f.applyOperators([]forward.OperatorChange{{Config: &forward.Config{Version: 2, Limits: forward.Limits{IdleTimeout: time.Minute, HeaderTimeout: 40 * time.Second}}}}, f.clock.read(), false)
-		whole, late := f.connect(), f.connect()
-		for _, c := range []*idleCaller{whole, late} {
+		whole, late, lateAgain := f.connect(), f.connect(), f.connect()
+		require.NoError(t, lateAgain.call())
+		for _, c := range []*idleCaller{whole, late, lateAgain} {
 			_, err := io.WriteString(c.conn, idleTestRequest[:10])
 			require.NoError(t, err)
 		}
@@ -190,9 +194,11 @@
 		_, err := io.WriteString(whole.conn, idleTestRequest[10:])
 		require.NoError(t, err)
 		require.NoError(t, whole.readAnswer())
-		require.NoError(t, late.conn.SetReadDeadline(time.Now().Add(2*time.Second)))
-		_, err = io.ReadAll(late.br)
-		require.NoError(t, err, "the connection is still open")
+		for _, c := range []*idleCaller{late, lateAgain} {
+			require.NoError(t, c.conn.SetReadDeadline(time.Now().Add(2*time.Second)))
+			_, err = io.ReadAll(c.br)
+			require.NoError(t, err, "the connection is still open")
+		}
 	})
 }
 
@@ -262,3 +268,13 @@
 		})
 	}
 }
+
+// Guards against a refusal that a caller gets only after it has been told to send its body.
+func TestRefusalComesInPlaceOfALeaveToSend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := connect(t, newServingGateway(t))
+		_, err := io.WriteString(c, "POST /unknown HTTP/1.1\r\nHost: other.test\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusNotFound, answerStatus(t, c))
+	})
+}
