Hold no part whose crashes other held parts explain together

Cause: a sound part that was on endpoints ended by two other parts stayed held: none of them alone had all of its crashes, and after three crashes a held part isn't probed for five minutes. A dedicated customer and another one that send the same part are such a case, as customers' parts are told apart. Change: among the held parts those are looked for that explain all crashes, those with the most unexplained ones first; the others aren't refused, and their next event clears them. Result: TestPartWhoseCrashesOthersExplainIsNotHeld failed before and passes. Conclusion: at a tie all are held; a part with fewer crashes than a sound one costs one endpoint more.

--- /dev/null
+++ b/core/forward/partblame.go
@@ -0,0 +1,62 @@
+package forward
+
+// maxExplainedParts is the number of held parts up to which it is worked out which of them explain
+// the crashes; the time for that grows with its square. Beyond it all held parts count.
+const maxExplainedParts = 256
+
+// explanation returns the held parts that explain all crashes under held parts: again and again those
+// on the most endpoints whose end isn't explained yet, all of them if there are several. A sound part
+// that was on endpoints which other parts ended isn't among them once these have more crashes.
+func (h *PartHolds) explanation() map[uint64]bool {
+	if h.explained != nil {
+		return h.explained
+	}
+	var open []*suspectState // held parts that aren't chosen yet
+	for _, s := range h.parts {
+		if s.held() {
+			open = append(open, s)
+		}
+	}
+	h.explained = map[uint64]bool{}
+	done := map[EndpointStart]bool{} // endpoints whose end is explained
+	for len(open) > 0 {
+		chosen, rest := mostUnexplained(open, done, len(open) > maxExplainedParts)
+		for _, s := range chosen {
+			h.explained[s.Key] = true
+			for _, t := range s.Trials {
+				done[t.On] = true
+			}
+		}
+		if len(chosen) == 0 {
+			break
+		}
+		open = rest
+	}
+	return h.explained
+}
+
+// mostUnexplained returns the parts with the most crashes at endpoints that aren't done, none if no
+// part has any, and the other parts. It returns all parts as chosen if all is set.
+func mostUnexplained(parts []*suspectState, done map[EndpointStart]bool, all bool) (chosen, rest []*suspectState) {
+	if all {
+		return parts, nil
+	}
+	most := 1
+	for _, s := range parts {
+		n := 0
+		for _, t := range s.Trials {
+			if !t.Cleared && !done[t.On] {
+				n++
+			}
+		}
+		if n > most {
+			rest, chosen, most = append(rest, chosen...), nil, n
+		}
+		if n == most {
+			chosen = append(chosen, s)
+		} else {
+			rest = append(rest, s)
+		}
+	}
+	return chosen, rest
+}
--- a/core/forward/parthold.go
+++ b/core/forward/parthold.go
@@ -30,8 +30,9 @@
 // PartHolds decides which parts of prompts are held because endpoints ended under requests with
 // them. Only parts with evidence are stored.
 type PartHolds struct {
-	parts   map[uint64]*suspectState
-	byStart map[EndpointStart]map[uint64]bool // parts with a trial at it
+	parts     map[uint64]*suspectState
+	byStart   map[EndpointStart]map[uint64]bool // parts with a trial at it
+	explained map[uint64]bool                   // result of explanation, nil if it is out of date
 }
 
 type suspectState struct {
@@ -99,6 +100,7 @@
 		s.told.repeats = partRepeats
 	}
 	before := s.held()
+	h.explained = nil
 	s.weight = s.SuspectPart.weight()
 	if s.weight == 0 {
 		s.since = now
@@ -126,6 +128,7 @@
 
 func (h *PartHolds) remove(s *suspectState) {
 	delete(h.parts, s.Key)
+	h.explained = nil
 	h.unlist(s)
 }
 
@@ -235,19 +238,19 @@
 }
 
 // blames reports whether a request with the given parts is refused because of a held one. It isn't
-// if another held part explains its crashes as well: one of which there are more, or one with
-// exactly the same that the request doesn't contain.
+// if other held parts explain its crashes as well, or one with exactly the same crashes that the
+// request doesn't contain.
 func (h *PartHolds) blames(s *suspectState, keys []uint64) bool {
+	if !h.explanation()[s.Key] {
+		return false
+	}
 	for _, t := range s.Trials {
 		if t.Cleared {
 			continue
 		}
-		for k := range h.byStart[t.On] { // any part that explains all crashes has a trial at this one
+		for k := range h.byStart[t.On] { // a part with the same crashes has a trial at this one
 			o := h.parts[k]
-			if o == s || !o.held() || !o.covers(&s.SuspectPart) {
-				continue
-			}
-			if !s.covers(&o.SuspectPart) || !slices.Contains(keys, k) {
+			if o != s && o.held() && o.covers(&s.SuspectPart) && s.covers(&o.SuspectPart) && !slices.Contains(keys, k) {
 				return false
 			}
 		}
--- a/core/forward/parthold_test.go
+++ b/core/forward/parthold_test.go
@@ -145,6 +145,28 @@
 	require.False(t, h.holds("first", "x"))
 }
 
+// Guards against a sound part that stays held for minutes because it was on the endpoints that two
+// other parts had ended. Found by the forwarding soak, seed 6 with a part that crashes servers: a
+// dedicated customer and another one sent the same part.
+func TestPartWhoseCrashesOthersExplainIsNotHeld(t *testing.T) {
+	h := newHoldTest(t)
+	h.end(true, place1, []string{"bad 1"}, []string{"sound"})
+	h.end(true, place1, []string{"bad 2"}, []string{"sound"})
+	h.end(true, place1, []string{"bad 1"}, []string{"sound"})
+	require.True(t, h.holds("sound"), "no other part is on all of these endpoints")
+	h.end(true, place1, []string{"bad 2"})
+	require.True(t, h.holds("sound"), "the other parts have fewer crashes each")
+	h.end(true, place1, []string{"bad 2"})
+	h.end(true, place1, []string{"bad 1"})
+	require.True(t, h.holds("sound"), "it has as many crashes as each of them")
+	h.end(true, place1, []string{"bad 2"})
+	require.False(t, h.holds("sound"))
+	require.True(t, h.holds("bad 1", "sound"))
+	require.True(t, h.holds("bad 2"))
+	h.end(true, place1, []string{"sound"})
+	require.True(t, h.holds("sound"), "an endpoint ended without the others")
+}
+
 // Guards against a part that is held for weights or a build for which it is sound, and against one
 // that isn't held there although endpoints with them ended too.
 func TestPartIsTriedOnOtherWeightsOnce(t *testing.T) {
