--- a/core/forward/choose.go
+++ b/core/forward/choose.go
@@ -59,6 +59,7 @@
 	Usable           bool          // false while the endpoint is suspect, refuses requests or loads weights
 	Excluded         bool          // already tried, or not allowed for this request
 	OverLimit        bool          // this process's part of the endpoint's limit is used up
+	PausedUntil      time.Duration // the endpoint wants no requests from this process before this time
 	Outdated         bool          // has older weights than the target version
 	OutdatedSince    time.Duration // if Outdated, the earliest time at which the first newer version may have been set
 	ExpiresAt        time.Duration // if Outdated, prompts must begin on its weights before this time
@@ -105,7 +106,7 @@
 	for k := range cs {
 		i := (t.StartIndex + k) % len(cs)
 		c := &cs[i]
-		if c.Excluded || c.OverLimit {
+		if c.Excluded || c.OverLimit || c.Paused(t.Now) {
 			continue
 		}
 		cost, choice := t.cost(c, &plans)
