Read from answers that endpoints leave or want a pause

Cause: no code read the headers of an answer in which an endpoint says that it leaves, or a time beside a 503. Requests went on until the list said so. Change: both are read from every answer to a request or control call, but a 421 counts only if it states the ID of the endpoint that was asked. An endpoint that leaves is no longer listed; one that wants a pause is no candidate. Both are checked again before a request is sent. A refusal with such a time is no failure of the endpoint, nor is it if the request is then sent elsewhere, which also holds for refusals that name a limit. If all endpoints of a service have said so, callers are refused at once with a time of their own. The control interface returns all that the headers say; its test now checks that a misdirected answer is marked as such, and TestControlAnswersSayThatAnEndpointLeaves that its values are not used. Result: with observeStatements emptied, five of the new tests fail (TestEndpointThatLeavesGetsNoNewRequest and others); with any one of these guards removed at least one fails: 421, check before sending, health, time to come back in both places, control answers.

--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,7 @@
 	go run ./bench/cmd/deploycheck
 
 # Names that are specific to the users' platform may only occur in platform/.
-PLATFORM_NAMES := X-Server-Seal|Server-Limit|X-Kv-|Kv-From|X-Expect-(Instance|Version)|X-Prompt-Prefix|X-Token-Count|X-Cache-Salt|X-Tenant|X-Not-Run|X-Weight-Versions|X-Instance-Id|X-Request-Priority|X-Deadline-Ms|/kv-|/log-(append|read|newest|join|leave|commit|owners|trim)|keyed\.(op|servers|status)|pathPrefix|kvCapacityTokens|kvTokenBytes|coldLeftMs|switchMode|nodeName|machineClass
+PLATFORM_NAMES := X-Server-Seal|Server-Limit|Server-Leaving|X-Kv-|Kv-From|X-Expect-(Instance|Version)|X-Prompt-Prefix|X-Token-Count|X-Cache-Salt|X-Tenant|X-Not-Run|X-Weight-Versions|X-Instance-Id|X-Request-Priority|X-Deadline-Ms|/kv-|/log-(append|read|newest|join|leave|commit|owners|trim)|keyed\.(op|servers|status)|pathPrefix|kvCapacityTokens|kvTokenBytes|coldLeftMs|switchMode|nodeName|machineClass
 names:
 	@! git grep -nE '$(PLATFORM_NAMES)' -- '*.go' ':!platform/' || { echo 'move these names to platform/'; exit 1; }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -43,13 +43,13 @@
 	p.headArrived = true
 	q.observeResponse(p, resp)
 	if q.shouldRetryResponse(resp) {
-		return &exchangeError{sent: true, status: resp.httpResp.StatusCode, err: fmt.Errorf("the endpoint failed with %d", resp.httpResp.StatusCode)}
+		return statusError(resp, fmt.Errorf("the endpoint failed with %d", resp.httpResp.StatusCode))
 	}
 	if q.route.Kind == forward.Stream && resp.httpResp.StatusCode == http.StatusOK {
 		return q.relay(resp, p)
 	}
 	if q.headerSent {
-		return &exchangeError{sent: true, status: resp.httpResp.StatusCode, err: fmt.Errorf("the stream can't be resumed: status %d", resp.httpResp.StatusCode)}
+		return statusError(resp, fmt.Errorf("the stream can't be resumed: status %d", resp.httpResp.StatusCode))
 	}
 	return q.deliver(resp, p)
 }
@@ -74,12 +74,12 @@
 	if err := q.checkKeyFreshness(); err != nil {
 		return err
 	}
-	if q.call.Prompt == nil {
-		return nil
-	}
 	s := q.g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err := s.checkStatements(p); err != nil || q.call.Prompt == nil {
+		return err
+	}
 	if since, outdated := s.rollout.RetiredSince(q.call.Prompt.Model, p.choice.Version); outdated && p.choice.Version > 0 && s.clock()+p.choice.ExpectedWait >= s.versionExpiry(since) {
 		return errWeightsOutdated
 	}
@@ -115,7 +115,7 @@
 	defer s.mu.Unlock()
 	now := s.clock()
 	st := s.endpointState(p.endpoint.ID)
-	if !limitsRequests(resp.httpResp.StatusCode, resp.info) {
+	if !refusesForNow(resp.httpResp.StatusCode, resp.info) {
 		st.health.RecordResponse(resp.httpResp.StatusCode >= http.StatusInternalServerError, now, s.rng)
 	}
 	q.observeLife(p, resp)
--- a/gateway/endpointclock.go
+++ b/gateway/endpointclock.go
@@ -45,7 +45,7 @@
 	now := s.clock()
 	_, known := s.endpointClock(now)
 	endpoints := slices.DeleteFunc(slices.Clone(s.listedEndpoints(now)), func(e forward.Endpoint) bool {
-		return s.endpointState(e.ID).limit.PerSecond() != forward.Unlimited
+		return s.endpointState(e.ID).limit.PerSecond() != forward.Unlimited || s.statements.PausedUntil(&e, now) > 0
 	})
 	if known || len(endpoints) == 0 || now < s.nextClockRead {
 		s.mu.Unlock()
@@ -57,8 +57,8 @@
 	for _, e := range endpoints[:min(clockReadAttempts, len(endpoints))] {
 		started := g.clock()
 		attempt, cancel := context.WithTimeout(ctx, clockReportTimeout)
-		rep, limit, err := g.endpointControl.ReadState(attempt, e)
-		g.observeControlLimit(e.ID, limit, started)
+		rep, info, err := g.endpointControl.ReadState(attempt, e)
+		g.observeControl(e, info, started)
 		cancel()
 		if err != nil {
 			log.Warn().Str("event", "report_unread").Str("endpoint", e.ID).Err(err).Msg("cannot read the endpoints' clock")
--- a/gateway/era_test.go
+++ b/gateway/era_test.go
@@ -325,9 +325,9 @@
 	reports int
 }
 
-func (c *statedClock) ReadState(context.Context, forward.Endpoint) (forward.EndpointReport, NamedLimit, error) {
+func (c *statedClock) ReadState(context.Context, forward.Endpoint) (forward.EndpointReport, ResponseInfo, error) {
 	c.reports++
-	return forward.EndpointReport{ClockMs: c.ms()}, NamedLimit{}, nil
+	return forward.EndpointReport{ClockMs: c.ms()}, ResponseInfo{}, nil
 }
 
 // Guards against a full outage of the endpoints after a restart of all processes in a
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -41,7 +41,7 @@
 type exchangeError struct {
 	sent        bool // at least part of the request may have reached the endpoint
 	notRun      bool // the endpoint stated that the request has not run and will not run
-	limited     bool // the endpoint named a limit as it stated that
+	limited     bool // the endpoint refused because of a limit, or for a time, that it named
 	misdirected bool // the address belongs to another endpoint, or the endpoint does not meet the request's expectations
 	status      int
 	err         error
@@ -138,7 +138,7 @@
 			resp.writeResult <- err
 		}()
 	}
-	if xerr := resp.readHeader(g, e.ID, m, id); xerr != nil {
+	if xerr := resp.readHeader(g, e, m, id); xerr != nil {
 		resp.close()
 		return nil, xerr
 	}
@@ -147,7 +147,7 @@
 
 // readHeader reads the header of the response to the request with the given ID. A late or
 // duplicate response to another request is skipped.
-func (r *response) readHeader(g *Gateway, endpoint string, m *wireRequest, id string) *exchangeError {
+func (r *response) readHeader(g *Gateway, e forward.Endpoint, m *wireRequest, id string) *exchangeError {
 	for stray, interim := 0, 0; ; {
 		resp, err := r.conn.readResponse(m.method)
 		if err != nil {
@@ -160,8 +160,9 @@
 			continue
 		}
 		reply := g.headerCodec.ParseResponse(resp.StatusCode, resp.Header)
+		g.observeStatements(e, reply)
 		if !reply.Misdirected {
-			g.observeLimit(endpoint, reply, id, r.sentAt)
+			g.observeLimit(e.ID, reply, id, r.sentAt)
 		}
 		if reply.RequestID != "" && reply.RequestID != id {
 			if stray++; stray > maxStrayResponses || !drainBody(resp) {
@@ -173,7 +174,7 @@
 		r.identified = id != "" && reply.RequestID == id
 		if reply.NotRun {
 			r.discardBody()
-			return &exchangeError{sent: true, notRun: true, limited: limitsRequests(resp.StatusCode, reply), misdirected: reply.Misdirected, status: resp.StatusCode, err: fmt.Errorf("the endpoint refused with %d", resp.StatusCode)}
+			return &exchangeError{sent: true, notRun: true, limited: refusesForNow(resp.StatusCode, reply), misdirected: reply.Misdirected, status: resp.StatusCode, err: fmt.Errorf("the endpoint refused with %d", resp.StatusCode)}
 		}
 		if resp.StatusCode < http.StatusMultipleChoices && (!reply.HasReceipt || reply.RequestID == "" && id != "") {
 			return &exchangeError{sent: true, err: errors.New("the answer has no receipt")}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -260,7 +260,7 @@
 }
 
 func (g *Gateway) followEndpoints(ctx context.Context) {
-	r := feedReader[forward.EndpointChange]{name: "endpoints", feed: g.endpoints, clock: g.clock, observeEra: g.observeEra, pollPause: time.Duration(endpointPollShare * float64(milliseconds(g.settings.DrainMs))), apply: g.applyEndpoints, onFailure: func(now time.Duration) {
+	r := feedReader[forward.EndpointChange]{name: "endpoints", feed: g.endpoints, clock: g.clock, observeEra: g.observeEra, pollPause: endpointPollPause(g.settings), apply: g.applyEndpoints, onFailure: func(now time.Duration) {
 		g.state.mu.Lock()
 		defer g.state.mu.Unlock()
 		g.state.endpointList.LogLost(now)
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -50,6 +50,10 @@
 	Misdirected   bool // the address belongs to another endpoint, or the endpoint does not meet the request's expectations
 	WeightVersion int64
 	Limit         NamedLimit
+	Endpoint      string        // ID of the endpoint that responds, "" if not stated
+	Leaving       bool          // the endpoint leaves
+	RetryAfter    time.Duration // the endpoint turned the request away and wants nothing from this process for so long, 0 if it states no time
+	Unreadable    []string      // headers of which a value says nothing, as "NAME: VALUE"
 }
 
 // NamedLimit is what a response says about the requests a second that the endpoint takes from all
@@ -123,9 +127,9 @@
 	ExpectedOrderCount int64 // number of orders accepted before; the endpoint rejects the order if its own count differs
 }
 
-// EndpointControl sends load orders to endpoints and reads their state. Both calls also return the
-// limit that the answer names.
+// EndpointControl sends load orders to endpoints and reads their state. Both calls also return what
+// the headers of the answer say.
 type EndpointControl interface {
-	ReadState(ctx context.Context, e forward.Endpoint) (forward.EndpointReport, NamedLimit, error)
-	SendLoadOrder(ctx context.Context, o LoadOrder) (status int, limit NamedLimit, err error)
+	ReadState(ctx context.Context, e forward.Endpoint) (forward.EndpointReport, ResponseInfo, error)
+	SendLoadOrder(ctx context.Context, o LoadOrder) (status int, info ResponseInfo, err error)
 }
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -365,7 +365,7 @@
 // loadOrders is an EndpointControl whose endpoints refuse orders and name a limit in the answers.
 type loadOrders struct {
 	clock *testClock
-	limit NamedLimit
+	info  ResponseInfo
 	mu    sync.Mutex
 	calls []time.Duration
 }
@@ -376,14 +376,14 @@
 	o.calls = append(o.calls, o.clock.read())
 }
 
-func (o *loadOrders) ReadState(context.Context, forward.Endpoint) (forward.EndpointReport, NamedLimit, error) {
+func (o *loadOrders) ReadState(context.Context, forward.Endpoint) (forward.EndpointReport, ResponseInfo, error) {
 	o.call()
-	return forward.EndpointReport{Models: []forward.ModelState{{Name: "m", Version: 1}}}, o.limit, nil
+	return forward.EndpointReport{Models: []forward.ModelState{{Name: "m", Version: 1}}}, o.info, nil
 }
 
-func (o *loadOrders) SendLoadOrder(context.Context, LoadOrder) (int, NamedLimit, error) {
+func (o *loadOrders) SendLoadOrder(context.Context, LoadOrder) (int, ResponseInfo, error) {
 	o.call()
-	return http.StatusConflict, o.limit, nil
+	return http.StatusConflict, o.info, nil
 }
 
 // Guards against orders and reads of the state that exceed the limit of an endpoint which gets no
@@ -395,7 +395,7 @@
 	}{{0, 5}, {0.3, 6}, {1, 11}} {
 		g := newTestGroup(t, 1)
 		f := g.entries[0]
-		orders := &loadOrders{clock: g.clock, limit: NamedLimit{Stated: true, Valid: true, PerSecond: c.perSecond}}
+		orders := &loadOrders{clock: g.clock, info: ResponseInfo{Limit: NamedLimit{Stated: true, Valid: true, PerSecond: c.perSecond}}}
 		f.endpointControl = orders
 		f.applyEndpoints([]forward.EndpointChange{{ID: "e", Endpoint: &forward.Endpoint{ID: "e", Service: "s", Models: []forward.ModelState{{Name: "m", Version: 1}}}}}, g.clock.read(), true)
 		f.applyOperators([]forward.OperatorChange{{Weights: &forward.WeightVersion{Model: "m", Version: 2}}}, g.clock.read(), false)
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -51,7 +51,12 @@
 	if c.Index < 0 && q.accessLog.held > 0 && !slices.ContainsFunc(cs, func(c forward.Candidate) bool { return !c.Excluded }) {
 		return nil, q.placementError(q.heldError(now))
 	}
-	if c.Index < 0 && slices.ContainsFunc(cs, func(c forward.Candidate) bool { return c.OverLimit && !c.Excluded }) {
+	if c.Index < 0 {
+		if err := q.statementError(s, cs, now); err != nil {
+			return nil, q.placementError(err)
+		}
+	}
+	if c.Index < 0 && slices.ContainsFunc(cs, func(c forward.Candidate) bool { return c.OverLimit && !c.Excluded && !c.Paused(now) }) {
 		return nil, q.placementError(q.limitError(s, now))
 	}
 	if c.Index < 0 && q.bound {
@@ -173,10 +178,10 @@
 	switch {
 	case x.misdirected && p.choice.Version == 0:
 		st.health.RecordRefusal(now + misdirectedPause) // with a version in the request, the endpoint may just have other weights
-	case x.notRun && x.limited: // the limit decides when it gets further requests
+	case x.limited: // what it named decides when it gets further requests
 	case x.notRun:
 		st.health.RecordRefusal(now + refusalPause)
-	case !x.sent && x.err != errConnLimit && x.err != errPartHeld && x.err != errKeyStale && x.err != errWeightsOutdated:
+	case !x.sent && !withheld(x.err):
 		st.health.RecordRefusal(now + unreachablePause)
 		st.health.RecordFailure(now, s.rng)
 	case x.sent && x.err != errUnrecorded && remaining(q.deadline, now) > 0:
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -335,7 +335,7 @@
 		return nil
 	}
 	if notRun && q.notRun() {
-		return apierr.NewRetryable(apierr.Overloaded, apierr.NotRun, q.retryAfter(0), x.Error(), "send the request again").WithCause(x)
+		return q.refusalAfterAttempt(x)
 	}
 	return apierr.New(apierr.OutcomeUnknown, apierr.RanUnknown, x.Error(), "find out whether it took effect before sending it again").WithCause(x)
 }
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -144,8 +144,8 @@
 		return
 	}
 	started := g.clock()
-	rep, limit, err := g.endpointControl.ReadState(ctx, st.Endpoint)
-	g.observeControlLimit(st.Endpoint.ID, limit, started)
+	rep, info, err := g.endpointControl.ReadState(ctx, st.Endpoint)
+	g.observeControl(st.Endpoint, info, started)
 	if err != nil {
 		log.Warn().Str("event", "report_unread").Str("endpoint", st.Endpoint.ID).Err(err).Msg("cannot read the endpoint's state; retrying")
 		return
@@ -180,10 +180,10 @@
 		return
 	}
 	started := g.clock()
-	status, limit, err := g.endpointControl.SendLoadOrder(ctx, LoadOrder{
+	status, info, err := g.endpointControl.SendLoadOrder(ctx, LoadOrder{
 		Endpoint: st.Endpoint, Model: st.Model, Version: st.Version, Owner: g.settings.ID, FencingToken: fencingToken, ExpectedOrderCount: st.OrderSeq,
 	})
-	g.observeControlLimit(st.Endpoint.ID, limit, started)
+	g.observeControl(st.Endpoint, info, started)
 	if err != nil {
 		s.mu.Lock()
 		s.rollout.RecordOrderUnanswered(st.Endpoint.ID, s.clock())
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -84,6 +84,7 @@
 	parts             *forward.PartHolds
 	partSaver         partSaver
 	endpointChecks    map[forward.EndpointStart]*endpointCheck // under way
+	statements        statements
 	settings          Settings
 }
 
@@ -92,7 +93,7 @@
 	rollout.RetireDelay = forward.RetireDelayFor(milliseconds(s.VersionMs))
 	return &state{
 		clock: clock, rng: rng, endpointList: forward.NewEndpointList(), endpoints: map[string]*endpointState{}, peerFacts: map[string]knownFacts{}, rollout: rollout,
-		retryBudgets: map[string]*retry.Budget{}, peerLoads: newPeerLoads(), settings: s, streams: forward.NewStreamBuilds(), streamLog: newStreamLog(), limitQueues: map[string]*forward.LimitQueue{},
+		retryBudgets: map[string]*retry.Budget{}, peerLoads: newPeerLoads(), settings: s, streams: forward.NewStreamBuilds(), streamLog: newStreamLog(), limitQueues: map[string]*forward.LimitQueue{}, statements: newStatements(),
 		parts: forward.NewPartHolds(), partSaver: newPartSaver(), endpointChecks: map[forward.EndpointStart]*endpointCheck{},
 		freshness: forward.Freshness{MaxKeyAge: milliseconds(s.RevokeMs) - revokeMargin}, readConfirmed: make(chan struct{}), storeRead: make(chan struct{}), resumes: make(chan struct{}, 1),
 	}
@@ -173,8 +174,8 @@
 }
 
 // listedEndpoints returns the listed endpoints that accept new requests, healthy or not,
-// sorted by ID. The result is cached until an entry changes or an entry that is kept after
-// an outage of the log expires.
+// sorted by ID. The result is cached until an entry changes, an endpoint says that it leaves or an
+// entry that is kept after an outage of the log expires.
 func (s *state) listedEndpoints(now time.Duration) []forward.Endpoint {
 	if s.listedCache != nil && now < s.listedCacheUntil {
 		return s.listedCache
@@ -182,7 +183,9 @@
 	s.listedCache = make([]forward.Endpoint, 0, s.endpointList.Len())
 	s.endpointList.Each(now, func(e forward.Endpoint) {
 		s.resetIfRestarted(e)
-		s.listedCache = append(s.listedCache, e)
+		if !s.statements.Leaving(&e) {
+			s.listedCache = append(s.listedCache, e)
+		}
 	})
 	slices.SortFunc(s.listedCache, func(a, b forward.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
 	s.listedCacheUntil = s.endpointList.NextExpiry()
@@ -236,6 +239,8 @@
 		all, long := s.rollout.Blocked(e.ID, now)
 		c.Usable = c.Usable && !all
 		c.OverLimit = s.overLimit(st, &e, priority, now)
+		c.PausedUntil = s.statements.PausedUntil(&e, now)
+		c.Usable = c.Usable && !c.Paused(now)
 		c.AvoidLongRunning = long || now < st.emptyingUntil
 		if p != nil {
 			since, behind := s.rollout.OutdatedSince(e.Models, p.Model)
