--- a/gateway/accesslog.go
+++ b/gateway/accesslog.go
@@ -59,12 +59,13 @@
 	configVersion  int64
 	configAge      time.Duration
 	attempts       []attemptLog
-	candidates     int                   // endpoints of the service at the last placement; the next six count subsets
+	candidates     int                   // endpoints of the service at the last placement; the next seven count subsets
 	usable         int                   // could accept the request
 	emptying       int                   // accepted no long prompts
 	outdated       int                   // had older weights than the named version
 	excluded       int                   // were not allowed, other than by an earlier attempt
 	overLimit      int                   // had no room in the limits that they named
+	paused         int                   // had asked for no requests for some time
 	tried          int                   // had an earlier attempt of this request
 	held           int                   // may not get the request because of a held part of its prompt
 	heldParts      []forward.SuspectPart // for which the request was refused
@@ -78,10 +79,11 @@
 
 // countCandidates records how many candidates the last placement had, by state.
 func (l *accessLog) countCandidates(cs []forward.Candidate, tried map[string]bool) {
-	l.candidates, l.usable, l.emptying, l.outdated, l.excluded, l.overLimit, l.tried = len(cs), 0, 0, 0, 0, 0, 0
+	l.candidates, l.usable, l.emptying, l.outdated, l.excluded, l.overLimit, l.paused, l.tried = len(cs), 0, 0, 0, 0, 0, 0, 0
 	for _, c := range cs {
 		l.usable += boolInt(c.Usable && !c.Excluded && !c.OverLimit)
 		l.overLimit += boolInt(c.OverLimit)
+		l.paused += boolInt(c.PausedUntil > 0)
 		l.emptying += boolInt(c.AvoidLongRunning)
 		l.outdated += boolInt(c.Outdated)
 		l.tried += boolInt(tried[c.Endpoint.ID])
@@ -119,7 +121,7 @@
 		e = e.Str("resumes", q.call.Resumes).Str("last_event", q.call.LastEventID)
 	}
 	if l := q.accessLog; l.candidates > 0 {
-		e = e.Int("endpoints", l.candidates).Int("usable", l.usable).Int("emptying", l.emptying).Int("outdated", l.outdated).Int("excluded", l.excluded).Int("over_limit", l.overLimit).Int("tried", l.tried)
+		e = e.Int("endpoints", l.candidates).Int("usable", l.usable).Int("emptying", l.emptying).Int("outdated", l.outdated).Int("excluded", l.excluded).Int("over_limit", l.overLimit).Int("paused", l.paused).Int("tried", l.tried)
 	}
 	if q.accessLog.held > 0 {
 		e = e.Int("held", q.accessLog.held)
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -109,7 +109,7 @@
 	for _, e := range s.listedEndpoints(now) {
 		es := s.endpointState(e.ID)
 		st.Endpoints++
-		st.Usable += boolInt(es.health.Usable(now) && now >= es.loadingUntil)
+		st.Usable += boolInt(es.health.Usable(now) && now >= es.loadingUntil && s.statements.PausedUntil(&e, now) == 0)
 		if g.ownership.IsSoleOwner(e.ID, now) {
 			st.OwnedEndpoints = append(st.OwnedEndpoints, e.ID)
 		}
