--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -237,9 +237,3 @@
 	q.accessLog.status = resp.httpResp.StatusCode
 	q.accessLog.firstByteDelay = q.g.clock() - q.arrivedAt
 }
-
-// abort closes the caller's connection so that a truncated response does not look complete.
-func (q *request) abort(reason string) {
-	q.accessLog.aborted = reason
-	panic(http.ErrAbortHandler)
-}
