Count and log unknown headers of endpoints' answers

Cause: a header that began to appear in answers was passed on without a trace. That is how a limit and the leaving of endpoints went unread.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -87,6 +87,7 @@
 
 	requests           *expvar.Int
 	refusals           *expvar.Map
+	unknownHeaders     unknownHeaders
 	rejectedReports    *expvar.Int
 	durations          *metrics.DurationHistograms
 	firstByteDurations *metrics.DurationHistograms
@@ -110,6 +111,7 @@
 		reportRequests:     make(chan struct{}, 1),
 		requests:           metrics.Default.Counter("forwarded_requests"),
 		refusals:           metrics.Default.LabeledCounter("forward_refusals"),
+		unknownHeaders:     unknownHeaders{count: metrics.Default.LabeledCounter("forward_unknown_headers")},
 		rejectedReports:    metrics.Default.Counter("stray_load_reports"),
 		durations:          metrics.Default.DurationHistograms("forward_ms"),
 		firstByteDurations: metrics.Default.DurationHistograms("forward_first_byte_ms"),
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -54,6 +54,7 @@
 	Leaving       bool          // the endpoint leaves
 	RetryAfter    time.Duration // the endpoint turned the request away and wants nothing from this process for so long, 0 if it states no time
 	Unreadable    []string      // headers of which a value says nothing, as "NAME: VALUE"
+	Unknown       []string      // headers that begin like those of the platform and aren't known
 }
 
 // NamedLimit is what a response says about the requests a second that the endpoint takes from all
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -43,6 +43,7 @@
 // observeStatements records what a response says of the endpoint that gave it. The endpoint that
 // was asked did not give a response that is misdirected, unless that states its ID.
 func (g *Gateway) observeStatements(e forward.Endpoint, r ResponseInfo) {
+	g.unknownHeaders.observe(e.ID, r.Unknown)
 	if r.Misdirected && r.Endpoint != e.ID {
 		return
 	}
