Keep the connections of all entries within an endpoint's bound

Cause: each entry took at least four connections to an endpoint, whatever their number: 330 entries may have had 1320 where 100 are accepted, and 31 have had 124. The endpoint resets those beyond its bound. Change: ConnShare divides maxConns among the members of the group, with a share left for an entry that isn't known and for orders. Where there are fewer connections than entries, rendezvous hashing gives some one each, and the others don't place requests on that endpoint. Conclusion: an entry finds out only as it sends that its connections are all in use; that is as before and may matter more with shares of 1 or 2.

--- a/core/rendezvous/rendezvous.go
+++ b/core/rendezvous/rendezvous.go
@@ -67,3 +67,15 @@
 	}
 	return dst
 }
+
+// Rank returns how many of the IDs rank before id for a key. It takes less time than Top where
+// only one ID is of interest.
+func Rank(key uint64, ids []string, id string) int {
+	own, n := score(key, id), 0
+	for _, other := range ids {
+		if ranksBefore(score(key, other), other, own, id) {
+			n++
+		}
+	}
+	return n
+}
--- a/core/rendezvous/rendezvous_test.go
+++ b/core/rendezvous/rendezvous_test.go
@@ -32,3 +32,16 @@
 	require.Equal(t, "", Owner(1, nil))
 	require.Empty(t, Top(1, nil, 3))
 }
+
+// Guards against a rank that names other IDs than Top does.
+func TestRankAgreesWithTop(t *testing.T) {
+	var ids []string
+	for i := range 50 {
+		ids = append(ids, fmt.Sprint("id-", i))
+	}
+	for key := range uint64(20) {
+		for rank, id := range Top(key, ids, len(ids)) {
+			require.Equal(t, rank, Rank(key, ids, id))
+		}
+	}
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -125,9 +125,6 @@
 // load returns the total load of all peers on an endpoint.
 func (p *peerLoads) load(id string) forward.EndpointLoad { return p.totals[endpointHash(id)] }
 
-// count returns the number of peers with a valid report.
-func (p *peerLoads) count() int { return len(p.reports) }
-
 // interval returns the interval between regular reports.
 func (p *peerLoads) interval() time.Duration {
 	return max(reportInterval, time.Duration(len(p.members))*reportIntervalPerPeer)
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -30,7 +30,7 @@
 	f.clock.advance(reportTTL / 2)
 	f.state.peerLoads.expire(f.clock.read())
 	require.Equal(t, 3, load(), "the report of a has expired")
-	require.Equal(t, 1, f.state.peerLoads.count())
+	require.Len(t, f.state.peerLoads.reports, 1)
 	f.clock.advance(reportTTL)
 	f.state.peerLoads.expire(f.clock.read())
 	require.Equal(t, forward.EndpointLoad{}, f.state.peerLoads.load("e0"))
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -71,7 +71,7 @@
 	if q.call.Prompt != nil && forward.ShouldShed(c, q.route.LatencyTarget) {
 		return nil, q.placementError(apierr.NewRetryable(apierr.Overloaded, apierr.NotRun, q.retryAfter(c.QueueWait), "the latency target can't be met", "send the request again later"))
 	}
-	p := &placement{endpoint: cs[c.Index].Endpoint, work: c.Load, choice: c, placedAt: now, maxConns: s.connLimit(q.service)}
+	p := &placement{endpoint: cs[c.Index].Endpoint, work: c.Load, choice: c, placedAt: now, maxConns: s.connLimit(q.service, cs[c.Index].Endpoint.ID)}
 	if chosen := &cs[c.Index]; chosen.Outdated {
 		p.outdatedFor = now - chosen.OutdatedSince
 	}
@@ -142,13 +142,12 @@
 	return apierr.New(apierr.OutcomeUnknown, apierr.RanUnknown, err.Message, "find out whether it took effect before sending it again")
 }
 
-// connLimit returns this process's share of an endpoint's connections. One extra share
-// is left for an entry that is not known yet.
-func (s *state) connLimit(sv *forward.Service) int {
-	if sv.MaxConns <= 0 {
+// connLimit returns this process's share of an endpoint's connections.
+func (s *state) connLimit(sv *forward.Service, endpoint string) int {
+	if sv == nil || sv.MaxConns <= 0 {
 		return 64 // the service sets no limit
 	}
-	return max(sv.MaxConns/(s.peerLoads.count()+2), 4)
+	return s.limitGroup.ConnShare(endpoint, sv.MaxConns)
 }
 
 // retryAfter returns the time after which a refused caller should retry.
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -225,6 +225,10 @@
 // priority.
 func (s *state) candidates(service string, p *forward.Prompt, priority int, tried map[string]bool, now time.Duration) []forward.Candidate {
 	endpoints := s.listedEndpoints(now)
+	var sv *forward.Service
+	if s.table != nil {
+		sv = s.table.Service(service)
+	}
 	cs := make([]forward.Candidate, 0, len(endpoints))
 	for _, e := range endpoints {
 		if e.Service != service {
@@ -234,7 +238,7 @@
 		e.Models = st.withObservedVersions(e.Models)
 		c := forward.Candidate{
 			Endpoint: e, Load: st.load.Plus(s.peerLoads.load(e.ID)), Residency: &st.residency,
-			Usable: st.health.Usable(now) && now >= st.loadingUntil, Excluded: tried[e.ID],
+			Usable: st.health.Usable(now) && now >= st.loadingUntil, Excluded: tried[e.ID] || s.connLimit(sv, e.ID) == 0,
 		}
 		all, long := s.rollout.Blocked(e.ID, now)
 		c.Usable = c.Usable && !all
