Read long pages of the log in parts

Cause: a page of the log was decoded whole, up to 256 MB of encoded records, where a process has 128 MB. Records of 64 KB, 1000 to a page, take that. Change: a page is decoded record by record, and what is beyond 16 MB is left to the next read, as with pages that the log cuts itself. A record may have 16 MB, the largest message between processes, an answer to an append 64 KB.

--- a/logsvc/logsvc.go
+++ b/logsvc/logsvc.go
@@ -62,8 +62,13 @@
 	http    *http.Client
 }
 
-// maxPageBytes limits the size of the answer to an append or a read.
-const maxPageBytes = 256 << 20
+// Limits on answers, as they are encoded. A process has 128 MB, and holds a page's records decoded
+// beside their encoding.
+const (
+	maxPageBytes   = 16 << 20 // records of a page beyond this are left to the next read
+	maxRecordBytes = 32 << 20 // holds a record of 16 MB, the largest message between processes
+	maxAppendBytes = 64 << 10 // answer to an append
+)
 
 // maxHeadBytes limits the size of an answer's head; net/http would read 10 MB.
 const maxHeadBytes = 64 << 10
@@ -101,7 +106,7 @@
 	case resp.StatusCode != http.StatusOK:
 		return a, fmt.Errorf("append to %s: %w: status %d", stream, ErrOutcomeUnknown, resp.StatusCode)
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxPageBytes)).Decode(&a); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAppendBytes)).Decode(&a); err != nil {
 		return a, fmt.Errorf("append to %s: %w: %w", stream, ErrOutcomeUnknown, err)
 	}
 	return a, nil
@@ -137,8 +142,8 @@
 	if resp.StatusCode != http.StatusOK {
 		return p, fmt.Errorf("read %s: %w: status %d", stream, ErrUnavailable, resp.StatusCode)
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxPageBytes)).Decode(&p); err != nil {
-		return p, fmt.Errorf("read %s: %w: %w", stream, ErrUnavailable, err)
+	if p, err = decodePage(io.LimitReader(resp.Body, maxPageBytes+maxRecordBytes)); err != nil {
+		return Page{}, fmt.Errorf("read %s: %w: %w", stream, ErrUnavailable, err)
 	}
 	return p, nil
 }
