End answers whose callers stop reading

Cause: writes to callers had no deadline. A caller that stopped reading, or took a byte now and then, held its answer's buffers and the endpoint's connection for as long as it liked. Change: each 16 KB have to be taken within 15 s and a second for each KB; if not, the connection is reset and a line logged. Pauses of up to 15 s and rates from 1 KB a second are never cut.

--- a/gateway/abort.go
+++ b/gateway/abort.go
@@ -1,9 +1,6 @@
 package gateway
 
-import (
-	"net"
-	"net/http"
-)
+import "net/http"
 
 // abort ends the caller's connection so that a truncated response does not look complete.
 func (q *request) abort(reason string) {
@@ -24,8 +21,5 @@
 	if c, ok := conn.(*callerConn); ok {
 		conn = c.Conn
 	}
-	if c, ok := conn.(*net.TCPConn); ok {
-		_ = c.SetLinger(0) // the connection may have ended
-	}
-	conn.Close()
+	resetConn(conn)
 }
--- /dev/null
+++ b/gateway/stall.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"errors"
+	"net"
+	"os"
+	"time"
+
+	"github.com/phuslu/log"
+)
+
+// Progress that a caller has to make while an answer waits for it. A caller that stops reading, or
+// takes a byte now and then, would hold its answer's buffers, and the endpoint's connection, for as
+// long as it likes.
+const (
+	callerPause   = 15 * time.Second // a caller may read nothing for so long: it was suspended, or its link was lost
+	minCallerRate = 1 << 10          // bytes a second that it has to take otherwise
+	maxWriteBytes = 16 << 10         // bytes that are written under one deadline
+)
+
+// Write implements net.Conn. It fails if the caller takes less than minCallerRate for longer than
+// callerPause, and then resets the connection: the kernel would go on sending what it has.
+func (c *callerConn) Write(p []byte) (int, error) {
+	written := 0
+	for {
+		piece := p[written:min(len(p), written+maxWriteBytes)]
+		limit := callerPause + time.Duration(len(piece))*time.Second/minCallerRate
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(limit)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(piece)
+		written += n
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			log.Info().Str("event", "caller_stalled").Str("caller", c.RemoteAddr().String()).Dur("waited_ms", limit).Int("taken", n).Int("of", len(piece)).Msg("a caller stopped reading its answer; its connection is reset")
+			resetConn(c.Conn)
+		}
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+// resetConn closes a connection so that the other side doesn't take it for a regular end.
+func resetConn(conn net.Conn) {
+	if c, ok := conn.(*net.TCPConn); ok {
+		_ = c.SetLinger(0) // the connection may have ended
+	}
+	conn.Close()
+}
