Keep the build of an endpoint that leaves in use by its record

Cause: an endpoint that has told one entry that it leaves is no longer listed there, so that entry took the service for one of a single build while others still began streams at the other one. It would have changed the default build too early, and taken up streams at another build. Change: the builds of a service follow the records alone. Result: TestBuildOfAnEndpointThatLeavesStaysInUse failed before ("should be empty, but was [{s v1 2 true}]"). Conclusion: what endpoints say to one entry decides only about its own requests and orders.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -247,7 +247,7 @@
 		s.endpointList.Apply(changes, now)
 	}
 	s.endpointListRead, s.listedCache = true, nil
-	s.streams.ObserveEndpoints(s.listedEndpoints(now), started, now)
+	s.streams.ObserveEndpoints(s.readyByList(now), started, now)
 	alive := s.pruneEndpoints(now)
 	s.mu.Unlock()
 	g.pool.prune(alive)
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -114,6 +114,14 @@
 	return found
 }
 
+// readyByList returns the endpoints that are ready by their records. Other entries may begin streams
+// at one that has told only this entry that it leaves, so its build is still in use.
+func (s *state) readyByList(now time.Duration) []forward.Endpoint {
+	out := make([]forward.Endpoint, 0, s.endpointList.Len())
+	s.endpointList.Each(now, func(e forward.Endpoint) { out = append(out, e) })
+	return out
+}
+
 func (s *state) returnQueue(service string) *forward.ReturnQueue {
 	r := s.statements.returns[service]
 	if r == nil {
--- a/gateway/statements_test.go
+++ b/gateway/statements_test.go
@@ -339,3 +339,27 @@
 		seen[after] = true
 	}
 }
+
+// Guards against a stream that goes on at another build because this entry takes the last endpoint
+// of its build for gone, while other entries still begin streams there.
+func TestBuildOfAnEndpointThatLeavesStaysInUse(t *testing.T) {
+	f := newFixture(t)
+	list := func() {
+		var changes []forward.EndpointChange
+		for i, build := range []string{"v1", "v2"} {
+			e := record(fmt.Sprint("e", i), "127.0.0.1:1", 5, false)
+			e.Build = build
+			changes = append(changes, forward.EndpointChange{ID: e.ID, Endpoint: e})
+		}
+		f.applyEndpoints(changes, f.clock.read(), true)
+	}
+	list()
+	f.state.streams.SetDefaults([]forward.DefaultBuild{{Service: "s", Build: "v1", Revision: 1}}, f.clock.read())
+	f.observe("e0", ResponseInfo{Leaving: true})
+	for range 120 {
+		f.clock.advance(time.Second)
+		list()
+		require.Empty(t, f.state.streams.DefaultsToSave(f.clock.read()))
+		require.Len(t, f.state.listedEndpoints(f.clock.read()), 1)
+	}
+}
