Keep each endpoint's share of connections until its inputs change

Change: the share is kept until the members or the bound change, and a member is looked up in the sorted list.

--- a/core/forward/connshare_test.go
+++ b/core/forward/connshare_test.go
@@ -13,7 +13,7 @@
 	for _, entries := range []int{1, 4, 31, 330} {
 		var members []string
 		for i := range entries {
-			members = append(members, fmt.Sprint("entry-", i))
+			members = append(members, fmt.Sprintf("entry-%03d", i))
 		}
 		for _, maxConns := range []int{1, 2, 3, 10, 31, 100, 110, 329, 330, 331, 360, 940, 5000} {
 			for _, endpoint := range []string{"e1", "e2", "e3"} {
@@ -38,7 +38,7 @@
 	const entries, endpoints, maxConns = 330, 166, 100
 	var members []string
 	for i := range entries {
-		members = append(members, fmt.Sprint("entry-", i))
+		members = append(members, fmt.Sprintf("entry-%03d", i))
 	}
 	for _, m := range members {
 		n := 0
@@ -48,3 +48,15 @@
 		require.InDelta(t, endpoints*(maxConns-1)/entries, n, 25, "%s", m)
 	}
 }
+
+// Guards against a share that stays as members come and go, or as the bound changes.
+func TestConnShareFollowsItsInputs(t *testing.T) {
+	var g LimitGroup
+	var c ConnShareCache
+	require.Equal(t, 50, c.Share("e", 100, &g))
+	g.RecordMembers("a", []string{"a", "b", "c"}, nil)
+	require.Equal(t, 25, c.Share("e", 100, &g))
+	require.Equal(t, 10, c.Share("e", 40, &g))
+	g.RecordMembers("a", []string{"b", "c"}, []string{"d"})
+	require.Equal(t, 8, c.Share("e", 40, &g), "this process isn't listed")
+}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -147,7 +147,7 @@
 	if sv == nil || sv.MaxConns <= 0 {
 		return 64 // the service sets no limit
 	}
-	return s.limitGroup.ConnShare(endpoint, sv.MaxConns)
+	return s.endpointState(endpoint).connShare.Share(endpoint, sv.MaxConns, &s.limitGroup)
 }
 
 // retryAfter returns the time after which a refused caller should retry.
--- a/gateway/pool_test.go
+++ b/gateway/pool_test.go
@@ -35,7 +35,7 @@
 	f.applyOperators([]forward.OperatorChange{{Config: &config}}, f.clock.read(), false)
 	members := []string{f.memberID}
 	for i := range entries - 1 {
-		members = append(members, fmt.Sprint("entry-", i))
+		members = append(members, fmt.Sprintf("entry-%03d", i))
 	}
 	f.state.limitGroup.RecordMembers(f.memberID, members, nil)
 	for i := range 200 {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -34,6 +34,7 @@
 	load             forward.EndpointLoad
 	health           forward.Health
 	limit            forward.EndpointLimit
+	connShare        forward.ConnShareCache
 	nextStateRead    time.Duration // when its state may be read again, if it names a limit
 	residency        forward.Residency
 	observedVersions map[string]int64 // newest weight versions seen in responses and reports, by model
