Test that refusals sent elsewhere are no failures

Cause: a 503 that names a limit or a time, and doesn't say that the request has not run, counted as a failure of its endpoint when the request was repeated elsewhere; mended with the reading of the times, but not tested. Change: a test for both headers. Result: TestRequestsSentElsewhereAreNoFailures fails with the condition of before in finishAttempt, and passes.

--- a/gateway/statements_test.go
+++ b/gateway/statements_test.go
@@ -363,3 +363,22 @@
 		require.Len(t, f.state.listedEndpoints(f.clock.read()), 1)
 	}
 }
+
+// Guards against an endpoint that is given up as failing because requests which it turned away for a
+// time, or for its limit, were sent elsewhere.
+func TestRequestsSentElsewhereAreNoFailures(t *testing.T) {
+	for _, header := range []string{"Test-Retry: 0.01", "Test-Limit: 1000"} {
+		e := answering(t, "HTTP/1.1 503 Busy\r\nTest-Id: %ID\r\nTest-Seal: s\r\n"+header+"\r\nContent-Length: 0\r\n\r\n")
+		f := newTestGroup(t, 1, e, serveRaw(t, respondOK("ok"))).entries[0]
+		for range 1000 { // fills the retry budget
+			f.state.retryBudget("s").CountRequest(f.clock.read())
+		}
+		for i := range 20 {
+			f.confirmConfig()
+			require.Equal(t, 200, f.status(t, "/safe/x", "key"))
+			require.EqualValues(t, i+1, e.requests.Load(), header)
+			require.True(t, f.state.endpointState("e0").health.Usable(f.clock.read()))
+			f.clock.advance(20 * time.Millisecond)
+		}
+	}
+}
