--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -120,7 +120,7 @@
 			f := newFixture(t, e)
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			require.NoError(t, err)
-			srv := f.serveOn(l, f.Gateway)
+			srv := serveOn(l, f.Gateway, f.callerConns)
 			defer srv.Close()
 			for _, version := range []string{"1.1", "1.0"} {
 				conn, err := net.Dial("tcp", l.Addr().String())
