Test parts that crash endpoints against the cases of trouble

Cause: the part may stand anywhere in the prompt, crash before or after the head, at some weights or builds only; endpoints end for other reasons too; entries start, are cut off or are lost.

The fuzzed reports hold parts.

--- a/gateway/breakoff.go
+++ b/gateway/breakoff.go
@@ -17,7 +17,7 @@
 // Bounds on what is done for an attempt that broke off.
 const (
 	endpointCheckTimeout = 300 * time.Millisecond // a refusal takes a round trip of a few milliseconds
-	maxCheckWait         = 100 * time.Millisecond // for which a further attempt waits
+	defaultMaxCheckWait  = 100 * time.Millisecond // for which a further attempt waits
 	endpointSettleTime   = 20 * time.Millisecond  // an endpoint that ends closes its connections and its listener one after the other
 	maxEndpointChecks    = 64                     // at once; an attempt beyond them is no evidence
 	maxLoggedParts       = 8
@@ -87,7 +87,7 @@
 	if !evidence {
 		return
 	}
-	limit := time.NewTimer(maxCheckWait)
+	limit := time.NewTimer(g.maxCheckWait)
 	defer limit.Stop()
 	select {
 	case <-recorded:
--- a/gateway/facts.go
+++ b/gateway/facts.go
@@ -150,11 +150,12 @@
 	g.sendFacts(member, now.Milliseconds(), 0)
 }
 
-// sendFacts sends a peer this process's facts. It reads the clock for the ages after the
-// message that it answers has arrived, which lowerBound relies on.
-func (g *Gateway) sendFacts(member string, askedAt, answers int64) {
+// buildFacts returns this process's facts. It reads the clock for the ages after the message that
+// they answer has arrived, which lowerBound relies on.
+func (g *Gateway) buildFacts(askedAt, answers int64) factsMessage {
 	s := g.state
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	now := s.clock()
 	f := factsMessage{Protocol: factsProtocol, Member: g.memberID, Domain: g.settings.FailureDomain, AskedAt: askedAt, Answers: answers, Config: s.knowledge().ConfigVersion}
 	for _, n := range s.rollout.Namings(now - milliseconds(s.settings.VersionMs)) {
@@ -163,7 +164,12 @@
 	if answers != 0 {
 		f.Parts = encodeParts(s.parts.Held(), maxFactPartBytes, now)
 	}
-	s.mu.Unlock()
+	return f
+}
+
+// sendFacts sends a peer this process's facts.
+func (g *Gateway) sendFacts(member string, askedAt, answers int64) {
+	f := g.buildFacts(askedAt, answers)
 	data, err := encodeMessage(&f)
 	if err != nil || len(data) > maxDatagram {
 		log.Error().Str("event", "facts_failed").Int("bytes", len(data)).Err(err).Msg("cannot encode the facts for peers")
--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -53,6 +53,7 @@
 	r.Uses = []reportUse{{1, 1 << 63, -900}}
 	r.Loading, r.Emptying = []uint32{endpointHash("e0")}, []uint32{7}
 	r.Loaded = []reportVersion{{endpointHash("e0"), "m", -3, 1}}
+	r.Parts = []reportPart{{Key: 7, Name: "p", UsedAgoMs: 5, Trials: []reportTrial{{"e0", 1, reportPlace{1, 2}, true, false, 9, 8, "w"}, {"e1", 1, reportPlace{1, 2}, false, true, -9, -8, "w"}}, Sound: []reportPlace{{2, 2}}}}
 	data, err := encodeReport(r)
 	require.NoError(f, err)
 	f.Add(data)
@@ -70,6 +71,9 @@
 		clock.advance(time.Minute)
 		g.state.peerLoads.expire(clock.read())
 		require.Empty(t, g.state.peerLoads.totals)
+		clock.advance(48 * time.Hour)
+		g.state.parts.Expire(clock.read())
+		require.Zero(t, g.state.parts.Len())
 	})
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,6 +80,7 @@
 	memberID        string
 	peerConn        *net.UDPConn
 	reportRequests  chan struct{}
+	maxCheckWait    time.Duration // see defaultMaxCheckWait
 
 	draining    atomic.Bool
 	inFlight    atomic.Int64
@@ -109,6 +110,7 @@
 		memberID:           member,
 		callerConns:        newCallerConns(),
 		reportRequests:     make(chan struct{}, 1),
+		maxCheckWait:       defaultMaxCheckWait,
 		requests:           metrics.Default.Counter("forwarded_requests"),
 		refusals:           metrics.Default.LabeledCounter("forward_refusals"),
 		unknownHeaders:     unknownHeaders{count: metrics.Default.LabeledCounter("forward_unknown_headers")},
