Let the time that is left set the pace of rollouts

Cause: An order without an answer held its place for its whole time-out, and endpoints with expired weights were ordered again each second while others waited for their first order.

Change: Each process measures how long its orders take lately and whether they are answered. The limit of endpoints without requests and the interval between starts follow from the time that is left, the endpoints still to do and that measured time. While most orders get no answer, endpoints are not emptied first and stay in service until the order is answered. Endpoints with expired weights hold no places at once, not only after a stall. An endpoint that waits for the handover pause is no longer excluded meanwhile. The pause that follows from a peer's report now includes the transit and the interval of the reports.

--- a/core/forward/rollout.go
+++ b/core/forward/rollout.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 )
@@ -22,7 +21,8 @@
 	unmanagedGrace = 500 * time.Millisecond
 
 	// startInterval is the minimum time between the starts of two endpoint updates in
-	// one process, so that the other processes learn of the first.
+	// one process, so that the other processes learn of the first. It is shorter if the time
+	// that is left demands it.
 	startInterval = 300 * time.Millisecond
 
 	// stateRetention is the time until the state of an endpoint that is no longer
@@ -58,6 +58,10 @@
 	// deferredUntil holds the endpoints that did not carry out their orders, with the
 	// time until which others go first.
 	deferredUntil map[string]time.Duration
+	// VersionBound is the time after the naming of a version within which endpoints must have it,
+	// 0 if there is none.
+	VersionBound time.Duration
+	orders       orderHistory
 }
 
 // stage is the progress of the update of one endpoint.
@@ -81,9 +85,14 @@
 	lastBusy          time.Duration // when the endpoint last reported that it was carrying out an order
 	report            EndpointReport
 	hasReport         bool
-	// uncounted exempts an update that has stalled from the limits, while the endpoint gets no
-	// prompts anyway: it takes nothing out of use, and must not delay the updates of others.
+	ordered           underwayOrder // the order that was decided last
+	answered          bool          // the endpoint has answered the last order, or is carrying it out
+	// uncounted exempts an update from the limits, while the endpoint gets no prompts anyway: it
+	// takes nothing out of use, and must not delay the updates of others.
 	uncounted bool
+	// inService lets the endpoint get prompts until it is known that it carries out the order,
+	// because orders are carried out at times that can't be foreseen.
+	inService bool
 }
 
 // ManagedEndpoint is an endpoint that this process may send orders to.
@@ -118,7 +127,7 @@
 
 // NewRollout returns a rollout without targets.
 func NewRollout() *Rollout {
-	return &Rollout{RetireDelay: minRetireDelay, targets: map[string][]target{}, updates: map[string]*endpointUpdate{}, deferredUntil: map[string]time.Duration{}}
+	return &Rollout{RetireDelay: minRetireDelay, targets: map[string][]target{}, updates: map[string]*endpointUpdate{}, deferredUntil: map[string]time.Duration{}, orders: newOrderHistory()}
 }
 
 // Stages returns the stage of each endpoint that this process is updating.
@@ -137,7 +146,7 @@
 	if u == nil || now >= u.lastManaged+unmanagedGrace {
 		return false, false
 	}
-	return u.stage != emptying, true
+	return u.excluded(), true
 }
 
 // RecordReport records an endpoint's report. It reports whether the endpoint has all
@@ -147,13 +156,14 @@
 	if u == nil {
 		return false
 	}
-	if _, _, behind := r.pendingTarget(rep.Models); !behind {
+	if !r.IsBehind(rep.Models) {
 		delete(r.updates, id)
 		return true
 	}
 	u.report, u.hasReport = rep, true
 	if rep.Busy {
-		u.lastBusy = now
+		u.lastBusy, u.inService = now, false
+		r.recordAnswered(id, u, now)
 	}
 	return false
 }
@@ -161,61 +171,142 @@
 // RecordOrderSent records that an order was sent.
 func (r *Rollout) RecordOrderSent(id string, now time.Duration) {
 	if u := r.updates[id]; u != nil {
-		u.stage, u.stageSince, u.hasReport = orderSent, now, false
+		u.stage, u.stageSince, u.hasReport, u.answered = orderSent, now, false, false
+		r.orders.recordSent(id, u.ordered, now)
+	}
+}
+
+// RecordOrderAnswered records the answer to an order. If the endpoint carries out the order, it gets
+// no requests until it has done so, also if it has given way to others meanwhile.
+func (r *Rollout) RecordOrderAnswered(id string, accepted bool, now time.Duration) {
+	u := r.updates[id]
+	if u == nil && accepted {
+		u = &endpointUpdate{stage: orderSent, stageSince: now, awaitedSince: now, lastManaged: now}
+		r.updates[id] = u
+	}
+	if u == nil {
+		return
+	}
+	u.inService = u.inService && !accepted
+	r.recordAnswered(id, u, now)
+}
+
+func (r *Rollout) recordAnswered(id string, u *endpointUpdate, now time.Duration) {
+	if u.stage == orderSent {
+		u.answered = true
+		r.orders.recordOutcome(id, true, now)
 	}
 }
 
 // RecordOrderUnanswered records that an order got no answer. It may still be carried out, seconds
 // later, so the endpoint gives way to others at once.
 func (r *Rollout) RecordOrderUnanswered(id string, now time.Duration) {
-	if r.updates[id] != nil {
+	if u := r.updates[id]; u != nil && u.stage == orderSent && !u.answered {
 		delete(r.updates, id)
-		r.deferredUntil[id] = now + deferralPeriod
+		r.orders.recordOutcome(id, false, now)
 	}
 }
 
 // FleetCounts holds counts of the endpoints of a service.
 type FleetCounts struct {
 	Total        int
+	Behind       int // endpoints that lack a target version and whose weights have not expired
 	PeerUpdating int // endpoints that other processes are about to change
 	PeerLoading  int // those of PeerUpdating that get no requests at all
 }
 
 // NextSteps returns the steps that are due for the managed endpoints. It limits the share
 // of a service's endpoints that are updated at a time, and further limits the share
-// that gets no requests. An endpoint that does not carry out its order gives way to others,
-// or is updated beside them once its weights have expired.
+// that gets no requests. An endpoint that does not carry out its order gives way to others.
+// Those whose weights have expired are updated beside the others.
 func (r *Rollout) NextSteps(managed []ManagedEndpoint, fleets map[string]FleetCounts, now time.Duration) []RolloutStep {
-	slices.SortFunc(managed, func(a, b ManagedEndpoint) int {
-		return cmp.Or(cmp.Compare(oldestVersion(a.Endpoint), oldestVersion(b.Endpoint)), cmp.Compare(r.deferredUntil[a.Endpoint.ID], r.deferredUntil[b.Endpoint.ID]), cmp.Compare(a.LongRunning, b.LongRunning), cmp.Compare(a.Endpoint.ID, b.Endpoint.ID))
-	})
-	changing, loading := map[string]int{}, map[string]int{}
+	for _, m := range managed {
+		r.orders.observe(m.Endpoint, now)
+	}
+	r.sortByUrgency(managed)
+	changing, loading, paces := map[string]int{}, map[string]int{}, map[string]pace{}
 	for service, f := range fleets {
 		changing[service], loading[service] = f.PeerUpdating, f.PeerLoading
+		paces[service] = r.paceFor(service, f, managed, now)
 	}
-	for id, until := range r.deferredUntil {
-		if now >= until+stateRetention {
-			delete(r.deferredUntil, id)
+	r.continueUpdates(managed, changing, loading, now)
+	r.forgetOld(now)
+	var steps []RolloutStep
+	for _, m := range managed {
+		service := m.Endpoint.Service
+		u, p := r.updates[m.Endpoint.ID], paces[service]
+		if u == nil {
+			if !r.IsBehind(m.Endpoint.Models) || !r.mayStart(m.Endpoint, now) || !m.Expired && (changing[service] >= p.changing || now < r.lastStart+p.startInterval) {
+				continue
+			}
+			if !m.Expired {
+				changing[service]++
+				r.lastStart = now
+			}
+			r.updates[m.Endpoint.ID] = &endpointUpdate{stage: emptying, stageSince: now, lastManaged: now, uncounted: m.Expired}
+			continue
 		}
+		if u.stage == emptying {
+			late := r.orders.unanswered()
+			if !late && !u.uncounted && loading[service] >= p.loading || !u.emptied(m, late, r.emptyingTime(m.Endpoint, now), now) {
+				continue
+			}
+			u.stage, u.stageSince, u.awaitedSince, u.inService = awaitingReport, now, now, late
+			loading[service] += boolInt(u.excluded() && !u.uncounted)
+		}
+		if s, ok := u.nextStep(r, m, now); ok {
+			steps = append(steps, s)
+		}
+	}
+	return steps
+}
+
+// sortByUrgency sorts endpoints by how long they have been behind. Those with an order for their
+// target underway come last.
+func (r *Rollout) sortByUrgency(managed []ManagedEndpoint) {
+	underway, since := map[string]int{}, map[string]time.Duration{}
+	for _, m := range managed {
+		underway[m.Endpoint.ID], since[m.Endpoint.ID] = boolInt(r.orderUnderway(m.Endpoint)), r.behindSince(m.Endpoint)
 	}
+	slices.SortFunc(managed, func(a, b ManagedEndpoint) int {
+		i, j := a.Endpoint.ID, b.Endpoint.ID
+		return cmp.Or(
+			cmp.Compare(underway[i], underway[j]), cmp.Compare(since[i], since[j]), cmp.Compare(r.orders.underway[i].lastSent, r.orders.underway[j].lastSent),
+			cmp.Compare(r.deferredUntil[i], r.deferredUntil[j]), cmp.Compare(a.LongRunning, b.LongRunning), cmp.Compare(i, j),
+		)
+	})
+}
+
+// continueUpdates counts the updates of the managed endpoints, and ends those that give way to
+// others.
+func (r *Rollout) continueUpdates(managed []ManagedEndpoint, changing, loading map[string]int, now time.Duration) {
 	for _, m := range managed {
 		u := r.updates[m.Endpoint.ID]
 		if u == nil {
 			continue
 		}
-		u.lastManaged = now
+		u.lastManaged, u.uncounted = now, m.Expired
 		switch {
-		case m.Expired && (u.uncounted || u.stalled(now)):
-			u.uncounted = true
+		case u.stage == orderSent && !u.answered && now >= u.stageSince+answerWait:
+			delete(r.updates, m.Endpoint.ID)
+			r.orders.recordOutcome(m.Endpoint.ID, false, now)
+		case m.Expired:
 		case u.stalled(now):
 			delete(r.updates, m.Endpoint.ID)
 			r.deferredUntil[m.Endpoint.ID] = now + deferralPeriod
 		default:
-			u.uncounted = false
 			changing[m.Endpoint.Service]++
-			if u.stage != emptying {
-				loading[m.Endpoint.Service]++
-			}
+			loading[m.Endpoint.Service] += boolInt(u.excluded())
+		}
+	}
+}
+
+// forgetOld removes the state of endpoints that are no longer managed.
+func (r *Rollout) forgetOld(now time.Duration) {
+	r.orders.forgetOld(now)
+	for id, until := range r.deferredUntil {
+		if now >= until+stateRetention {
+			delete(r.deferredUntil, id)
 		}
 	}
 	for id, u := range r.updates {
@@ -223,48 +314,10 @@
 			delete(r.updates, id)
 		}
 	}
-	var steps []RolloutStep
-	for _, m := range managed {
-		service := m.Endpoint.Service
-		u := r.updates[m.Endpoint.ID]
-		if u == nil && m.Expired && now < r.deferredUntil[m.Endpoint.ID] {
-			u = &endpointUpdate{stage: awaitingReport, stageSince: now, awaitedSince: now, lastManaged: now, uncounted: true}
-			r.updates[m.Endpoint.ID] = u
-		}
-		if u == nil {
-			f := fleets[service]
-			_, _, behind := r.pendingTarget(m.Endpoint.Models)
-			if !behind || changing[service] >= max(1, int(maxChangingShare*float64(f.Total))) || now < r.lastStart+startInterval || now < r.deferredUntil[m.Endpoint.ID] {
-				continue
-			}
-			changing[service]++
-			r.lastStart = now
-			r.updates[m.Endpoint.ID] = &endpointUpdate{stage: emptying, stageSince: now, lastManaged: now}
-			continue
-		}
-		if u.stage == emptying {
-			if loading[service] >= max(1, int(maxLoadingShare*float64(fleets[service].Total))) || !u.emptied(m, now) {
-				continue
-			}
-			loading[service]++
-			u.stage, u.stageSince, u.awaitedSince = awaitingReport, now, now
-		}
-		if s, ok := u.nextStep(r, m, now); ok {
-			steps = append(steps, s)
-		}
-	}
-	return steps
 }
 
-// oldestVersion returns the lowest weight version of an endpoint's models, whose
-// deadline is the earliest.
-func oldestVersion(e Endpoint) int64 {
-	v := int64(math.MaxInt64)
-	for _, m := range e.Models {
-		v = min(v, m.Version)
-	}
-	return v
-}
+// excluded reports whether the endpoint gets no requests.
+func (u *endpointUpdate) excluded() bool { return u.stage != emptying && !u.inService }
 
 // stalled reports whether an endpoint has not carried out its order for so long that
 // it should give way to others. Its orders remain conditional, so a delayed one does
@@ -273,9 +326,11 @@
 	return u.stage != emptying && now >= max(u.awaitedSince, u.lastBusy)+stallTimeout
 }
 
-// emptied reports whether an endpoint that gets no long prompts may be updated now.
-func (u *endpointUpdate) emptied(m ManagedEndpoint, now time.Duration) bool {
-	return now >= u.stageSince+propagationDelay && m.LongRunning == 0 || now >= u.stageSince+emptyingLimit
+// emptied reports whether an endpoint that gets no long prompts may be updated now. An endpoint
+// with expired weights gets no prompts anyway, and one that carries out its orders late is not
+// empty when it does.
+func (u *endpointUpdate) emptied(m ManagedEndpoint, late bool, limit, now time.Duration) bool {
+	return now >= u.stageSince+propagationDelay && (m.LongRunning == 0 || late || m.Expired || now >= u.stageSince+limit)
 }
 
 // nextStep returns the step that is due for the endpoint, if any: an order if the last
@@ -283,11 +338,14 @@
 func (u *endpointUpdate) nextStep(r *Rollout, m ManagedEndpoint, now time.Duration) (RolloutStep, bool) {
 	mayOrder := m.HandoverDone || u.report.OrderSeq == m.OrderSeq
 	if u.hasReport && !mayOrder {
-		u.awaitedSince = now // the delay is caused by this process, not by the endpoint
+		delete(r.updates, m.Endpoint.ID) // it need not be out of use until the handover is done
+		r.deferredUntil[m.Endpoint.ID] = now + handoverCheckDelay
+		return RolloutStep{}, false
 	}
 	if u.hasReport && !u.report.Busy && mayOrder && (u.stage == awaitingReport || now >= u.stageSince+orderRetryDelay) {
 		if model, version, ok := r.pendingTarget(u.report.Models); ok {
 			u.hasReport = false
+			u.ordered = underwayOrder{model: model, held: versionOf(u.report.Models, model), version: version}
 			return RolloutStep{Endpoint: m.Endpoint, IsOrder: true, Model: model, Version: version, OrderSeq: u.report.OrderSeq}, true
 		}
 	}
--- a/core/forward/rolloutpace_test.go
+++ b/core/forward/rolloutpace_test.go
@@ -97,6 +97,7 @@
 	for i := range entries {
 		m := &simMember{name: fmt.Sprintf("entry%d", i)}
 		m.restart()
+		m.rollout.VersionBound = simVersionBound
 		s.entries = append(s.entries, &simEntry{simMember: m, unanswered: map[string]time.Duration{}, peerChange: map[string]time.Duration{}, peerLoading: map[string]time.Duration{}, orderCount: map[string]int64{}})
 	}
 	for i := range endpoints {
@@ -191,6 +192,7 @@
 		m := ManagedEndpoint{Endpoint: Endpoint{ID: id, Service: "s", Models: []ModelState{{"m", endpoint.version}}}, HandoverDone: e.ownership.Owns(id, now), OrderSeq: e.orderCount[id]}
 		since, outdated := e.rollout.RetiredSince("m", endpoint.version)
 		m.Expired = outdated && now >= since+simVersionBound
+		fleet.Behind += boolInt(outdated && !m.Expired)
 		if !e.ownership.IsSoleOwner(id, now) || !m.HandoverDone && changed > 0 && now < changed+testHandover {
 			continue
 		}
--- a/core/forward/targets.go
+++ b/core/forward/targets.go
@@ -152,6 +152,12 @@
 	return "", 0, false
 }
 
+// IsBehind reports whether one of the models has an older version than its newest target.
+func (r *Rollout) IsBehind(models []ModelState) bool {
+	_, _, behind := r.pendingTarget(models)
+	return behind
+}
+
 // NewestTargets returns the newest target version of each model.
 func (r *Rollout) NewestTargets() map[string]int64 {
 	out := map[string]int64{}
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -112,6 +112,7 @@
 		f := fleets[e.Service]
 		f.Total++
 		st, expired := s.endpointState(e.ID), s.weightsExpired(e.Models, now)
+		f.Behind += boolInt(!expired && s.rollout.IsBehind(e.Models))
 		stalled := expired && now >= st.loadingSince+peerStallTimeout
 		if loading := now < st.loadingUntil; (loading || now < st.emptyingUntil) && !stalled {
 			f.PeerUpdating++
@@ -124,7 +125,7 @@
 		m := forward.ManagedEndpoint{
 			Endpoint: e, LongRunning: st.load.LongRunning + s.peerLoads.load(e.ID).LongRunning, HandoverDone: g.ownership.Owns(e.ID, now), OrderSeq: st.orderCount, Expired: expired,
 		}
-		if !m.HandoverDone && st.lastPeerChange > 0 && now < st.lastPeerChange+milliseconds(g.settings.OrderHandoverMs) {
+		if !m.HandoverDone && st.lastPeerChange > 0 && now < st.lastPeerChange+g.ownership.Handover+s.peerLoads.interval() {
 			continue
 		}
 		out = append(out, m)
@@ -184,11 +185,13 @@
 		Endpoint: st.Endpoint, Model: st.Model, Version: st.Version, Owner: g.settings.ID, FencingToken: fencingToken, ExpectedOrderCount: st.OrderSeq,
 	})
 	g.observeControl(st.Endpoint, info, started)
+	s.mu.Lock()
 	if err != nil {
-		s.mu.Lock()
 		s.rollout.RecordOrderUnanswered(st.Endpoint.ID, s.clock())
-		s.mu.Unlock()
+	} else {
+		s.rollout.RecordOrderAnswered(st.Endpoint.ID, status == http.StatusAccepted, s.clock())
 	}
+	s.mu.Unlock()
 	e := log.Info()
 	if err != nil || status >= http.StatusBadRequest {
 		e = log.Warn()
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -91,6 +91,7 @@
 
 func newState(s Settings, clock Clock, rng *rand.Rand) *state {
 	rollout := forward.NewRollout()
+	rollout.VersionBound = milliseconds(s.VersionMs) - versionMargin
 	rollout.RetireDelay = forward.RetireDelayFor(milliseconds(s.VersionMs))
 	return &state{
 		clock: clock, rng: rng, endpointList: forward.NewEndpointList(), endpoints: map[string]*endpointState{}, peerFacts: map[string]knownFacts{}, rollout: rollout,
