Join the group of entries as a standby after a start or return

Cause: An entry that returned after it stood still owned its endpoints again at once, and nobody could order them for its handover pause (3.9 s).

Change: An entry that starts, or returns after the log may have removed it, reads the members first. If another one is an owner, it joins as NAME/standby, which owns nothing, and becomes an owner once it has heard of the others' orders for the handover pause and no endpoint is being updated, after 30 s in any case. Entries of the version before take a standby for an owner and leave its endpoints alone, so both can run beside each other. The pause after the removal of a member no longer includes its lease, which expires 0.3 s before the log removes it.

--- a/core/forward/faults_test.go
+++ b/core/forward/faults_test.go
@@ -45,6 +45,7 @@
 	ownership        *Ownership
 	joinSent         time.Duration
 	joinPending      bool
+	joinedName       string
 	joinApplied      bool // the log has applied the join, but the answer has not arrived
 	joinedGeneration Generation
 	listPending      bool
@@ -52,10 +53,24 @@
 	listEra          Era
 	list             []string
 	rollout          *Rollout
+	rolePending      bool // the list is read to decide the role
+	updating         bool
+	heard            map[string]time.Duration // when a report of an order of another member arrived, by endpoint
 }
 
 func (m *simMember) restart() {
-	*m = simMember{name: m.name, ownership: &Ownership{Self: m.name, Lease: testLease, Handover: testHandover}, rollout: NewRollout()}
+	*m = simMember{name: m.name, ownership: &Ownership{Self: m.name, Lease: testLease, Handover: testHandover, MemberTTL: testMemberTTL}, rollout: NewRollout(), heard: map[string]time.Duration{}}
+}
+
+// joinName returns the name under which to join, and false if the role has to be decided first.
+func (m *simMember) joinName(now time.Duration) (string, bool) {
+	return m.ownership.JoinName(func() bool { return m.updating }, now)
+}
+
+// mayOrder reports whether the member may send an order as the gateway decides it.
+func (m *simMember) mayOrder(id string, now time.Duration) bool {
+	heard, ok := m.heard[id]
+	return m.ownership.IsSoleOwner(id, now) && (m.ownership.Owns(id, now) || !ok || now >= heard+testHandover)
 }
 
 // oneInTen returns true for one draw in ten.
@@ -67,6 +82,7 @@
 	generation Generation
 	joined     map[string]time.Duration
 	copied     groupCopy
+	delayed    []string // names of joins that got no answer and may still be carried out
 }
 
 // groupCopy is the state of the group in an older copy of the log.
@@ -115,10 +131,11 @@
 // Guards against two owners that send orders to an endpoint within the handover
 // pause or with the same token. Runs Ownership under suspends, lost connections, restarts,
 // late or lost calls, several membership changes in a row, and returns of the log from an
-// older copy in which it gives out its generations again. spec/holders.pml models the same
-// protocol.
+// older copy in which it gives out its generations again. Members join as standbys, and order
+// within the handover pause if they have heard of no order; a report reaches the members with
+// a valid lease alone. spec/holders.pml models the same protocol without these two.
 func TestOwnersUnderFaults(t *testing.T) {
-	orders := 0
+	orders, early, afterStandby := 0, 0, 0
 	rapid.Check(t, func(rt *rapid.T) {
 		g := &simGroup{joined: map[string]time.Duration{}, copied: groupCopy{joined: map[string]time.Duration{}}}
 		var ms []*simMember
@@ -136,15 +153,22 @@
 		order := func(m *simMember) {
 			for e := range 4 {
 				id := fmt.Sprint("endpoint", e)
-				if !m.ownership.Owns(id, g.now) {
+				if !m.mayOrder(id, g.now) {
 					continue
 				}
 				orders++
+				early += boolInt(!m.ownership.Owns(id, g.now))
+				afterStandby += boolInt(len(m.ownership.confirmed) > 1 && m.ownership.confirmed[0].asStandby)
 				if l, ok := last[id]; ok && l.by != m.name {
 					require.GreaterOrEqual(rt, g.now-l.at, testHandover, "%s sent an order after %s to %s", m.name, l.by, id)
 					require.Greater(rt, m.ownership.FencingToken(), l.token)
 				}
 				last[id] = lastOrder{m.name, g.now, m.ownership.FencingToken()}
+				for _, p := range ms {
+					if p != m && g.now < p.ownership.renewedAt+testLease {
+						p.heard[id] = g.now
+					}
+				}
 			}
 		}
 		// runFaultFree runs all given members without faults, so that later faults
@@ -154,7 +178,12 @@
 				for _, m := range members {
 					m.joinPending, m.listPending = false, false
 					sent := g.now
-					m.ownership.RecordJoin(g.join(m.name), sent)
+					name, decided := m.joinName(sent)
+					if !decided {
+						m.ownership.DecideRole(g.members(), sent)
+						name, _ = m.joinName(sent)
+					}
+					m.ownership.RecordJoin(g.join(name), sent)
 					if !m.ownership.KnowsMembers(m.ownership.Generation()) {
 						m.ownership.RecordMembers(m.ownership.Generation(), g.members())
 					}
@@ -174,12 +203,14 @@
 			},
 			"join": func(t *rapid.T) {
 				if m := pick(t); !m.joinPending && !m.listPending {
-					m.joinPending, m.joinApplied, m.joinSent = true, false, g.now
+					name, decided := m.joinName(g.now)
+					m.joinPending, m.joinApplied, m.joinSent, m.joinedName = decided, false, g.now, name
+					m.listPending, m.listRead, m.rolePending = !decided, false, !decided
 				}
 			},
 			"log takes a join": func(t *rapid.T) {
 				if m := pick(t); m.joinPending && !m.joinApplied {
-					m.joinApplied, m.joinedGeneration = true, g.join(m.name)
+					m.joinApplied, m.joinedGeneration = true, g.join(m.joinedName)
 				}
 			},
 			"answer of a join": func(t *rapid.T) {
@@ -189,7 +220,7 @@
 				}
 				m.joinPending = false
 				m.ownership.RecordJoin(m.joinedGeneration, m.joinSent)
-				m.listPending, m.listRead = !m.ownership.KnowsMembers(m.joinedGeneration), false
+				m.listPending, m.listRead, m.rolePending = !m.ownership.KnowsMembers(m.joinedGeneration), false, false
 			},
 			"log reads the list": func(t *rapid.T) {
 				if m := pick(t); m.listPending && !m.listRead {
@@ -199,15 +230,27 @@
 			"answer of the list": func(t *rapid.T) {
 				if m := pick(t); m.listPending && m.listRead {
 					m.listPending = false
-					if m.listEra == m.joinedGeneration.Era {
+					if m.rolePending {
+						m.ownership.DecideRole(m.list, g.now)
+					} else if m.listEra == m.joinedGeneration.Era {
 						m.ownership.RecordMembers(m.joinedGeneration, m.list)
 					}
 				}
 			},
 			"call lost": func(t *rapid.T) {
 				m := pick(t)
+				if m.joinPending && !m.joinApplied {
+					g.delayed = append(g.delayed, m.joinedName)
+				}
 				m.joinPending, m.listPending = false, false
 			},
+			"log takes a delayed join": func(t *rapid.T) {
+				if len(g.delayed) > 0 && oneInTen(t) {
+					g.join(g.delayed[0])
+					g.delayed = g.delayed[1:]
+				}
+			},
+			"updates":       func(t *rapid.T) { m := pick(t); m.updating = !m.updating },
 			"restart":       func(t *rapid.T) { pick(t).restart() },
 			"log is copied": func(*rapid.T) { g.copyState() },
 			"log returns": func(t *rapid.T) {
@@ -219,6 +262,8 @@
 		})
 	})
 	require.Greater(t, orders, 1000, "the runs sent too few orders")
+	require.Greater(t, early, 100, "the runs sent too few orders within the handover pause")
+	require.Greater(t, afterStandby, 100, "too few standbys became owners")
 }
 
 // Guards against a late order that undoes a newer one, and against an order that is
--- a/core/forward/ownership.go
+++ b/core/forward/ownership.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/galenaweir/galenaweir/core/rendezvous"
@@ -20,11 +21,24 @@
 // A process uses a member list only for the duration of a lease, counted from when it
 // sent its last join that returned the list's generation. A new owner of an endpoint
 // first waits until the previous owner's lease has expired and the handover pause has
-// passed.
+// passed. The log removes a member after a longer time than the lease, so the lease of
+// a previous owner that a list lacks has expired.
+//
+// A process that starts, or returns after the log has removed it, joins as a standby:
+// under a name that tells the members that it owns nothing. It becomes an owner once the
+// handover pause has passed, so the endpoints are never without an owner meanwhile.
 type Ownership struct {
 	Self     string
-	Lease    time.Duration // how long a join entitles to send orders
+	Lease    time.Duration // how long a join entitles to send orders; shorter than MemberTTL by inFlightMargin at least
 	Handover time.Duration // pause between the orders of two consecutive owners
+	// MemberTTL is the time after its last join after which the log removes a member.
+	MemberTTL time.Duration
+
+	standby       bool          // the process joins as a standby
+	roleDecided   bool          // standby has been decided since the start
+	roleDecidedAt time.Duration // when that was last
+	joinedAt      time.Duration // send time of the last join that was answered
+	ownerSince    time.Duration // when the first list of the current uninterrupted membership as an owner was confirmed
 
 	generation  Generation
 	renewedAt   time.Duration // send time of the last join that returned the newest confirmed generation
@@ -50,7 +64,61 @@
 type memberList struct {
 	generation  Generation
 	confirmedAt time.Duration
-	members     []string
+	members     []string // owners and standbys
+	owners      []string
+	asStandby   bool // this process was a standby when the list was confirmed
+}
+
+// owner returns the member that owns an endpoint by this list, "" if none does.
+func (l *memberList) owner(endpoint string) string {
+	return rendezvous.Owner(rendezvous.Key([]byte(endpoint)), l.owners)
+}
+
+// standbySuffix marks the name of a member that owns nothing. Processes that don't know the mark
+// take it for an owner and leave its endpoints alone.
+const standbySuffix = "/standby"
+
+// maxStandbyTime bounds the time for which updates of endpoints keep a process from becoming an
+// owner: an endpoint may never carry out its orders.
+const maxStandbyTime = 30 * time.Second
+
+// JoinName returns the name under which to join the group, and false if the members must be read
+// first and passed to DecideRole: at the start, and when the log may have removed it. A standby becomes
+// an owner when no orders have been missed within the handover pause, but not while endpoints are
+// being updated, as those that change their owner would wait.
+func (o *Ownership) JoinName(updating func() bool, now time.Duration) (string, bool) {
+	if !o.roleDecided || now >= max(o.joinedAt, o.roleDecidedAt)+o.MemberTTL {
+		return "", false
+	}
+	if n := len(o.confirmed); o.standby && n > 0 {
+		unowned := len(o.confirmed[n-1].owners) == 0
+		wait := o.handoverWait()
+		if updating() {
+			wait = maxStandbyTime
+		}
+		o.standby = !unowned && now < o.memberSince+wait
+	}
+	return o.ListedName(), true
+}
+
+// ListedName returns the name under which the process joined last.
+func (o *Ownership) ListedName() string {
+	if o.standby {
+		return o.Self + standbySuffix
+	}
+	return o.Self
+}
+
+// DecideRole decides from the members that were read whether to join as a standby: if another
+// member is an owner, unless this process is still listed as one.
+func (o *Ownership) DecideRole(members []string, now time.Duration) {
+	wasOwner := o.roleDecided && !o.standby
+	stays := wasOwner && slices.Contains(members, o.Self)
+	standby := !stays && slices.ContainsFunc(members, func(m string) bool { return m != o.Self && !strings.HasSuffix(m, standbySuffix) })
+	if standby != o.standby {
+		o.unconfirmed, o.confirmed = nil, nil
+	}
+	o.standby, o.roleDecided, o.roleDecidedAt = standby, true, now
 }
 
 // RecordJoin records the result of a join that was sent at the given time. It reports
@@ -61,23 +129,31 @@
 		return false
 	}
 	o.RecordEra(generation.Era)
-	if n := len(o.confirmed); n > 0 && generation != o.confirmed[n-1].generation && sent >= o.renewedAt+o.Lease {
+	o.joinedAt = sent
+	lapsed := sent >= o.renewedAt+o.Lease
+	if n := len(o.confirmed); n > 0 && generation != o.confirmed[n-1].generation && lapsed {
 		o.confirmed = nil // another member may have owned the endpoints in between
 	}
 	o.generation = generation
 	if o.unconfirmed == nil || o.unconfirmed.generation != generation {
 		if n := len(o.confirmed); n > 0 && o.confirmed[n-1].generation == generation {
 			o.renewedAt = sent
+			if lapsed {
+				o.memberSince = sent // reports of the others' orders may have been missed
+			}
 		}
 		return false
 	}
 	o.renewedAt = sent
 	list := *o.unconfirmed
-	list.confirmedAt = sent
+	list.confirmedAt, list.asStandby = sent, o.standby
 	o.unconfirmed = nil
-	if len(o.confirmed) == 0 {
+	if len(o.confirmed) == 0 || lapsed {
 		o.memberSince = sent
 	}
+	if n := len(o.confirmed); n == 0 || o.confirmed[n-1].asStandby {
+		o.ownerSince = sent
+	}
 	o.confirmed = append(o.confirmed, list)
 	for len(o.confirmed) > 1 && o.confirmed[1].confirmedAt <= sent-o.handoverWait() {
 		o.confirmed = o.confirmed[1:]
@@ -98,7 +174,17 @@
 	if generation.Era < o.generation.Era {
 		return
 	}
-	o.unconfirmed = &memberList{generation: generation, members: slices.Sorted(slices.Values(members))}
+	l := memberList{generation: generation}
+	for _, m := range members {
+		name, standby := strings.CutSuffix(m, standbySuffix)
+		l.members = append(l.members, name)
+		if !standby {
+			l.owners = append(l.owners, m)
+		}
+	}
+	slices.Sort(l.members)
+	l.members = slices.Compact(l.members) // a standby that has just become an owner is listed twice
+	o.unconfirmed = &l
 }
 
 // KnowsMembers reports whether the members of the generation are known.
@@ -107,7 +193,7 @@
 		len(o.confirmed) > 0 && o.confirmed[len(o.confirmed)-1].generation == generation
 }
 
-// Members returns the newest member list.
+// Members returns the newest member list, with owners and standbys.
 func (o *Ownership) Members() []string {
 	if o.unconfirmed != nil {
 		return o.unconfirmed.members
@@ -135,36 +221,49 @@
 // Owns reports whether an order may be sent to the endpoint now, regardless of any
 // orders of the previous owner.
 func (o *Ownership) Owns(endpoint string, now time.Duration) bool {
-	return o.ownedFor(endpoint, o.handoverWait(), now)
+	if !o.ownsNow(endpoint, now) {
+		return false
+	}
+	for i := len(o.confirmed) - 1; i > 0; i-- {
+		since, previous := o.confirmed[i], o.confirmed[i-1]
+		if now >= since.confirmedAt+o.handoverWait() {
+			return true
+		}
+		owner := previous.owner(endpoint)
+		if owner == o.Self {
+			continue
+		}
+		wait := o.Handover
+		if slices.Contains(since.owners, owner) {
+			wait = o.handoverWait() // it may not know the new list yet
+		}
+		return now >= since.confirmedAt+wait
+	}
+	return now >= o.confirmed[0].confirmedAt+o.handoverWait()
 }
 
 // IsSoleOwner reports whether no other process can send orders to the endpoint any
 // more. The previous owner may have sent one within the handover pause, about which
 // the members inform each other. A process that joined less than a full handover ago
 // may have missed that information, so the result is false for it.
+//
+// An uninterrupted owner that owns the endpoint by the newest list was preferred to all
+// other members of that list before, too, and the leases of all others have expired.
 func (o *Ownership) IsSoleOwner(endpoint string, now time.Duration) bool {
-	return now >= o.memberSince+o.handoverWait() && o.ownedFor(endpoint, o.Lease+inFlightMargin, now)
+	return o.Owns(endpoint, now) ||
+		now >= o.memberSince+o.handoverWait() && now >= o.ownerSince+o.Lease+inFlightMargin && o.ownsNow(endpoint, now)
 }
 
 // inFlightMargin is the time for an order that was sent at the end of a lease to
 // arrive.
 const inFlightMargin = 300 * time.Millisecond
 
-// ownedFor reports whether this process holds a valid lease and has owned the
-// endpoint for at least the duration wait.
-func (o *Ownership) ownedFor(endpoint string, wait, now time.Duration) bool {
-	if len(o.confirmed) == 0 || now >= o.renewedAt+o.Lease || o.confirmed[0].confirmedAt > now-wait {
+// ownsNow reports whether this process holds a valid lease on a list by which it owns the
+// endpoint.
+func (o *Ownership) ownsNow(endpoint string, now time.Duration) bool {
+	if len(o.confirmed) == 0 || o.standby || now >= o.renewedAt+o.Lease {
 		return false
 	}
-	last := len(o.confirmed) - 1
-	key := rendezvous.Key([]byte(endpoint))
-	for i := last; i >= 0; i-- {
-		if rendezvous.Owner(key, o.confirmed[i].members) != o.Self {
-			return false
-		}
-		if o.confirmed[i].confirmedAt <= now-wait {
-			break
-		}
-	}
-	return true
+	last := o.confirmed[len(o.confirmed)-1]
+	return last.owner(endpoint) == o.Self
 }
--- a/core/forward/rolloutpace_test.go
+++ b/core/forward/rolloutpace_test.go
@@ -144,8 +144,13 @@
 		return
 	}
 	e.nextJoin = s.group.now + simJoinInterval
-	for range 2 { // the second join confirms the list
-		e.ownership.RecordJoin(s.group.join(e.name), s.group.now)
+	for range 3 { // the second join confirms the list
+		name, decided := e.ownership.JoinName(func() bool { return s.behind(e.rollout.NewestTargets()["m"]) > 0 }, s.group.now)
+		if !decided {
+			e.ownership.DecideRole(s.group.members(), s.group.now)
+			continue
+		}
+		e.ownership.RecordJoin(s.group.join(name), s.group.now)
 		if e.ownership.KnowsMembers(e.ownership.Generation()) {
 			return
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -106,7 +106,7 @@
 		namingStore: o.NamingStore, streamStore: o.StreamStore, partStore: o.PartStore, wallClock: wallClock, namingsToSave: make(chan forward.Naming, maxNamingsToSave), factsRequests: make(chan struct{}, 1),
 		settings: s, clock: o.Clock, createdAt: o.Clock(), headerCodec: o.HeaderCodec, operators: o.Operators, endpoints: o.Endpoints, groupClient: o.GroupClient, endpointControl: o.EndpointControl, storeClient: o.StoreClient,
 		state: newState(s, o.Clock, rand.New(rand.NewPCG(o.Seed, o.Seed))), pool: newConnPool(o.Clock),
-		ownership:          forward.Ownership{Self: member, Lease: orderLease, Handover: milliseconds(s.OrderHandoverMs) + orderTransitTime},
+		ownership:          forward.Ownership{Self: member, Lease: orderLease, Handover: milliseconds(s.OrderHandoverMs) + orderTransitTime, MemberTTL: memberLease},
 		memberID:           member,
 		callerConns:        newCallerConns(),
 		reportRequests:     make(chan struct{}, 1),
@@ -208,7 +208,10 @@
 func (g *Gateway) leave() {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
-	if err := g.groupClient.Leave(ctx, groupName, g.memberID); err != nil {
+	g.state.mu.Lock()
+	name := g.ownership.ListedName()
+	g.state.mu.Unlock()
+	if err := g.groupClient.Leave(ctx, groupName, name); err != nil {
 		log.Warn().Str("event", "leave_failed").Err(err).Msg("could not leave the group; the membership ends when its lease expires")
 	}
 }
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/phuslu/log"
@@ -29,7 +30,14 @@
 func (g *Gateway) maintainMembership(ctx context.Context) {
 	for ctx.Err() == nil {
 		sentAt := g.clock()
-		m, err := g.join(ctx)
+		name, decided := g.joinName(sentAt)
+		if !decided {
+			if !g.decideRole(ctx) {
+				wait.For(ctx, joinInterval)
+			}
+			continue
+		}
+		m, err := g.join(ctx, name)
 		if err == nil && g.recordJoin(m, sentAt) && g.readMembers(ctx, m) {
 			continue // the next join confirms that the list is current
 		}
@@ -37,13 +45,45 @@
 	}
 }
 
-func (g *Gateway) join(ctx context.Context) (forward.Generation, error) {
+// joinName returns the name under which to join, and false if the members must be read first.
+func (g *Gateway) joinName(now time.Duration) (string, bool) {
+	s := g.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	updating := func() bool {
+		return slices.ContainsFunc(s.listedEndpoints(now), func(e forward.Endpoint) bool {
+			return s.rollout.IsBehind(s.endpointState(e.ID).withObservedVersions(e.Models))
+		})
+	}
+	return g.ownership.JoinName(updating, now)
+}
+
+// decideRole reads the members and decides whether to join as a standby.
+func (g *Gateway) decideRole(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	list, err := g.groupClient.Members(ctx, groupName)
+	if err == nil && g.observeEra("group", list.Era) == forward.EraStale {
+		err = errStaleAnswer
+	}
+	if err != nil {
+		log.Warn().Str("event", "members_unread").Err(err).Msg("cannot read the group members before joining; retrying")
+		return false
+	}
+	g.state.mu.Lock()
+	defer g.state.mu.Unlock()
+	g.ownership.DecideRole(list.Members, g.clock())
+	log.Info().Str("event", "member_role").Str("name", g.ownership.ListedName()).Msg("joining the group of entries under this name")
+	return true
+}
+
+func (g *Gateway) join(ctx context.Context, name string) (forward.Generation, error) {
 	g.state.mu.Lock()
 	generation := g.ownership.Generation()
 	g.state.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	return g.groupClient.Join(ctx, groupName, g.memberID, generation.Number, memberLease)
+	return g.groupClient.Join(ctx, groupName, name, generation.Number, memberLease)
 }
 
 // recordJoin records the result of a join that was sent at the given time. It reports whether
--- a/spec/holders.pml
+++ b/spec/holders.pml
@@ -11,7 +11,8 @@
  * place of rendezvous hashing, which also assigns one owner per list.
  *
  * Not modeled: orders within the pause to an endpoint whose last order is known
- * (Ownership.IsSoleOwner with ManagedEndpoint.OrderSeq), and histories of more than EPOCHS lists
+ * (Ownership.IsSoleOwner with ManagedEndpoint.OrderSeq) and members that join as standbys, both
+ * of which TestOwnersUnderFaults runs, and histories of more than EPOCHS lists
  * within the wait or of more than CHANGES generations.
  *
  * Safety: orders of two different holders are at least a pause apart and have
@@ -24,6 +25,7 @@
 // MUTANT unconfirmed_list
 // MUTANT newest_list_only
 // MUTANT restart_owns
+// MUTANT removed_at_once
 // MUTANT lapse_ignored
 // MUTANT clock_stops
 
@@ -113,27 +115,39 @@
 	fi
 }
 
-/* owns sets may to whether the member may give an order now. */
+/* owns sets may to whether the member may give an order now: it owns the newest list, and a pause
+ * has passed since the first of its lists in a row. If the owner before is in that list, it may
+ * not know it yet, so its lease must have expired too; a member that the list lacks was removed
+ * after its lease had expired. */
 inline owns(m) {
 	may = (known[m] > 0);
 #ifndef MUTANT_no_lease
 	may = (may && renewed[m] < LEASE);
 #endif
-#if !defined(MUTANT_restart_owns) && !defined(MUTANT_no_handover)
+	if
+	:: may -> i = LAST(m); may = (OWNER(epoch[m].set[i]) == m)
+	:: else
+	fi;
+#if defined(MUTANT_newest_list_only)
 	may = (may && SETTLED(m, 0));
-#endif
-	i = known[m];
+#elif !defined(MUTANT_no_handover)
 	do
-	:: may && i > 0 ->
-		i--;
-		may = (OWNER(epoch[m].set[i]) == m);
-#if defined(MUTANT_newest_list_only) || defined(MUTANT_no_handover)
-		break
-#else
-		if :: SETTLED(m, i) -> break :: else fi
-#endif
+	:: may && i > 0 && !SETTLED(m, i) && OWNER(epoch[m].set[i-1]) == m -> i--
 	:: else -> break
 	od;
+	if
+	:: may && i > 0 && !SETTLED(m, i) ->
+#ifdef MUTANT_removed_at_once
+		skip
+#else
+		may = (epoch[m].confirmed[i] >= (((epoch[m].set[i] >> OWNER(epoch[m].set[i-1])) & 1) -> WAIT : PAUSE))
+#endif
+#ifndef MUTANT_restart_owns
+	:: may && i == 0 -> may = SETTLED(m, 0)
+#endif
+	:: else
+	fi;
+#endif
 	i = 0
 }
 
