--- a/core/forward/partblame.go
+++ b/core/forward/partblame.go
@@ -13,7 +13,7 @@
 	}
 	var open []*suspectState // held parts that aren't chosen yet
 	for _, s := range h.parts {
-		if s.held() {
+		if h.held(s) {
 			open = append(open, s)
 		}
 	}
--- a/core/forward/parthold.go
+++ b/core/forward/parthold.go
@@ -32,6 +32,7 @@
 type PartHolds struct {
 	parts     map[uint64]*suspectState
 	byStart   map[EndpointStart]map[uint64]bool // parts with a trial at it
+	weight    int                               // from which a part is held
 	explained map[uint64]bool                   // result of explanation, nil if it is out of date
 }
 
@@ -46,13 +47,13 @@
 
 // NewPartHolds returns a table without suspects.
 func NewPartHolds() *PartHolds {
-	return &PartHolds{parts: map[uint64]*suspectState{}, byStart: map[EndpointStart]map[uint64]bool{}}
+	return &PartHolds{parts: map[uint64]*suspectState{}, byStart: map[EndpointStart]map[uint64]bool{}, weight: holdWeight}
 }
 
 // Len returns the number of parts with evidence.
 func (h *PartHolds) Len() int { return len(h.parts) }
 
-func (s *suspectState) held() bool { return s.weight >= holdWeight }
+func (h *PartHolds) held(s *suspectState) bool { return s.weight >= h.weight }
 
 // PartChange is a part that begins or ceases to be held.
 type PartChange struct {
@@ -99,13 +100,13 @@
 	if own {
 		s.told.repeats = partRepeats
 	}
-	before := s.held()
+	before := h.held(s)
 	h.explained = nil
 	s.weight = s.SuspectPart.weight()
 	if s.weight == 0 {
 		s.since = now
 	}
-	return PartChange{s.clone(), s.held()}, s.held() != before
+	return PartChange{s.clone(), h.held(s)}, h.held(s) != before
 }
 
 // makeRoom returns false if the table is full of parts with more evidence than a new one.
@@ -222,7 +223,7 @@
 			continue
 		}
 		s.LastUse = max(s.LastUse, now)
-		if !s.held() || !h.blames(s, keys) {
+		if !h.held(s) || !h.blames(s, keys) {
 			continue
 		}
 		if r == nil {
@@ -250,7 +251,7 @@
 		}
 		for k := range h.byStart[t.On] { // a part with the same crashes has a trial at this one
 			o := h.parts[k]
-			if o != s && o.held() && o.covers(&s.SuspectPart) && s.covers(&o.SuspectPart) && !slices.Contains(keys, k) {
+			if o != s && h.held(o) && o.covers(&s.SuspectPart) && s.covers(&o.SuspectPart) && !slices.Contains(keys, k) {
 				return false
 			}
 		}
@@ -361,7 +362,7 @@
 		if now < s.LastUse+suspectLifetime && (s.weight > 0 || now < s.since+clearedLifetime) {
 			continue
 		}
-		if s.held() {
+		if h.held(s) {
 			released = append(released, PartChange{s.clone(), false})
 		}
 		h.remove(s)
@@ -374,7 +375,7 @@
 func (h *PartHolds) Held() []SuspectPart {
 	var out []SuspectPart
 	for _, s := range h.parts {
-		if s.held() {
+		if h.held(s) {
 			out = append(out, s.clone())
 		}
 	}
--- a/core/forward/parthold_test.go
+++ b/core/forward/parthold_test.go
@@ -129,6 +129,7 @@
 	h.end(true, place1, []string{"x", "bad"})
 	require.True(t, h.holds("bad"))
 	require.False(t, h.holds("sound"), "the other part explains all its crashes and one more")
+	require.Len(t, h.Check(partKeys("sound", "bad"), "none", h.members, h.now).Parts, 1)
 }
 
 // Guards against one of two parts that crash endpoints at the same time being overlooked.
@@ -374,6 +375,16 @@
 	require.True(t, h.holds("bad"))
 	require.LessOrEqual(t, len(h.byStart), maxSuspectParts+2)
 
+	full := newHoldTest(t)
+	for i := range uint64(maxSuspectParts) {
+		for range 2 {
+			full.AddTrial(i, "", CrashTrial{On: EndpointStart{"e", int64(full.now)}, Strong: true, SentAt: full.now, EndedAt: full.now}, full.now)
+			full.now += time.Second
+		}
+	}
+	full.end(true, place1, []string{"new"})
+	require.Len(t, full.Held(), maxSuspectParts, "a part with less evidence isn't taken in")
+
 	s := SuspectPart{Key: 1}
 	for i := range 100 {
 		s.addTrial(CrashTrial{On: EndpointStart{fmt.Sprint(i), 1}, SentAt: time.Duration(2*i) * time.Second, EndedAt: time.Duration(2*i+1) * time.Second})
--- a/core/forward/partreport.go
+++ b/core/forward/partreport.go
@@ -26,11 +26,11 @@
 func (r *partReport) heard(use, now time.Duration) { r.at, r.use = now, max(r.use, use) }
 
 // due reports whether a part is told now.
-func (s *suspectState) due(self string, members []string, now time.Duration) bool {
+func (h *PartHolds) due(s *suspectState, self string, members []string, now time.Duration) bool {
 	if s.told.repeats > 0 {
 		return true
 	}
-	if !s.held() {
+	if !h.held(s) {
 		return false
 	}
 	if s.LastUse > s.told.use+useReportPause {
@@ -47,7 +47,7 @@
 func (h *PartHolds) ToReport(self string, members []string, n int, now time.Duration) []SuspectPart {
 	var due []*suspectState
 	for _, s := range h.parts {
-		if s.due(self, members, now) {
+		if h.due(s, self, members, now) {
 			due = append(due, s)
 		}
 	}
@@ -76,7 +76,7 @@
 // OwnsHeld reports whether this entry repeats a held part.
 func (h *PartHolds) OwnsHeld(self string, members []string) bool {
 	for _, s := range h.parts {
-		if s.held() && rendezvous.Owner(s.Key, members) == self {
+		if h.held(s) && rendezvous.Owner(s.Key, members) == self {
 			return true
 		}
 	}
--- a/gateway/crash_cases_test.go
+++ b/gateway/crash_cases_test.go
@@ -247,14 +247,48 @@
 	g := newCrashGroup(t, 2, 2, "bad")
 	g.send(0, "/stream/x", "key", "bad", "own")
 	g.exchangeReports()
-	f := g.entries[1]
+	for _, f := range g.entries {
+		f.state.mu.Lock()
+		usable := 0
+		for _, c := range f.state.candidates("s", nil, 0, nil, g.clock.read()) {
+			usable += boolInt(c.Usable)
+		}
+		f.state.mu.Unlock()
+		require.Equal(t, 1, usable)
+	}
+}
+
+// Guards against answers that are no streams and don't clear the parts of their requests.
+func TestWholeAnswerClearsTheParts(t *testing.T) {
+	g := newCrashGroup(t, 1, 1)
+	f, on := g.entries[0], forward.EndpointStart{Endpoint: "gone", StartedUnixMs: 1}
+	f.state.parts.AddTrial(forward.SuspectKey(sharedCacheGroup, "m", "rare"), "rare", forward.CrashTrial{On: on, Place: forward.Place{Version: 1, Build: forward.BuildKey("b1")}, Strong: true, SentAt: g.clock.read(), EndedAt: g.clock.read()}, g.clock.read())
+	g.step(crashStep)
+	require.Equal(t, 200, g.send(0, "/safe/x", "key", "rare", "own"))
 	f.state.mu.Lock()
-	usable := 0
-	for _, c := range f.state.candidates("s", nil, 0, nil, g.clock.read()) {
-		usable += boolInt(c.Usable)
+	defer f.state.mu.Unlock()
+	_, ended := f.state.parts.EndedAt(on)
+	require.False(t, ended)
+}
+
+// Guards against a part that can't be probed again for long, as its probe showed nothing.
+func TestProbeThatShowedNothingIsRepeated(t *testing.T) {
+	g := newCrashGroup(t, 1, 4)
+	for range 2 {
+		e, status := g.hold(0, "/stream/x", "rare")
+		g.step(crashStep)
+		e.end(false)
+		<-status
+		g.step(crashStep)
+	}
+	for range 45 {
+		g.step(crashStep)
 	}
-	f.state.mu.Unlock()
-	require.Equal(t, 1, usable)
+	e, status := g.hold(0, "/stream/x", "rare")
+	require.Equal(t, 503, g.send(0, "/stream/x", "key", "rare", "own"), "one probe at a time")
+	e.reset()
+	require.Equal(t, 502, <-status)
+	require.Equal(t, 200, g.send(0, "/stream/x", "key", "rare", "own"))
 }
 
 // Guards against a part that is held for weights at which it is sound.
