Test that bytes from before an end are no sign of life

Cause: removing the check of when the request was sent went unnoticed.

Result: the test passes, and fails without the check.

--- a/gateway/crash_cases_test.go
+++ b/gateway/crash_cases_test.go
@@ -560,6 +560,11 @@
 	evidence()
 	g.step(crashStep)
 	require.True(t, ended())
+	late := &response{conn: &endpointConn{}}
+	f.state.mu.Lock()
+	(&request{g: f.Gateway}).observeLife(&placement{endpoint: forward.Endpoint{ID: e.id, StartedUnixMs: e.started}}, late)
+	f.state.mu.Unlock()
+	require.True(t, ended(), "the request was sent before the end, the bytes may have waited")
 	require.Equal(t, 200, g.send(0, "/stream/x", "key", "first", "own"))
 	require.False(t, ended())
 
