Keep what peers report of endpoints without requests

Cause: since the builds of a service follow the records alone, the endpoints that accept requests were no longer listed as a new list arrived, so an entry that had sent an endpoint nothing had no state for it and dropped what its peers reported, such as its limit. Change: they are listed then, as before.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -247,6 +247,7 @@
 		s.endpointList.Apply(changes, now)
 	}
 	s.endpointListRead, s.listedCache = true, nil
+	s.listedEndpoints(now) // notices restarts, and keeps what peers report of endpoints without requests
 	s.streams.ObserveEndpoints(s.readyByList(now), started, now)
 	alive := s.pruneEndpoints(now)
 	s.mu.Unlock()
