--- a/core/forward/partsim_test.go
+++ b/core/forward/partsim_test.go
@@ -21,7 +21,7 @@
 	tell      time.Duration // between two regular reports
 	nextTell  []time.Duration
 	queue     []simMessage
-	endpoints []simEndpoint
+	endpoints []partSimEndpoint
 	running   []simRequest
 	nextID    int
 	killEvery time.Duration // one endpoint is killed so often, 0 never
@@ -39,7 +39,7 @@
 	part SuspectPart
 }
 
-type simEndpoint struct {
+type partSimEndpoint struct {
 	start EndpointStart
 	upAt  time.Duration
 }
@@ -66,7 +66,7 @@
 		s.nextTell = append(s.nextTell, s.now)
 	}
 	for range endpoints {
-		s.endpoints = append(s.endpoints, simEndpoint{start: s.newStart()})
+		s.endpoints = append(s.endpoints, partSimEndpoint{start: s.newStart()})
 	}
 	return s
 }
