Take the end of a leaving endpoint for no evidence against a part

Cause: an endpoint that has said in answers that it leaves ends soon, while its record may still say that it is ready; its end counted against the parts of requests on it. Change: recordCrash leaves such endpoints out.

--- a/gateway/crash_cases_test.go
+++ b/gateway/crash_cases_test.go
@@ -611,3 +611,19 @@
 	require.NoError(t, err)
 	require.LessOrEqual(t, len(facts), maxFactPartBytes+3)
 }
+
+// Guards against parts that are held because endpoints ended which had said in answers that they
+// leave, while their records still say that they are ready.
+func TestEndOfALeavingEndpointIsNoEvidence(t *testing.T) {
+	f := newFixture(t, serveRaw(t, respondOK("answer")))
+	now := f.clock.read()
+	endpoint, _ := f.state.endpointList.Get("e0", now)
+	q := &request{g: f.Gateway, cacheGroup: sharedCacheGroup, call: RequestInfo{Prompt: &forward.Prompt{Model: "m", Parts: []forward.Part{{ID: "part"}, {ID: "own"}}}}}
+	p := &placement{endpoint: endpoint, placedAt: now, headArrived: true}
+	f.state.statements.RecordLeaving(&endpoint, now)
+	q.recordCrash(p, now)
+	require.Zero(t, f.state.parts.Len())
+	f.state.statements = newStatements()
+	q.recordCrash(p, now)
+	require.Equal(t, 1, f.state.parts.Len(), "the test records a crash")
+}
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -82,7 +82,7 @@
 	defer s.mu.Unlock()
 	now := s.clock()
 	listed, ready := s.endpointList.Get(p.endpoint.ID, now)
-	if !ready || listed.StartedUnixMs != p.endpoint.StartedUnixMs {
+	if !ready || listed.StartedUnixMs != p.endpoint.StartedUnixMs || s.statements.Leaving(&listed) {
 		return
 	}
 	s.endpointState(p.endpoint.ID).health.RecordRefusal(now + unreachablePause)
