Keep the index of endpoints by hash up to date

Cause: each received report hashed the IDs of all endpoints into a new map, to find the few that it names.

Change: the state of an endpoint is indexed by hash when it begins; the index is rebuilt when states were deleted, which is rare.

Conclusion: the work for a report no longer grows with the number of endpoints. Nothing that is decided or sent changes.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -323,15 +323,8 @@
 		}
 	}
 	g.applyParts(r.Parts, now)
-	if len(r.Uses) == 0 && len(r.Loading) == 0 && len(r.Loaded) == 0 && len(r.Emptying) == 0 && len(r.Limits) == 0 {
-		return
-	}
-	byHash := map[uint32]string{}
-	for id := range s.endpoints {
-		byHash[endpointHash(id)] = id
-	}
 	for _, h := range r.Loading {
-		if id, ok := byHash[h]; ok {
+		if id, ok := s.endpointsByHash[h]; ok {
 			st := s.endpointState(id)
 			if now >= st.loadingUntil {
 				st.loadingSince = now
@@ -340,26 +333,26 @@
 		}
 	}
 	for _, h := range r.Emptying {
-		if id, ok := byHash[h]; ok {
+		if id, ok := s.endpointsByHash[h]; ok {
 			s.endpointState(id).emptyingUntil = now + reportTTL/2
 			s.endpointState(id).lastPeerChange = now
 		}
 	}
 	for _, l := range r.Loaded {
-		if id, ok := byHash[l.Endpoint]; ok {
+		if id, ok := s.endpointsByHash[l.Endpoint]; ok {
 			s.observeVersion(id, l.Model, l.Version)
 			st := s.endpointState(id)
 			st.loadingUntil, st.emptyingUntil, st.orderCount = 0, 0, max(st.orderCount, l.Seq)
 		}
 	}
 	for _, l := range r.Limits {
-		id, known := byHash[l.Endpoint]
+		id, known := s.endpointsByHash[l.Endpoint]
 		if st, valid := l.statement(now); known && valid {
 			s.recordLimit(id, st, false)
 		}
 	}
 	for _, u := range r.Uses {
-		if id, ok := byHash[u.Endpoint]; ok {
+		if id, ok := s.endpointsByHash[u.Endpoint]; ok {
 			s.endpointState(id).residency.RecordUse(u.Part, u.Tokens, s.cacheCapacity(id, now), now+peerPrefillTime)
 		}
 	}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -72,6 +72,7 @@
 	listedCache       []forward.Endpoint // cached result of listedEndpoints, nil if invalid
 	listedCacheUntil  time.Duration
 	endpoints         map[string]*endpointState
+	endpointsByHash   map[uint32]string // IDs of endpoints, by the hash that reports use
 	rollout           *forward.Rollout
 	retryBudgets      map[string]*retry.Budget
 	stores            []*forward.StoreView
@@ -94,7 +95,7 @@
 	rollout.VersionBound = milliseconds(s.VersionMs) - versionMargin
 	rollout.RetireDelay = forward.RetireDelayFor(milliseconds(s.VersionMs))
 	return &state{
-		clock: clock, rng: rng, endpointList: forward.NewEndpointList(), endpoints: map[string]*endpointState{}, peerFacts: map[string]knownFacts{}, rollout: rollout,
+		clock: clock, rng: rng, endpointList: forward.NewEndpointList(), endpoints: map[string]*endpointState{}, endpointsByHash: map[uint32]string{}, peerFacts: map[string]knownFacts{}, rollout: rollout,
 		retryBudgets: map[string]*retry.Budget{}, peerLoads: newPeerLoads(), settings: s, streams: forward.NewStreamBuilds(), streamLog: newStreamLog(), limitQueues: map[string]*forward.LimitQueue{}, statements: newStatements(),
 		parts: forward.NewPartHolds(), partSaver: newPartSaver(), endpointChecks: map[forward.EndpointStart]*endpointCheck{},
 		freshness: forward.Freshness{MaxKeyAge: milliseconds(s.RevokeMs) - revokeMargin}, readConfirmed: make(chan struct{}), storeRead: make(chan struct{}), resumes: make(chan struct{}, 1),
@@ -160,6 +161,7 @@
 	if e == nil {
 		e = &endpointState{observedVersions: map[string]int64{}}
 		s.endpoints[id] = e
+		s.endpointsByHash[endpointHash(id)] = id
 	}
 	return e
 }
@@ -303,10 +305,23 @@
 func (s *state) pruneEndpoints(now time.Duration) map[string]bool {
 	alive := map[string]bool{}
 	s.endpointList.Each(now, func(e forward.Endpoint) { alive[e.ID] = true })
+	before := len(s.endpoints)
 	for id, st := range s.endpoints {
 		if !alive[id] && st.load.Active == 0 {
 			delete(s.endpoints, id)
 		}
 	}
+	if len(s.endpoints) < before {
+		s.indexEndpoints()
+	}
 	return alive
 }
+
+// indexEndpoints rebuilds the index by hash. An endpoint that remains may have the hash of one
+// that was deleted.
+func (s *state) indexEndpoints() {
+	clear(s.endpointsByHash)
+	for id := range s.endpoints {
+		s.endpointsByHash[endpointHash(id)] = id
+	}
+}
