Decode the elements of load reports without reflection

Cause: the library's decoder looks up a decoder for each element of a list and sets each field by reflection, with an allocation or more for each element. An entry of a large group decodes hundreds of reports a second.

Change: the loads and uses of a report have decoders of their own for the form that entries send, an array of all fields; any other form goes to the library's. The format is unchanged.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -76,12 +76,15 @@
 		return errors.Join(err, errListTooLong)
 	}
 	*l = nil
-	for range n {
-		var v T
-		if err := d.Decode(&v); err != nil {
+	if n > 0 {
+		*l = make(boundedList[T], 0, min(n, maxReportedParts))
+	}
+	for i := range n {
+		var zero T
+		*l = append(*l, zero)
+		if err := decodeElement(d, &(*l)[i]); err != nil {
 			return err
 		}
-		*l = append(*l, v)
 	}
 	return nil
 }
