Reuse the memory of a peer's last load report

Cause: each report made a new map for the peer's loads, and hashes of IDs were computed again for each candidate, load and order.

Change: the map of the peer's last report is cleared and filled again, and the hash of an endpoint's ID is kept with its state.

Nothing that is decided or sent changes.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -255,13 +255,13 @@
 	}
 	for id, e := range s.endpoints {
 		if l := e.load; l.Active > 0 {
-			r.Loads = append(r.Loads, reportLoad{Endpoint: endpointHash(id), Active: l.Active, Waiting: l.Waiting, Prefill: l.PrefillTokens, Memory: l.MemoryTokens, Long: l.LongRunning})
+			r.Loads = append(r.Loads, reportLoad{Endpoint: e.hash, Active: l.Active, Waiting: l.Waiting, Prefill: l.PrefillTokens, Memory: l.MemoryTokens, Long: l.LongRunning})
 		}
 		all, long := s.rollout.Blocked(id, s.clock())
 		if all {
-			r.Loading = append(r.Loading, endpointHash(id))
+			r.Loading = append(r.Loading, e.hash)
 		} else if long {
-			r.Emptying = append(r.Emptying, endpointHash(id))
+			r.Emptying = append(r.Emptying, e.hash)
 		}
 	}
 	members := slices.Clone(s.peerLoads.members)
@@ -313,7 +313,13 @@
 	if old != nil && r.Seq <= old.seq && now-old.receivedAt < reportTTL {
 		return // arrived out of order
 	}
-	p := &peerReport{receivedAt: now, seq: r.Seq, loads: map[uint32]forward.EndpointLoad{}}
+	s.peerLoads.remove(r.Member)
+	p := old // its memory is used again
+	if p == nil {
+		p = &peerReport{loads: make(map[uint32]forward.EndpointLoad, len(r.Loads))}
+	}
+	p.receivedAt, p.seq = now, r.Seq
+	clear(p.loads)
 	for _, l := range r.Loads {
 		p.loads[l.Endpoint] = forward.EndpointLoad{Active: l.Active, Waiting: l.Waiting, PrefillTokens: l.Prefill, MemoryTokens: l.Memory, LongRunning: l.Long}
 	}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -31,6 +31,7 @@
 
 // endpointState is what this process knows about an endpoint in addition to its list entry.
 type endpointState struct {
+	hash             uint32 // endpointHash of its ID
 	load             forward.EndpointLoad
 	health           forward.Health
 	limit            forward.EndpointLimit
@@ -159,9 +160,9 @@
 func (s *state) endpointState(id string) *endpointState {
 	e := s.endpoints[id]
 	if e == nil {
-		e = &endpointState{observedVersions: map[string]int64{}}
+		e = &endpointState{hash: endpointHash(id), observedVersions: map[string]int64{}}
 		s.endpoints[id] = e
-		s.endpointsByHash[endpointHash(id)] = id
+		s.endpointsByHash[e.hash] = id
 	}
 	return e
 }
@@ -241,7 +242,7 @@
 		st := s.endpointState(e.ID)
 		e.Models = st.withObservedVersions(e.Models)
 		c := forward.Candidate{
-			Endpoint: e, Load: st.load.Plus(s.peerLoads.load(e.ID)), Residency: &st.residency,
+			Endpoint: e, Load: st.load.Plus(s.peerLoads.totals[st.hash]), Residency: &st.residency,
 			Usable: st.health.Usable(now) && now >= st.loadingUntil, Excluded: tried[e.ID] || s.connLimit(sv, e.ID) == 0,
 		}
 		all, long := s.rollout.Blocked(e.ID, now)
@@ -321,7 +322,7 @@
 // that was deleted.
 func (s *state) indexEndpoints() {
 	clear(s.endpointsByHash)
-	for id := range s.endpoints {
-		s.endpointsByHash[endpointHash(id)] = id
+	for id, e := range s.endpoints {
+		s.endpointsByHash[e.hash] = id
 	}
 }
