Answer requests that have begun as an entry without forward stops

Cause: http.Server.Shutdown closes each connection that is not active; a connection on which a part of a head has arrived counts as idle.

Change: the ends of idle connections and the limits on callers that stop reading move from gateway/ to the package callerconn, which the servers of process/ use too, over TLS as well. HTTP/2 connections stay with net/http, which sends GOAWAY. A write deadline of a handler (caller_timeout_ms) replaces the limits on the caller's progress.

Conclusion: all HTTP servers end their connections in one way.

--- a/gateway/callerconns.go
+++ b/callerconn/callerconn.go
@@ -1,13 +1,17 @@
-package gateway
+// Package callerconn ends the connections of callers that are idle, and all of them in a planned
+// stop, without dropping a request of which a byte has arrived.
+package callerconn
 
 import (
 	"cmp"
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -18,9 +22,12 @@
 )
 
 const (
-	// idleTimeoutSlack is how long connections stay open beyond the idle timeout. Callers may go by
+	defaultHeadTimeout = 10 * time.Second // applies until SetTimeouts sets another one
+	defaultIdleTimeout = time.Minute      // applies until SetTimeouts sets another one
+
+	// IdleTimeoutSlack is how long connections stay open beyond the idle timeout. Callers may go by
 	// a raised timeout from its acknowledgement on, before this process has read it.
-	idleTimeoutSlack = 3 * time.Second
+	IdleTimeoutSlack = 3 * time.Second
 	// lastReadTime is how long a connection that isn't a socket is read once more as its idle
 	// timeout ends, for bytes that have arrived meanwhile.
 	lastReadTime = time.Millisecond
@@ -28,36 +35,38 @@
 	closedPollInterval = 5 * time.Millisecond
 )
 
-// callerConns ends caller connections that have been idle for the configured timeout. Unlike
+// Conns ends caller connections that have been idle for the configured timeout. Unlike
 // http.Server.IdleTimeout, the timeout can change while a server runs, also for connections that
 // are idle already.
 //
 // The timeout is a read deadline, so that the goroutine that would read the next request ends the
 // connection. A timer or a planned stop that closes it from outside can't know whether a request has
 // begun.
-type callerConns struct {
+//
+// HTTP/2 connections are left to net/http: it can tell their callers that it is about to close them.
+type Conns struct {
 	mu          sync.Mutex
 	idleTimeout time.Duration
 	headTimeout time.Duration // for the head of a request, from its first byte on
 	draining    bool          // idle connections are ended at once
 	open        int
-	idle        map[*callerConn]idlePeriod
+	idle        map[*conn]idlePeriod
 }
 
 // idlePeriod is the time in which no byte of the next request has been read.
 type idlePeriod struct{ since, until time.Time }
 
-func newCallerConns() *callerConns {
-	return &callerConns{idleTimeout: defaultCallerIdleTimeout, headTimeout: defaultHeadTimeout, idle: map[*callerConn]idlePeriod{}}
+func New() *Conns {
+	return &Conns{idleTimeout: defaultIdleTimeout, headTimeout: defaultHeadTimeout, idle: map[*conn]idlePeriod{}}
 }
 
 // changed returns the period of a connection that is idle while the timeout changes at the time
 // now. A raise holds from the beginning of the period. After a cut, callers that still go by the
 // former timeout get the time to learn of it.
 func (p idlePeriod) changed(timeout time.Duration, now time.Time) idlePeriod {
-	until := p.since.Add(timeout + idleTimeoutSlack)
+	until := p.since.Add(timeout + IdleTimeoutSlack)
 	if until.Before(p.until) {
-		until = now.Add(timeout + idleTimeoutSlack)
+		until = now.Add(timeout + IdleTimeoutSlack)
 		if until.After(p.until) {
 			until = p.until
 		}
@@ -65,12 +74,12 @@
 	return idlePeriod{p.since, until}
 }
 
-// setTimeouts sets the timeouts; 0 stands for the default.
-func (cs *callerConns) setTimeouts(idle, head time.Duration) {
+// SetTimeouts sets the timeouts; 0 stands for the default.
+func (cs *Conns) SetTimeouts(idle, head time.Duration) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	cs.headTimeout = cmp.Or(head, defaultHeadTimeout)
-	idle = cmp.Or(idle, defaultCallerIdleTimeout)
+	idle = cmp.Or(idle, defaultIdleTimeout)
 	if idle == cs.idleTimeout || cs.draining {
 		return
 	}
@@ -81,9 +90,9 @@
 	}
 }
 
-// drain ends the idle connections, and each other one as it becomes idle. It returns when all
+// Drain ends the idle connections, and each other one as it becomes idle. It returns when all
 // connections are closed, or with an error when ctx is done.
-func (cs *callerConns) drain(ctx context.Context) error {
+func (cs *Conns) Drain(ctx context.Context) error {
 	cs.mu.Lock()
 	cs.draining = true
 	now := time.Now()
@@ -91,7 +100,7 @@
 		cs.setPeriod(c, idlePeriod{p.since, now})
 	}
 	cs.mu.Unlock()
-	for cs.openCount() > 0 {
+	for cs.Open() > 0 {
 		if !wait.For(ctx, closedPollInterval) {
 			return ctx.Err()
 		}
@@ -99,24 +108,32 @@
 	return nil
 }
 
-func (cs *callerConns) openCount() int {
+// Open returns the number of open connections, without HTTP/2 ones.
+func (cs *Conns) Open() int {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	return cs.open
 }
 
+// Idle returns the number of idle connections, without HTTP/2 ones.
+func (cs *Conns) Idle() int {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return len(cs.idle)
+}
+
 // setPeriod sets the idle period of a connection and its read deadline. The caller holds the mutex.
-func (cs *callerConns) setPeriod(c *callerConn, p idlePeriod) {
+func (cs *Conns) setPeriod(c *conn, p idlePeriod) {
 	cs.idle[c] = p
 	_ = c.Conn.SetReadDeadline(p.until) // fails only if the connection is closed
 }
 
 // beginIdle begins the idle period of a connection.
-func (cs *callerConns) beginIdle(c *callerConn) {
+func (cs *Conns) beginIdle(c *conn) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	now := time.Now()
-	until := now.Add(cs.idleTimeout + idleTimeoutSlack)
+	until := now.Add(cs.idleTimeout + IdleTimeoutSlack)
 	if cs.draining {
 		until = now
 	}
@@ -125,7 +142,7 @@
 
 // beginHead ends the idle period of a connection from which the first bytes of a request have been
 // read. It does nothing if the connection is not idle.
-func (cs *callerConns) beginHead(c *callerConn) error {
+func (cs *Conns) beginHead(c *conn) error {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	if _, ok := cs.idle[c]; !ok {
@@ -137,20 +154,28 @@
 }
 
 // period returns the idle period of a connection, and false if it is not idle.
-func (cs *callerConns) period(c *callerConn) (idlePeriod, bool) {
+func (cs *Conns) period(c *conn) (idlePeriod, bool) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	p, ok := cs.idle[c]
 	return p, ok
 }
 
-// connState follows the states of a connection; see http.Server.ConnState. It is called by the
+// State follows the states of a connection; see http.Server.ConnState. It is called by the
 // goroutine that reads the connection.
-func (cs *callerConns) connState(nc net.Conn, s http.ConnState) {
-	c, ok := nc.(*callerConn)
+func (cs *Conns) State(nc net.Conn, s http.ConnState) {
+	isHTTP2 := false
+	if t, ok := nc.(*tls.Conn); ok {
+		nc, isHTTP2 = t.NetConn(), t.ConnectionState().NegotiatedProtocol == "h2"
+	}
+	c, ok := nc.(*conn)
 	if !ok {
 		return
 	}
+	if isHTTP2 {
+		c.release()
+		return
+	}
 	switch s {
 	case http.StateIdle:
 		cs.beginIdle(c)
@@ -164,19 +189,23 @@
 	}
 }
 
-// callerListener accepts caller connections.
-type callerListener struct {
+// Listen returns a listener whose connections the Conns ends. The server that accepts from it must
+// have State as its ConnState, and must set neither ReadTimeout nor ReadHeaderTimeout.
+func (cs *Conns) Listen(l net.Listener) net.Listener { return listener{l, cs} }
+
+// listener accepts caller connections.
+type listener struct {
 	net.Listener
-	conns *callerConns
+	conns *Conns
 }
 
 // Accept implements net.Listener.
-func (l callerListener) Accept() (net.Conn, error) {
+func (l listener) Accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	c := &callerConn{Conn: nc, conns: l.conns}
+	c := &conn{Conn: nc, conns: l.conns}
 	l.conns.mu.Lock()
 	l.conns.open++
 	l.conns.mu.Unlock()
@@ -184,43 +213,56 @@
 	return c, nil
 }
 
-// callerConn is a connection from a caller. The timeouts of net/http that set read deadlines must be
-// off for its server.
-type callerConn struct {
+// conn is a connection from a caller.
+type conn struct {
 	net.Conn
-	conns     *callerConns
+	conns     *Conns
 	headUntil time.Time // read deadline while the head of a request is read; used by the reading goroutine
-	closed    sync.Once
+	untracked sync.Once
+
+	hasWriteDeadline atomic.Bool // the server or a handler has set one
 }
 
 // Close implements net.Conn.
-func (c *callerConn) Close() error {
-	c.closed.Do(func() {
+func (c *conn) Close() error {
+	c.untrack()
+	return c.Conn.Close()
+}
+
+// untrack takes the connection out of its Conns.
+func (c *conn) untrack() {
+	c.untracked.Do(func() {
 		c.conns.mu.Lock()
 		defer c.conns.mu.Unlock()
 		c.conns.open--
 		delete(c.conns.idle, c)
 	})
-	return c.Conn.Close()
 }
 
-// SetReadDeadline implements net.Conn. net/http clears the deadline when a connection becomes idle
-// and when it begins to read a head; the deadlines of this package then stay.
-func (c *callerConn) SetReadDeadline(t time.Time) error {
-	if !t.IsZero() {
-		return c.Conn.SetReadDeadline(t)
-	}
+// release leaves the connection to net/http.
+func (c *conn) release() {
+	c.untrack()
+	c.headUntil = time.Time{}
+	_ = c.Conn.SetReadDeadline(time.Time{}) // fails only if the connection is closed
+}
+
+// SetReadDeadline implements net.Conn. net/http changes the deadline when a connection becomes idle
+// and clears it when it begins to read a head; the deadlines of this package then stay.
+func (c *conn) SetReadDeadline(t time.Time) error {
 	c.conns.mu.Lock()
 	defer c.conns.mu.Unlock()
 	if p, ok := c.conns.idle[c]; ok {
 		return c.Conn.SetReadDeadline(p.until)
 	}
-	return c.Conn.SetReadDeadline(c.headUntil)
+	if t.IsZero() {
+		t = c.headUntil
+	}
+	return c.Conn.SetReadDeadline(t)
 }
 
 // CloseWrite closes the connection for writing, if it can be. net/http uses it so that a refusal of
 // its own isn't overtaken by a reset.
-func (c *callerConn) CloseWrite() error {
+func (c *conn) CloseWrite() error {
 	if cw, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return cw.CloseWrite()
 	}
@@ -229,7 +271,7 @@
 
 // Read implements net.Conn. The end of the idle period, or of the time for a head, ends the
 // connection only if nothing has arrived.
-func (c *callerConn) Read(p []byte) (int, error) {
+func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		period, idle := c.conns.period(c)
@@ -259,7 +301,7 @@
 
 // readArrived reads what has arrived at a connection whose read deadline has passed. A read with a
 // deadline, however late, could fail with bytes unread: the process may be held up before it begins.
-func (c *callerConn) readArrived(p []byte) (int, error) {
+func (c *conn) readArrived(p []byte) (int, error) {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return c.readOnceMore(p)
@@ -299,7 +341,7 @@
 }
 
 // readOnceMore reads from a connection in memory.
-func (c *callerConn) readOnceMore(p []byte) (int, error) {
+func (c *conn) readOnceMore(p []byte) (int, error) {
 	if err := c.Conn.SetReadDeadline(time.Now().Add(lastReadTime)); err != nil {
 		return 0, err
 	}
--- a/gateway/stall.go
+++ b/callerconn/stall.go
@@ -1,4 +1,4 @@
-package gateway
+package callerconn
 
 import (
 	"errors"
@@ -13,18 +13,27 @@
 // takes a byte now and then, would hold its answer's buffers, and the endpoint's connection, for as
 // long as it likes.
 const (
-	callerPause   = 15 * time.Second // a caller may read nothing for so long: it was suspended, or its link was lost
-	minCallerRate = 1 << 10          // bytes a second that it has to take otherwise
-	maxWriteBytes = 16 << 10         // bytes that are written under one deadline
+	Pause         = 15 * time.Second // a caller may read nothing for so long: it was suspended, or its link was lost
+	MinRate       = 1 << 10          // bytes a second that it has to take otherwise
+	MaxWriteBytes = 16 << 10         // bytes that are written under one deadline
 )
 
-// Write implements net.Conn. It fails if the caller takes less than minCallerRate for longer than
-// callerPause, and then resets the connection: the kernel would go on sending what it has.
-func (c *callerConn) Write(p []byte) (int, error) {
+// SetWriteDeadline implements net.Conn. A deadline replaces the limits on the caller's progress.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.hasWriteDeadline.Store(!t.IsZero())
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// Write implements net.Conn. It fails if the caller takes less than MinRate for longer than
+// Pause, and then resets the connection: the kernel would go on sending what it has.
+func (c *conn) Write(p []byte) (int, error) {
+	if c.hasWriteDeadline.Load() {
+		return c.Conn.Write(p)
+	}
 	written := 0
 	for {
-		piece := p[written:min(len(p), written+maxWriteBytes)]
-		limit := callerPause + time.Duration(len(piece))*time.Second/minCallerRate
+		piece := p[written:min(len(p), written+MaxWriteBytes)]
+		limit := Pause + time.Duration(len(piece))*time.Second/MinRate
 		if err := c.Conn.SetWriteDeadline(time.Now().Add(limit)); err != nil {
 			return written, err
 		}
@@ -40,10 +49,17 @@
 	}
 }
 
-// resetConn closes a connection so that the other side doesn't take it for a regular end.
-func resetConn(conn net.Conn) {
-	if c, ok := conn.(*net.TCPConn); ok {
+// Reset closes a connection so that the other side doesn't take it for a regular end.
+func Reset(nc net.Conn) {
+	if c, ok := nc.(*conn); ok {
+		nc = c.Conn
+	}
+	resetConn(nc)
+}
+
+func resetConn(nc net.Conn) {
+	if c, ok := nc.(*net.TCPConn); ok {
 		_ = c.SetLinger(0) // the connection may have ended
 	}
-	conn.Close()
+	nc.Close()
 }
--- a/gateway/abort.go
+++ b/gateway/abort.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "net/http"
+import (
+	"net/http"
+
+	"github.com/galenaweir/galenaweir/callerconn"
+)
 
 // abort ends the caller's connection so that a truncated response does not look complete.
 func (q *request) abort(reason string) {
@@ -18,8 +22,5 @@
 	if err != nil {
 		return // httptest.ResponseRecorder has no connection
 	}
-	if c, ok := conn.(*callerConn); ok {
-		conn = c.Conn
-	}
-	resetConn(conn)
+	callerconn.Reset(conn)
 }
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -221,7 +221,7 @@
 	}
 	s.table = forward.NewTable(c)
 	s.streams.SetRoutes(c.Routes)
-	g.callerConns.setTimeouts(c.Limits.IdleTimeout, c.Limits.HeaderTimeout)
+	g.callerConns.SetTimeouts(c.Limits.IdleTimeout, c.Limits.HeaderTimeout)
 	if c.Limits.HeaderBytes > maxHeaderBytes {
 		log.Warn().Str("event", "limits_beyond_program").Int64("version", c.Version).Int("header_bytes", c.Limits.HeaderBytes).Int("max_header_bytes", maxHeaderBytes).Msg("the configuration allows longer headers than this program takes; lower the limit in it")
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/galenaweir/galenaweir/callerconn"
 	"github.com/galenaweir/galenaweir/core/forward"
 	"github.com/galenaweir/galenaweir/metrics"
 	"github.com/galenaweir/galenaweir/wait"
@@ -27,9 +28,7 @@
 const (
 	// maxHeaderBytes doesn't change while the process runs, so it leaves room for what a
 	// configuration may allow; limits_beyond_program is logged if it allows more.
-	maxHeaderBytes           = 128 << 10
-	defaultHeadTimeout       = 10 * time.Second // applies until the configuration sets the timeout of a head
-	defaultCallerIdleTimeout = time.Minute      // applies until the configuration sets the idle timeout
+	maxHeaderBytes = 128 << 10
 )
 
 // Readiness and shutdown.
@@ -84,7 +83,7 @@
 
 	draining    atomic.Bool
 	inFlight    atomic.Int64
-	callerConns *callerConns
+	callerConns *callerconn.Conns
 
 	requests           *expvar.Int
 	refusals           *expvar.Map
@@ -108,7 +107,7 @@
 		state: newState(s, o.Clock, rand.New(rand.NewPCG(o.Seed, o.Seed))), pool: newConnPool(o.Clock),
 		ownership:          forward.Ownership{Self: member, Lease: orderLease, Handover: milliseconds(s.OrderHandoverMs) + orderTransitTime, MemberTTL: memberLease},
 		memberID:           member,
-		callerConns:        newCallerConns(),
+		callerConns:        callerconn.New(),
 		reportRequests:     make(chan struct{}, 1),
 		maxCheckWait:       defaultMaxCheckWait,
 		requests:           metrics.Default.Counter("forwarded_requests"),
@@ -144,14 +143,14 @@
 	if err != nil {
 		return err
 	}
-	ready, err := serve(g.settings.ReadyAddress, http.HandlerFunc(g.serveReady), newCallerConns())
+	ready, err := serve(g.settings.ReadyAddress, http.HandlerFunc(g.serveReady), callerconn.New())
 	if err != nil {
 		return err
 	}
 	metrics.Default.Gauge("forwarding", func() any { return g.Status() })
 	if g.settings.MetricsPort > 0 {
 		address := net.JoinHostPort(g.settings.Host, strconv.Itoa(g.settings.MetricsPort))
-		m, err := serve(address, g.metricsHandler(), newCallerConns())
+		m, err := serve(address, g.metricsHandler(), callerconn.New())
 		if err != nil {
 			return err
 		}
@@ -228,17 +227,17 @@
 type callerServer struct {
 	*http.Server
 	listener net.Listener
-	conns    *callerConns
+	conns    *callerconn.Conns
 }
 
 // drain accepts no further connections and ends the open ones when their requests are complete.
 // http.Server.Shutdown would also drop requests whose heads have just been read.
 func (c *callerServer) drain(ctx context.Context) error {
 	_ = c.listener.Close() // the server is closed next, which reports nothing new
-	return c.conns.drain(ctx)
+	return c.conns.Drain(ctx)
 }
 
-func serve(address string, h http.Handler, conns *callerConns) (*callerServer, error) {
+func serve(address string, h http.Handler, conns *callerconn.Conns) (*callerServer, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w; free the port or change the address in the settings", address, err)
@@ -247,14 +246,14 @@
 }
 
 // serveOn serves requests from a listener until the returned server is closed.
-func serveOn(l net.Listener, h http.Handler, conns *callerConns) *callerServer {
+func serveOn(l net.Listener, h http.Handler, conns *callerconn.Conns) *callerServer {
 	srv := &http.Server{
-		Handler: h, MaxHeaderBytes: maxHeaderBytes, ConnState: conns.connState,
+		Handler: h, MaxHeaderBytes: maxHeaderBytes, ConnState: conns.State,
 		ErrorLog:                     stdlog.New(io.Discard, "", 0), // it would log data that callers sent
 		DisableGeneralOptionsHandler: true,
 	}
 	go func() {
-		if err := srv.Serve(callerListener{l, conns}); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		if err := srv.Serve(conns.Listen(l)); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			log.Error().Str("event", "listener_ended").Str("address", l.Addr().String()).Err(err).Msg("HTTP server ended")
 		}
 	}()
--- a/process/process.go
+++ b/process/process.go
@@ -22,6 +22,7 @@
 	"github.com/phuslu/log"
 	"google.golang.org/grpc"
 
+	"github.com/galenaweir/galenaweir/callerconn"
 	"github.com/galenaweir/galenaweir/settings"
 )
 
@@ -121,12 +122,13 @@
 
 // Server is a running HTTP server.
 type Server struct {
-	srv     *http.Server
-	address string
+	srv      *http.Server
+	listener net.Listener
+	conns    *callerconn.Conns
 }
 
 // Address returns the IP address and port that the server listens on.
-func (s *Server) Address() string { return s.address }
+func (s *Server) Address() string { return s.listener.Addr().String() }
 
 // Serve serves HTTP on an IP address and port, over TLS if conf isn't nil.
 func Serve(address string, h http.Handler, conf *tls.Config) (*Server, error) {
@@ -134,25 +136,36 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w; free the port or change the address in the settings", address, err)
 	}
+	conns := callerconn.New()
+	conns.SetTimeouts(idleTimeout, headerTimeout)
 	s := &http.Server{
-		Handler: h, TLSConfig: conf, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: stdlog.New(io.Discard, "", 0), // the server's own log could contain callers' data
+		Handler: h, TLSConfig: conf, ConnState: conns.State,
+		IdleTimeout: idleTimeout,                   // of HTTP/2 connections
+		ErrorLog:    stdlog.New(io.Discard, "", 0), // the server's own log could contain callers' data
 	}
-	serve := func() error { return s.Serve(l) }
+	accepted := conns.Listen(l)
+	serve := func() error { return s.Serve(accepted) }
 	if conf != nil {
-		serve = func() error { return s.ServeTLS(l, "", "") }
+		serve = func() error { return s.ServeTLS(accepted, "", "") }
 	}
 	go func() {
-		if err := serve(); !errors.Is(err, http.ErrServerClosed) {
+		if err := serve(); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			log.Error().Str("address", address).Err(err).Msg("HTTP server ended")
 		}
 	}()
-	return &Server{s, l.Addr().String()}, nil
+	return &Server{s, l, conns}, nil
 }
 
 // Shutdown stops accepting connections and waits until all responses have been sent
-// or ctx ends.
-func (s *Server) Shutdown(ctx context.Context) error { return s.srv.Shutdown(ctx) }
+// or ctx ends. A request of which a byte has arrived is still answered; http.Server.Shutdown
+// would drop it.
+func (s *Server) Shutdown(ctx context.Context) error {
+	_ = s.listener.Close() // closed already in a second call
+	if err := s.conns.Drain(ctx); err != nil {
+		return err
+	}
+	return s.srv.Shutdown(ctx) // HTTP/2 connections
+}
 
 // Close closes all connections at once.
 func (s *Server) Close() { _ = s.srv.Close() }
