Share what entries read of the cache stores

Cause: the pause between an entry's reads of a store grows with the group, so that a store holds 6 reads at a time on average: 4.0 s at 103 entries, 13.5 s at 330. A view is used for 1.7 s, so that at 103 entries nothing was fetched from or saved to a store for over half of the time, although stores have room for three quarters of all contexts.

The receiver dates a view by the store's clock, so that a message that was under way for long makes no view fresher than it is. Events of three reads go together, as messages are lost. Who hears nothing reads the store itself, at the pace of before. Smaller groups read as before.

--- a/Makefile
+++ b/Makefile
@@ -104,5 +104,5 @@
 	go test -run '^$$' -fuzz FuzzParseFrame -fuzztime $(FUZZ_TIME) ./protocol/streaming
 	go test -run '^$$' -fuzz FuzzParseCompletion -fuzztime $(FUZZ_TIME) ./entry
 	for f in FuzzRecords FuzzHeaders FuzzReply FuzzDocuments FuzzEndpoint FuzzEngineAnswers FuzzNamingRecord FuzzPartRecord FuzzStatements; do go test -run '^$$' -fuzz "^$$f$$" -fuzztime $(FUZZ_TIME) ./platform || exit 1; done
-	for f in FuzzEvents FuzzPeerReport FuzzFacts FuzzSettings FuzzEndpointAnswer; do go test -run '^$$' -fuzz "^$$f$$" -fuzztime $(FUZZ_TIME) ./gateway || exit 1; done
+	for f in FuzzEvents FuzzPeerReport FuzzFacts FuzzStoreNews FuzzSettings FuzzEndpointAnswer; do go test -run '^$$' -fuzz "^$$f$$" -fuzztime $(FUZZ_TIME) ./gateway || exit 1; done
 	go test -run '^$$' -fuzz FuzzChecker -fuzztime $(FUZZ_TIME) ./core/stream
--- a/core/forward/stores.go
+++ b/core/forward/stores.go
@@ -61,8 +61,9 @@
 
 // StoreEvent is a change to the parts in a store.
 type StoreEvent struct {
-	Added bool // the part is complete; false if it was removed
-	Part  StoredPart
+	Added  bool // the part is complete; false if it was removed
+	Part   StoredPart
+	Number int64 // position of the event
 }
 
 // StoreList is the full list of a store's parts.
--- a/core/forward/stores_test.go
+++ b/core/forward/stores_test.go
@@ -33,7 +33,7 @@
 	plan = PlanStores(stores, newTwoPartPrompt(), salt, maxViewAge)
 	require.Nil(t, plan.Fetch[0].Store, "the store may have restarted since the last read")
 
-	v.ApplyEvents(StoreEvents{Epoch: 1, Next: 6, Events: []StoreEvent{{false, StoredPart{salt, "a", 0}}, {true, StoredPart{salt, "b", 400}}}}, 2*time.Second, 2*time.Second)
+	v.ApplyEvents(StoreEvents{Epoch: 1, Next: 6, Events: []StoreEvent{{false, StoredPart{salt, "a", 0}, 5}, {true, StoredPart{salt, "b", 400}, 6}}}, 2*time.Second, 2*time.Second)
 	plan = PlanStores(stores, newTwoPartPrompt(), salt, 2*time.Second)
 	require.Nil(t, plan.Fetch[0].Store, "freed")
 	require.Equal(t, v, plan.Fetch[1].Store)
--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -99,6 +99,24 @@
 	})
 }
 
+// Guards against news of a store, from any sender, that crashes the process or makes the view fresher
+// than the present.
+func FuzzStoreNews(f *testing.F) {
+	valid, err := encodeMessage(&storeNews{Protocol: storeNewsProtocol, Member: "10.0.0.2:7", Store: endpointHash("s"), Epoch: 1, From: 4, Next: 7, ClockMs: 1e12, Salts: []string{"g@m/1"}, Events: []newsEvent{{6, true, 0, "a", 100}}})
+	require.NoError(f, err)
+	f.Add(valid)
+	f.Add(valid[:len(valid)-3])
+	f.Fuzz(func(t *testing.T, data []byte) {
+		g, clock := newGateway(t)
+		v := newFollowedStore(t, g)
+		if !isStoreNews(data) || !g.receiveStoreNews(data) {
+			return
+		}
+		require.False(t, v.ReadSince(clock.read()+time.Nanosecond))
+		require.GreaterOrEqual(t, v.UsedTokens(), 0)
+	})
+}
+
 // Guards against settings that crash the process instead of being rejected.
 func FuzzSettings(f *testing.F) {
 	f.Add([]byte(`{"id":"a","host":"10.0.0.1", // comment
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -294,6 +294,12 @@
 		if isRelay(data) {
 			data = g.passOn(data)
 		}
+		if isStoreNews(data) {
+			if !g.receiveStoreNews(data) {
+				g.rejectedReports.Add(1)
+			}
+			continue
+		}
 		var r loadReport
 		if msgpack.Unmarshal(data, &r) != nil || r.Protocol != reportProtocol || r.Member == g.memberID {
 			g.rejectedReports.Add(1)
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -77,8 +77,9 @@
 	rollout           *forward.Rollout
 	retryBudgets      map[string]*retry.Budget
 	stores            []*forward.StoreView
-	reportClock       forward.EndpointClock // endpoints' clock as their reports state it
-	nextClockRead     time.Duration         // when a report may be requested for the clock again
+	storeFollowers    map[uint32]*storeFollower // by the hash of the store's name
+	reportClock       forward.EndpointClock     // endpoints' clock as their reports state it
+	nextClockRead     time.Duration             // when a report may be requested for the clock again
 	streams           *forward.StreamBuilds
 	streamLog         streamLog
 	peerLoads         peerLoads
@@ -98,7 +99,7 @@
 	return &state{
 		clock: clock, rng: rng, endpointList: forward.NewEndpointList(), endpoints: map[string]*endpointState{}, endpointsByHash: map[uint32]string{}, peerFacts: map[string]knownFacts{}, rollout: rollout,
 		retryBudgets: map[string]*retry.Budget{}, peerLoads: newPeerLoads(), settings: s, streams: forward.NewStreamBuilds(), streamLog: newStreamLog(), limitQueues: map[string]*forward.LimitQueue{}, statements: newStatements(),
-		parts: forward.NewPartHolds(), partSaver: newPartSaver(), endpointChecks: map[forward.EndpointStart]*endpointCheck{},
+		parts: forward.NewPartHolds(), partSaver: newPartSaver(), endpointChecks: map[forward.EndpointStart]*endpointCheck{}, storeFollowers: map[uint32]*storeFollower{},
 		freshness: forward.Freshness{MaxKeyAge: milliseconds(s.RevokeMs) - revokeMargin}, readConfirmed: make(chan struct{}), storeRead: make(chan struct{}), resumes: make(chan struct{}, 1),
 	}
 }
--- a/gateway/stores.go
+++ b/gateway/stores.go
@@ -13,9 +13,7 @@
 
 // Following the cache stores. A long poll of a store is not billed.
 const (
-	storePollWait      = 250 * time.Millisecond // long-poll wait for events; a call with a shorter wait is billed
-	storePollPause     = 150 * time.Millisecond // pause between polls, so that events arrive in batches
-	storePollers       = 6                      // average number of entries that poll a store at the same time; a store allows somewhat more
+	storesLookPause    = 150 * time.Millisecond // pause between two looks for stores in the configuration
 	storeTimeoutMargin = 500 * time.Millisecond // added to the wait to get the timeout of a call
 	storeRetryPause    = 300 * time.Millisecond // pause after a failed call
 	storeStartPause    = 10 * time.Millisecond  // between two looks for the first configuration
@@ -106,7 +104,7 @@
 		s := g.state
 		s.mu.Lock()
 		if s.table != nil {
-			pause = storePollPause
+			pause = storesLookPause
 		}
 		views := map[string]*forward.StoreView{}
 		for _, v := range s.stores {
@@ -144,11 +142,26 @@
 	}
 }
 
-// followStore polls one store until ctx is done.
+// followStore reads one store, as often as this process has to, until ctx is done.
 func (g *Gateway) followStore(ctx context.Context, v *forward.StoreView) {
+	f := &storeFollower{Gateway: g, view: v}
+	g.state.mu.Lock()
+	g.state.storeFollowers[endpointHash(v.Name)] = f
+	g.state.mu.Unlock()
+	defer func() {
+		g.state.mu.Lock()
+		if key := endpointHash(v.Name); g.state.storeFollowers[key] == f { // the store may have got another address
+			delete(g.state.storeFollowers, key)
+		}
+		g.state.mu.Unlock()
+	}()
 	failed := false
 	for ctx.Err() == nil {
-		err := g.pollStore(ctx, v)
+		if !f.awaitRead(ctx) {
+			return
+		}
+		err := f.poll(ctx)
+		f.recordReadEnd()
 		if ctx.Err() != nil {
 			return
 		}
@@ -157,63 +170,48 @@
 				log.Info().Str("event", "store_regained").Str("store", v.Name).Msg("cache store is reachable again")
 			}
 			failed = false
-			wait.For(ctx, g.storePollPause())
 			continue
 		}
 		if !failed {
-			log.Warn().Str("event", "store_lost").Str("store", v.Name).Err(err).Msg("nothing is fetched from it or saved to it")
+			log.Warn().Str("event", "store_lost").Str("store", v.Name).Err(err).Msg("nothing is fetched from it or saved to it unless a peer can read it")
 		}
 		failed = true
 		wait.For(ctx, storeRetryPause)
 	}
 }
 
-// storePollPause returns the pause between two polls, which grows with the number of entries.
-func (g *Gateway) storePollPause() time.Duration {
-	s := g.state
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return max(storePollPause, storePollWait*time.Duration(len(s.peerLoads.members))/storePollers-storePollWait)
-}
-
-func (g *Gateway) pollStore(ctx context.Context, v *forward.StoreView) error {
-	s := g.state
-	s.mu.Lock()
-	since, known := v.Cursor()
-	s.mu.Unlock()
-	if !known {
-		return g.listStore(ctx, v)
-	}
-	ctx, cancel := context.WithTimeout(ctx, storePollWait+storeTimeoutMargin)
-	defer cancel()
-	return g.readEvents(ctx, v, since, storePollWait)
+// storeAnswer is an answer of a store with its events, and how long it took.
+type storeAnswer struct {
+	forward.StoreEvents
+	took time.Duration
 }
 
 // readEvents reads the events since a position. It discards them if another read has moved
 // the position meanwhile: events that are applied twice could bring back a deleted part.
-func (g *Gateway) readEvents(ctx context.Context, v *forward.StoreView, since int64, pollWait time.Duration) error {
+func (g *Gateway) readEvents(ctx context.Context, v *forward.StoreView, since int64, pollWait time.Duration) (storeAnswer, error) {
 	started := g.clock()
 	e, err := g.storeClient.Events(ctx, v.Address, since, pollWait)
 	if err != nil {
-		return err
+		return storeAnswer{}, err
 	}
+	a := storeAnswer{e, g.clock() - started}
 	s := g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	defer s.signalStoreRead()
 	if current, known := v.Cursor(); !known || current != since {
-		return nil
+		return a, nil
 	}
 	if list, restarted := v.ApplyEvents(e, started, g.clock()); restarted {
 		log.Warn().Str("event", "store_restarted").Str("store", v.Name).Int64("epoch", e.Epoch).Msg("cache store restarted and lost all parts; saving resumes after a pause")
 	} else if list {
 		log.Info().Str("event", "store_gap").Str("store", v.Name).Msg("events are missing; listing the cache store")
 	}
-	return nil
+	return a, nil
 }
 
 func (g *Gateway) listStore(ctx context.Context, v *forward.StoreView) error {
-	ctx, cancel := context.WithTimeout(ctx, storePollWait+storeTimeoutMargin)
+	ctx, cancel := context.WithTimeout(ctx, forward.StorePollWait+storeTimeoutMargin)
 	defer cancel()
 	started := g.clock()
 	l, err := g.storeClient.List(ctx, v.Address)
@@ -230,7 +228,8 @@
 	if clockKnown {
 		return nil
 	}
-	return g.readEvents(ctx, v, l.Next, 0) // events state the store's clock
+	_, err = g.readEvents(ctx, v, l.Next, 0) // events state the store's clock
+	return err
 }
 
 // signalStoreRead wakes the prompts that wait for the stores' state. The caller holds the
@@ -308,7 +307,7 @@
 	if !known {
 		return
 	}
-	if err := g.readEvents(ctx, v, since, 0); err != nil {
+	if _, err := g.readEvents(ctx, v, since, 0); err != nil {
 		log.Info().Str("event", "store_unread").Str("store", v.Name).Err(err).Msg("cannot read the store's events after a suspension; the next poll follows")
 	}
 }
--- a/gateway/stores_test.go
+++ b/gateway/stores_test.go
@@ -117,12 +117,14 @@
 	stored := func() bool { return len(v.RetiredParts(func(string, int64) bool { return true })) > 0 }
 	require.True(t, stored())
 	store.events, store.next = []forward.StoreEvent{deleted}, 6
-	require.NoError(t, g.readEvents(t.Context(), v, 5, 0))
+	_, err := g.readEvents(t.Context(), v, 5, 0)
+	require.NoError(t, err)
 	require.False(t, stored())
 	added := deleted
 	added.Added, added.Part.Tokens = true, 8000
 	store.events, store.next = []forward.StoreEvent{added}, 5
-	require.NoError(t, g.readEvents(t.Context(), v, 4, 0)) // began before the other one
+	_, err = g.readEvents(t.Context(), v, 4, 0) // began before the other one
+	require.NoError(t, err)
 	require.False(t, stored())
 	next, _ := v.Cursor()
 	require.EqualValues(t, 6, next)
