Keep the owners of endpoints by member list

Cause: 20 times a second an entry looks which endpoints it owns, and hashed all members for each endpoint: 1.0 ms at 103 members and 191 endpoints, under the state's lock.

Change: a member list keeps the owners that were looked up.

The tests of ownership, handover and rollouts pass.

--- a/core/forward/ownership.go
+++ b/core/forward/ownership.go
@@ -67,11 +67,25 @@
 	members     []string // owners and standbys
 	owners      []string
 	asStandby   bool // this process was a standby when the list was confirmed
+	ownerCache  map[string]string
 }
 
-// owner returns the member that owns an endpoint by this list, "" if none does.
+// maxCachedOwners bounds the cache of a list that stays for long while endpoints come and go.
+const maxCachedOwners = 4096
+
+// owner returns the member that owns an endpoint by this list, "" if none does. All endpoints are looked
+// up many times a second, and hashing all members of a large group for each would take a large share of
+// a small host.
 func (l *memberList) owner(endpoint string) string {
-	return rendezvous.Owner(rendezvous.Key([]byte(endpoint)), l.owners)
+	owner, ok := l.ownerCache[endpoint]
+	if !ok {
+		owner = rendezvous.Owner(rendezvous.Key([]byte(endpoint)), l.owners)
+		if len(l.ownerCache) >= maxCachedOwners {
+			clear(l.ownerCache)
+		}
+		l.ownerCache[endpoint] = owner
+	}
+	return owner
 }
 
 // standbySuffix marks the name of a member that owns nothing. Processes that don't know the mark
@@ -174,7 +188,7 @@
 	if generation.Era < o.generation.Era {
 		return
 	}
-	l := memberList{generation: generation}
+	l := memberList{generation: generation, ownerCache: map[string]string{}}
 	for _, m := range members {
 		name, standby := strings.CutSuffix(m, standbySuffix)
 		l.members = append(l.members, name)
--- a/gateway/background_test.go
+++ b/gateway/background_test.go
@@ -108,3 +108,23 @@
 }
 
 func BenchmarkPlace191(b *testing.B) { benchmarkPlace(b, benchEndpoints) }
+
+// BenchmarkManagedEndpoints191 measures what an entry of a large group does 20 times a second to find
+// the endpoints that it owns.
+func BenchmarkManagedEndpoints191(b *testing.B) {
+	g, clock := benchGateway()
+	members := []string{g.memberID}
+	for p := range benchPeers - 1 {
+		members = append(members, fmt.Sprintf("10.10.0.%d:7", p))
+	}
+	now := clock.read()
+	g.ownership.DecideRole(nil, now)
+	generation := forward.Generation{Era: 1, Number: 1}
+	g.ownership.RecordJoin(generation, now)
+	g.ownership.RecordMembers(generation, members)
+	g.ownership.RecordJoin(generation, now)
+	b.ReportAllocs()
+	for b.Loop() {
+		g.managedEndpoints(now)
+	}
+}
