Report updates of endpoints often enough in a large group

Cause, by reading the code, suspected: a report that an endpoint is loading weights or being emptied is valid for 0.5 s, and a regular report goes out every 10 ms for each member, 1.03 s at 103. With 48 known members it was 0.48 s. Between reports the peers count such endpoints as in use, so that the bound on updates at a time is not kept. That an endpoint is loaded is told for 1 s, so maybe never. Rarer reports at once add to it.

Change: an entry that updates endpoints, or has updated one within 1 s, reports every 250 ms, and at once when it begins and ends to do so.

Result: TestUpdatesOfEndpointsStayKnownInALargeGroup; before, the interval at 330 members is 3.3 s, over the validity of 0.5 s.

Conclusion: an interval that grows with the group must not pass the validity of what it carries.

--- a/core/forward/rollout.go
+++ b/core/forward/rollout.go
@@ -149,6 +149,16 @@
 	return u.excluded(), true
 }
 
+// UpdatesAny reports whether this process is updating an endpoint.
+func (r *Rollout) UpdatesAny(now time.Duration) bool {
+	for id := range r.updates {
+		if _, long := r.Blocked(id, now); long {
+			return true
+		}
+	}
+	return false
+}
+
 // RecordReport records an endpoint's report. It reports whether the endpoint has all
 // target versions.
 func (r *Rollout) RecordReport(id string, rep EndpointReport, now time.Duration) bool {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -24,6 +24,8 @@
 	reportIntervalPerPeer = 10 * time.Millisecond  // lengthens the interval in large groups, to bound the datagram rate
 	loadReportDelay       = 25 * time.Millisecond  // from a placement until the peers know of it, if it is urgent
 	reportTTL             = time.Second            // a report is valid for this long
+	updateTTL             = reportTTL / 2          // a report that an endpoint is loading weights or being emptied is valid for this long
+	updateReportInterval  = updateTTL / 2          // longest interval while this process updates endpoints: peers that miscount them update too many at once, or too few
 	maxMissedReports      = 3                      // a report stays valid at least until this many later ones are missed
 	maxDatagram           = 8192
 	maxReportedParts      = 64 // in one report; dropping further ones only makes the peers' cache estimates less exact
@@ -236,10 +238,14 @@
 	s := g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	interval := s.peerLoads.interval()
 	if s.parts.OwnsHeld(g.memberID, s.peerLoads.members) {
-		return min(s.peerLoads.interval(), forward.OwnerRepeatPause)
+		interval = min(interval, forward.OwnerRepeatPause)
 	}
-	return s.peerLoads.interval()
+	if s.rollout.UpdatesAny(s.clock()) || len(s.peerLoads.loaded) > 0 {
+		interval = min(interval, updateReportInterval)
+	}
+	return interval
 }
 
 // buildReport returns the next report and the addresses of the peers to send it to.
@@ -351,12 +357,12 @@
 			if now >= st.loadingUntil {
 				st.loadingSince = now
 			}
-			st.loadingUntil, st.lastPeerChange = now+reportTTL/2, now
+			st.loadingUntil, st.lastPeerChange = now+updateTTL, now
 		}
 	}
 	for _, h := range r.Emptying {
 		if id, ok := s.endpointsByHash[h]; ok {
-			s.endpointState(id).emptyingUntil = now + reportTTL/2
+			s.endpointState(id).emptyingUntil = now + updateTTL
 			s.endpointState(id).lastPeerChange = now
 		}
 	}
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -81,3 +81,23 @@
 func BenchmarkPlace12(b *testing.B)  { benchmarkPlace(b, 12) }
 func BenchmarkPlace100(b *testing.B) { benchmarkPlace(b, 100) }
 func BenchmarkPlace830(b *testing.B) { benchmarkPlace(b, 830) }
+
+// Guards against endpoints that the peers of a large group count as not being updated, because the report
+// that says so is valid for less than the time until the next one. Too many endpoints are then updated at
+// once, and prompts are refused.
+func TestUpdatesOfEndpointsStayKnownInALargeGroup(t *testing.T) {
+	f := newFixture(t)
+	f.state.peerLoads.members = make([]string, 330)
+	require.Greater(t, f.reportInterval(), updateTTL)
+	e := forward.Endpoint{ID: "e0", Service: "s", Models: []forward.ModelState{{Name: "m", Version: 1}}}
+	f.applyOperators([]forward.OperatorChange{{Weights: &forward.WeightVersion{Model: "m", Version: 2}}}, f.clock.read(), false)
+	fleets := map[string]forward.FleetCounts{"s": {Total: 1, Behind: 1}}
+	f.state.rollout.NextSteps([]forward.ManagedEndpoint{{Endpoint: e, HandoverDone: true}}, fleets, f.clock.read())
+	all, long := f.state.rollout.Blocked("e0", f.clock.read())
+	require.True(t, all || long, "the endpoint is being updated")
+	require.LessOrEqual(t, 2*f.reportInterval(), updateTTL, "one report may be lost")
+	f.state.peerLoads.recordLoaded("e0", "m", 2, 1, f.clock.read())
+	f.state.rollout.RecordReport("e0", forward.EndpointReport{Models: []forward.ModelState{{Name: "m", Version: 2}}}, f.clock.read())
+	require.False(t, f.state.rollout.UpdatesAny(f.clock.read()))
+	require.LessOrEqual(t, 2*f.reportInterval(), reportTTL, "the peers learn that it is loaded")
+}
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -123,6 +123,7 @@
 // runRollouts rolls out named weight versions to the endpoints that this process owns, until ctx
 // is done.
 func (g *Gateway) runRollouts(ctx context.Context) {
+	updated := false
 	for wait.For(ctx, rolloutInterval) {
 		s := g.state
 		s.mu.Lock()
@@ -133,7 +134,12 @@
 			managed, fleets := g.managedEndpoints(now)
 			steps = s.rollout.NextSteps(managed, fleets, now)
 		}
+		updates := s.rollout.UpdatesAny(now)
 		s.mu.Unlock()
+		if updates != updated { // the next regular report may be later than what it has to tell is valid for
+			g.requestReport()
+		}
+		updated = updates
 		for _, st := range steps {
 			go g.runStep(ctx, st)
 		}
