Log failures to accept callers and a lack of processor time

Cause: an entry that can't accept connections, or has more work than processor time, looked like one whose log is slow: net/http's own line on failed accepts is discarded, and nothing said how long tasks wait.

The delay is the runtime's own measure of the time between ready and running.

--- a/callerconn/callerconn.go
+++ b/callerconn/callerconn.go
@@ -51,6 +51,9 @@
 	draining    bool          // idle connections are ended at once
 	open        int
 	idle        map[*conn]idlePeriod
+
+	acceptErrors      int
+	acceptErrorLogged time.Time
 }
 
 // idlePeriod is the time in which no byte of the next request has been read.
@@ -203,6 +206,7 @@
 func (l listener) Accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
 	if err != nil {
+		l.conns.logAcceptError(err)
 		return nil, err
 	}
 	c := &conn{Conn: nc, conns: l.conns}
@@ -213,6 +217,26 @@
 	return c, nil
 }
 
+// acceptErrorInterval is the least time between two log lines of failures to accept.
+const acceptErrorInterval = time.Second
+
+// logAcceptError logs that a connection could not be accepted. net/http tries again after a pause
+// of up to a second, in which callers wait.
+func (cs *Conns) logAcceptError(err error) {
+	if errors.Is(err, net.ErrClosed) {
+		return
+	}
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.acceptErrors++
+	now := time.Now()
+	if now.Before(cs.acceptErrorLogged.Add(acceptErrorInterval)) {
+		return
+	}
+	cs.acceptErrorLogged = now
+	log.Warn().Str("event", "accept_failed").Err(err).Int("failures", cs.acceptErrors).Int("open", cs.open).Int("idle", len(cs.idle)).Msg("cannot accept connections; callers wait")
+}
+
 // conn is a connection from a caller.
 type conn struct {
 	net.Conn
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -85,6 +85,8 @@
 	inFlight    atomic.Int64
 	callerConns *callerconn.Conns
 
+	schedulingDelay atomic.Int64 // a high quantile of the last sample, in nanoseconds
+
 	requests           *expvar.Int
 	refusals           *expvar.Map
 	unknownHeaders     unknownHeaders
@@ -158,7 +160,7 @@
 	}
 	background, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){g.followOperators, g.followEndpoints, g.maintainMembership, g.sendReports, g.runRollouts, g.followStores, g.cleanStores, g.pollAfterResume, g.exchangeFacts, g.saveNamings, g.recoverNamings, g.keepProofs, g.recordStreams, g.maintainStreams, g.keepParts} {
+	for _, f := range []func(context.Context){g.followOperators, g.followEndpoints, g.maintainMembership, g.sendReports, g.runRollouts, g.followStores, g.cleanStores, g.pollAfterResume, g.exchangeFacts, g.saveNamings, g.recoverNamings, g.keepProofs, g.recordStreams, g.maintainStreams, g.keepParts, g.watchDelay} {
 		wg.Go(func() { f(background) })
 	}
 	log.Info().Str("event", "started").Str("callers", g.settings.CallerAddress).Str("ready", g.settings.ReadyAddress).Str("log", g.settings.LogAddress).Msg("serving")
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -33,7 +33,10 @@
 	OwnedEndpoints []string          `json:"holds"`      // endpoints that this process may send orders to
 	Rollouts       map[string]string `json:"rollouts"`   // rollout stage by endpoint, for rollouts of this process
 	InFlight       int64             `json:"in_flight"`
-	HeldParts      []HeldPart        `json:"held_parts"` // parts of prompts that are held
+	CallerConns    int               `json:"caller_connections"`
+	IdleConns      int               `json:"idle_connections"`    // of callers
+	DelayMs        float64           `json:"scheduling_delay_ms"` // for which tasks that could run waited for the processor
+	HeldParts      []HeldPart        `json:"held_parts"`          // parts of prompts that are held
 }
 
 // HeldPart is a part of prompts that is held because endpoints ended under requests with it.
@@ -98,7 +101,7 @@
 	now := s.clock()
 	st := Status{
 		ID: g.settings.ID, Ready: ready, WeightVersions: s.rollout.NewestTargets(), Members: len(s.peerLoads.members), Generation: g.ownership.FencingToken(), Era: int64(s.eras.Newest()),
-		Rollouts: s.rollout.Stages(), InFlight: g.inFlight.Load(), OwnedEndpoints: []string{}, HeldParts: s.heldParts(now),
+		Rollouts: s.rollout.Stages(), InFlight: g.inFlight.Load(), CallerConns: g.callerConns.Open(), IdleConns: g.callerConns.Idle(), DelayMs: float64(g.schedulingDelay.Load()) / float64(time.Millisecond), OwnedEndpoints: []string{}, HeldParts: s.heldParts(now),
 	}
 	if age, known := s.freshness.Age(now); known {
 		st.ConfigAgeMs = age.Milliseconds()
