Close the longest idle connections when descriptors run short

Callers saw: new connections not accepted for seconds, changes of the configuration not in force in time, failures of requests that endpoints could have served.

Cause: refused callers come back on new connections and leave the old ones idle, up to the idle timeout of a minute. At 3,600 connections the 3,900 descriptors of an entry were used up (3,400 of them idle): "too many open files" for accepts, for connections to endpoints and for reads of the log. net/http pauses for up to a second after each failed accept.

Change: connections of callers get half of the descriptors. Beyond that the ones that were idle longest are closed, the same way as at the end of the idle timeout, so that a request that has arrived is answered; if an accept fails for lack of descriptors, a quarter of the idle ones. If more are in use, a request is refused at once with Connection: close.

The resource that had no owner was the descriptors.

--- a/callerconn/callerconn.go
+++ b/callerconn/callerconn.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"container/list"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -51,16 +52,20 @@
 	draining    bool          // idle connections are ended at once
 	open        int
 	idle        map[*conn]idlePeriod
+	idleOrder   idleQueue // without those that are about to be closed as surplus
+	maxOpen     int       // open connections from which idle ones are closed early
 
-	acceptErrors      int
-	acceptErrorLogged time.Time
+	surplusLog, acceptLog rateLimitedLog
 }
 
 // idlePeriod is the time in which no byte of the next request has been read.
-type idlePeriod struct{ since, until time.Time }
+type idlePeriod struct {
+	since, until time.Time
+	surplus      bool // it was cut short as too many connections are open
+}
 
 func New() *Conns {
-	return &Conns{idleTimeout: defaultIdleTimeout, headTimeout: defaultHeadTimeout, idle: map[*conn]idlePeriod{}}
+	return &Conns{idleTimeout: defaultIdleTimeout, headTimeout: defaultHeadTimeout, idle: map[*conn]idlePeriod{}, maxOpen: maxOpenConns()}
 }
 
 // changed returns the period of a connection that is idle while the timeout changes at the time
@@ -74,7 +79,7 @@
 			until = p.until
 		}
 	}
-	return idlePeriod{p.since, until}
+	return idlePeriod{since: p.since, until: until}
 }
 
 // SetTimeouts sets the timeouts; 0 stands for the default.
@@ -89,7 +94,9 @@
 	cs.idleTimeout = idle
 	now := time.Now()
 	for c, p := range cs.idle {
-		cs.setPeriod(c, p.changed(idle, now))
+		if !p.surplus {
+			cs.setPeriod(c, p.changed(idle, now))
+		}
 	}
 }
 
@@ -100,7 +107,7 @@
 	cs.draining = true
 	now := time.Now()
 	for c, p := range cs.idle {
-		cs.setPeriod(c, idlePeriod{p.since, now})
+		cs.setPeriod(c, idlePeriod{since: p.since, until: now})
 	}
 	cs.mu.Unlock()
 	for cs.Open() > 0 {
@@ -140,7 +147,15 @@
 	if cs.draining {
 		until = now
 	}
-	cs.setPeriod(c, idlePeriod{now, until})
+	cs.setPeriod(c, idlePeriod{since: now, until: until})
+	cs.idleOrder.remove(c)
+	cs.idleOrder.push(c)
+}
+
+// endIdle ends the idle period of a connection. The caller holds the mutex.
+func (cs *Conns) endIdle(c *conn) {
+	delete(cs.idle, c)
+	cs.idleOrder.remove(c)
 }
 
 // beginHead ends the idle period of a connection from which the first bytes of a request have been
@@ -151,7 +166,7 @@
 	if _, ok := cs.idle[c]; !ok {
 		return nil
 	}
-	delete(cs.idle, c)
+	cs.endIdle(c)
 	c.headUntil = time.Now().Add(cs.headTimeout)
 	return c.Conn.SetReadDeadline(c.headUntil)
 }
@@ -207,7 +222,7 @@
 		cs.beginIdle(c)
 	case http.StateActive: // the head has been read
 		cs.mu.Lock()
-		delete(cs.idle, c) // it may have arrived together with the request before
+		cs.endIdle(c) // it may have arrived together with the request before
 		cs.mu.Unlock()
 		c.headUntil = time.Time{}
 		_ = c.Conn.SetReadDeadline(time.Time{}) // fails only if the connection is closed
@@ -229,43 +244,25 @@
 func (l listener) Accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
 	if err != nil {
-		l.conns.logAcceptError(err)
+		l.conns.observeAcceptError(err)
 		return nil, err
 	}
 	c := &conn{Conn: nc, conns: l.conns}
 	l.conns.mu.Lock()
 	l.conns.open++
+	l.conns.closeSurplus()
 	l.conns.mu.Unlock()
 	l.conns.beginIdle(c)
 	return c, nil
 }
 
-// acceptErrorInterval is the least time between two log lines of failures to accept.
-const acceptErrorInterval = time.Second
-
-// logAcceptError logs that a connection could not be accepted. net/http tries again after a pause
-// of up to a second, in which callers wait.
-func (cs *Conns) logAcceptError(err error) {
-	if errors.Is(err, net.ErrClosed) {
-		return
-	}
-	cs.mu.Lock()
-	defer cs.mu.Unlock()
-	cs.acceptErrors++
-	now := time.Now()
-	if now.Before(cs.acceptErrorLogged.Add(acceptErrorInterval)) {
-		return
-	}
-	cs.acceptErrorLogged = now
-	log.Warn().Str("event", "accept_failed").Err(err).Int("failures", cs.acceptErrors).Int("open", cs.open).Int("idle", len(cs.idle)).Msg("cannot accept connections; callers wait")
-}
-
 // conn is a connection from a caller.
 type conn struct {
 	net.Conn
 	conns     *Conns
 	headUntil time.Time // read deadline while the head of a request is read; used by the reading goroutine
 	untracked sync.Once
+	queued    *list.Element // in the idle queue, nil if it isn't; guarded by the mutex of conns
 
 	hasWriteDeadline atomic.Bool // the server or a handler has set one
 }
@@ -282,7 +279,7 @@
 		c.conns.mu.Lock()
 		defer c.conns.mu.Unlock()
 		c.conns.open--
-		delete(c.conns.idle, c)
+		c.conns.endIdle(c)
 	})
 }
 
@@ -331,7 +328,7 @@
 			continue
 		}
 		n, err = c.readArrived(p)
-		if n == 0 && idle {
+		if n == 0 && idle && !period.surplus {
 			log.Info().Str("event", "idle_connection_closed").Str("caller", c.RemoteAddr().String()).Dur("idle_ms", now.Sub(period.since)).Msg("a caller sent no request within the idle timeout")
 		}
 		if n == 0 {
--- a/callerconn/callerconn_test.go
+++ b/callerconn/callerconn_test.go
@@ -31,7 +31,7 @@
 		"the same timeout named again": {first: 10 * time.Second, changes: []change{{9 * time.Second, 10 * time.Second}}, want: 10 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := idlePeriod{start, at(c.first + IdleTimeoutSlack)}
+			p := idlePeriod{since: start, until: at(c.first + IdleTimeoutSlack)}
 			for _, ch := range c.changes {
 				p = p.changed(ch.timeout, at(ch.at))
 			}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -15,6 +15,7 @@
 	notReadyRetryAfter = 300 * time.Millisecond // a starting process reads its configuration within a second
 	staleRetryAfter    = 50 * time.Millisecond  // another entry can serve the request immediately
 	overloadRetryAfter = 250 * time.Millisecond // about the duration of one response of an endpoint
+	crowdedRetryAfter  = time.Second            // connections of callers are freed as fast as their requests end
 	maxRetryAfter      = 2 * time.Second
 )
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -79,6 +79,11 @@
 	defer g.inFlight.Add(-1)
 	defer q.writeAccessLog()
 	defer q.recoverPanic()
+	if g.callerConns.Crowded() {
+		w.Header().Set("Connection", "close")
+		q.refuse(apierr.NewRetryable(apierr.Overloaded, apierr.NotRun, crowdedRetryAfter, "this entry has no more connections to spare", "send the request again on a new connection; it may reach another entry"))
+		return
+	}
 	err := q.admit()
 	if err != nil && err.Kind == apierr.StaleReplica && g.state.awaitReadAfterResume(r.Context()) {
 		err = q.admit()
