--- a/core/forward/partevidence.go
+++ b/core/forward/partevidence.go
@@ -3,7 +3,10 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Evidence against a part of a prompt. See docs/decisions/0012-parts-that-crash-endpoints.md.
@@ -21,6 +24,12 @@
 // part of another cache group or model has another key.
 func SuspectKey(cacheGroup, model, part string) uint64 { return hashStrings(cacheGroup, model, part) }
 
+// WholeRequestKey returns the key of a request among those that may crash endpoints. It doesn't
+// depend on the query: one that holds a page or a number would make each request another.
+func WholeRequestKey(method, host, path, caller string, body []byte) uint64 {
+	return hashStrings("request", method, host, path, caller, strconv.FormatUint(xxhash.Sum64(body), 16))
+}
+
 // EndpointStart is one start of an endpoint, which ends once.
 type EndpointStart struct {
 	Endpoint      string
--- a/gateway/breakoff.go
+++ b/gateway/breakoff.go
@@ -73,7 +73,7 @@
 	}
 	g, e, endedAt := q.g, &p.endpoint, q.g.clock()
 	line := log.Info().Str("event", "attempt_broke_off").Str("request", q.call.ID).Str("endpoint", e.ID).Str("build", e.Build).Int64("weights", p.choice.Version).
-		Str("parts", q.sharedParts()).Bool("head", p.headArrived).Int("events", p.events).Dur("took_ms", endedAt-p.placedAt)
+		Str("parts", q.sharedParts()).Str("same", partKeyText(q.wholeKey())).Bool("head", p.headArrived).Int("events", p.events).Dur("took_ms", endedAt-p.placedAt)
 	check, evidence := g.beginCheck(e), p.events == 0 && len(q.suspectKeys()) > 0
 	recorded := make(chan struct{})
 	go func() {
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -38,6 +38,20 @@
 	return q.partKeys
 }
 
+// wholeKey returns a key that the request has in common with those with the same path, caller and
+// body.
+func (q *request) wholeKey() uint64 {
+	if q.requestKey == 0 {
+		path, _, _ := strings.Cut(q.msg.uri, "?")
+		caller := q.call.APIKey
+		if q.customer != nil {
+			caller = q.customer.Name
+		}
+		q.requestKey = forward.WholeRequestKey(q.msg.method, q.msg.host, path, caller, q.msg.body)
+	}
+	return q.requestKey
+}
+
 // checkHeld returns why the request is held, nil if it isn't. The caller holds the state's mutex.
 func (q *request) checkHeld(s *state, now time.Duration) *forward.HeldRequest {
 	if s.parts.Len() == 0 {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -51,6 +51,7 @@
 	bound          bool                 // only endpoints of one build may go on with the stream
 	build          uint64               // key of that build
 	allRefused     bool                 // every endpoint that received the request stated that it did not run
+	requestKey     uint64               // see wholeKey, 0 until it is needed
 	partKeys       []uint64             // of the prompt's shared parts, once they are needed
 	held           *forward.HeldRequest // why it is held, nil if it isn't
 	shed           bool                 // it was refused as this entry is short of processor time
