--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -180,10 +180,10 @@
 		if err != nil {
 			return
 		}
-		_, _ = io.Copy(io.Discard, r.Body)
+		body, _ := io.ReadAll(r.Body)
 		parts := strings.Split(r.Header.Get("Test-Prompt"), ",")
 		head := "HTTP/1.1 200 OK\r\nTest-Id: " + r.Header.Get("Test-Id") + "\r\nTest-Seal: s\r\nContent-Type: text/event-stream\r\nContent-Length: 15\r\n\r\n"
-		if e.group.receive(e, parts[:len(parts)-1]) {
+		if e.group.receive(e, append(parts[:len(parts)-1:len(parts)-1], string(body))) {
 			if e.group.mode == crashAfterHead {
 				_, _ = io.WriteString(c, head+"id: 1\n")
 			}
@@ -205,7 +205,8 @@
 	}
 }
 
-// receive records a request and reports whether one of its shared parts crashes the endpoint.
+// receive records a request and reports whether one of its shared parts, or its body, crashes the
+// endpoint.
 func (g *crashGroup) receive(e *crashingEndpoint, shared []string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -249,10 +250,17 @@
 // send sends a request with the given parts through an entry and returns the status of the
 // response, 0 if it broke off.
 func (g *crashGroup) send(entry int, path, key string, parts ...string) int {
+	return g.sendBody(entry, path, key, "prompt", parts...)
+}
+
+// sendBody sends a request with a body, and a prompt of the given parts if there are any.
+func (g *crashGroup) sendBody(entry int, path, key, body string, parts ...string) int {
 	f := g.entries[entry%len(g.entries)]
-	r := f.request(g.t, "POST", path, "prompt")
+	r := f.request(g.t, "POST", path, body)
 	r.Header.Set("Test-Key", key)
-	r.Header.Set("Test-Prompt", strings.Join(parts, ","))
+	if len(parts) > 0 {
+		r.Header.Set("Test-Prompt", strings.Join(parts, ","))
+	}
 	status, _, err := f.do(g.t, r)
 	if err != nil {
 		return 0
@@ -290,15 +298,19 @@
 
 // late returns the number of requests with a part that crashes endpoints that arrived later than
 // crashContact after the fifth crash.
-func (g *crashGroup) late() int {
+func (g *crashGroup) late() int { return g.lateAfter(5) }
+
+// lateAfter returns the number of requests that crash endpoints and arrived later than crashContact
+// after a number of crashes.
+func (g *crashGroup) lateAfter(crashes int) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if len(g.crashes) < 5 {
+	if len(g.crashes) < crashes {
 		return 0
 	}
 	n := 0
 	for _, at := range g.arrivals {
-		n += boolInt(at > g.crashes[4]+crashContact)
+		n += boolInt(at > g.crashes[crashes-1]+crashContact)
 	}
 	return n
 }
