Hold a request under which endpoints ended

Callers saw: one lookup, sent again and again by its caller, ended 14 to 22 endpoints of a plain service, all four of them at a time, so that payments and lookups of all callers failed for seconds (BUDGET).

Cause: evidence of crashes was kept against shared parts of prompts alone. A call without a prompt left none, and the entry sent its next attempt to the next endpoint within 100 ms.

Change: the request as a whole is suspected too, by its path, caller, prompt and body, and held from the second end in a row, with the probes, reports and records that parts have (decision 0012). A held request gets 503 with the kind request_held.

Tests of parts: send() made all their requests the very same one, which is now held as such, so each gets a body of its own. None asserts less of parts than before.

--- a/core/apierr/apierr.go
+++ b/core/apierr/apierr.go
@@ -49,6 +49,7 @@
 	NoEndpoint       Kind = "no_endpoint"       // 503
 	StaleReplica     Kind = "stale_replica"     // 503
 	PromptPartHeld   Kind = "prompt_part_held"  // 503
+	RequestHeld      Kind = "request_held"      // 503
 	DeadlineExceeded Kind = "deadline_exceeded" // 504
 )
 
@@ -58,7 +59,7 @@
 	TooLarge: 413, KeyReused: 422, RateLimited: 429, Cancelled: 499,
 	Internal: 500, EndpointFailed: 502, OutcomeUnknown: 502, Overloaded: 503,
 	DeadlineUnmet: 503, Draining: 503, NotReady: 503, LogUnavailable: 503,
-	NoEndpoint: 503, StaleReplica: 503, PromptPartHeld: 503, DeadlineExceeded: 504,
+	NoEndpoint: 503, StaleReplica: 503, PromptPartHeld: 503, RequestHeld: 503, DeadlineExceeded: 504,
 }
 
 // Error is an error that is reported to a client or an operator.
--- a/core/forward/partblame.go
+++ b/core/forward/partblame.go
@@ -6,18 +6,29 @@
 
 // explanation returns the held parts that explain all crashes under held parts: again and again those
 // on the most endpoints whose end isn't explained yet, all of them if there are several. A sound part
-// that was on endpoints which other parts ended isn't among them once these have more crashes.
+// that was on endpoints which other parts ended isn't among them once these have more crashes. Whole
+// requests explain crashes apart from parts: the same end may be evidence against either.
 func (h *PartHolds) explanation() map[uint64]bool {
 	if h.explained != nil {
 		return h.explained
 	}
-	var open []*suspectState // held parts that aren't chosen yet
+	var parts, requests []*suspectState
 	for _, s := range h.parts {
-		if h.held(s) {
-			open = append(open, s)
+		switch {
+		case h.held(s) && s.Whole:
+			requests = append(requests, s)
+		case h.held(s):
+			parts = append(parts, s)
 		}
 	}
 	h.explained = map[uint64]bool{}
+	h.explain(parts)
+	h.explain(requests)
+	return h.explained
+}
+
+// explain adds those of the given suspects that explain all crashes under them.
+func (h *PartHolds) explain(open []*suspectState) {
 	done := map[EndpointStart]bool{} // endpoints whose end is explained
 	for len(open) > 0 {
 		chosen, rest := mostUnexplained(open, done, len(open) > maxExplainedParts)
@@ -32,7 +43,6 @@
 		}
 		open = rest
 	}
-	return h.explained
 }
 
 // mostUnexplained returns the parts with the most crashes at endpoints that aren't done, none if no
--- a/core/forward/partevidence.go
+++ b/core/forward/partevidence.go
@@ -26,8 +26,14 @@
 
 // WholeRequestKey returns the key of a request among those that may crash endpoints. It doesn't
 // depend on the query: one that holds a page or a number would make each request another.
-func WholeRequestKey(method, host, path, caller string, body []byte) uint64 {
-	return hashStrings("request", method, host, path, caller, strconv.FormatUint(xxhash.Sum64(body), 16))
+func WholeRequestKey(method, host, path, caller string, prompt *Prompt, body []byte) uint64 {
+	list := []string{"request", method, host, path, caller, strconv.FormatUint(xxhash.Sum64(body), 16)}
+	if prompt != nil {
+		for _, p := range prompt.Parts {
+			list = append(list, p.ID)
+		}
+	}
+	return hashStrings(list...)
 }
 
 // EndpointStart is one start of an endpoint, which ends once.
@@ -54,20 +60,23 @@
 	Witness string // entry whose request it was
 }
 
-func (t *CrashTrial) weight() int {
+// weightOf returns the weight of a trial. Two ends in a row under the very same request are rare
+// otherwise, and the answer to a plain call has no head before it is made; so each counts in full.
+func (p *SuspectPart) weightOf(t *CrashTrial) int {
 	switch {
 	case t.Cleared:
 		return 0
-	case t.Strong:
+	case t.Strong || p.Whole:
 		return strongTrialWeight
 	}
 	return weakTrialWeight
 }
 
-// SuspectPart is what is known of a part of a prompt that may crash endpoints.
+// SuspectPart is what is known of a part of a prompt, or a whole request, that may crash endpoints.
 type SuspectPart struct {
 	Key     uint64
-	Name    string // the part's ID
+	Name    string // the part's ID, or the route of a whole request
+	Whole   bool   // it is a whole request
 	Trials  []CrashTrial
 	Sound   []Place       // where requests with the part brought events since it was first suspected
 	LastUse time.Duration // when the last request with the part came
@@ -103,7 +112,7 @@
 				upTo[i] = max(upTo[i], upTo[j])
 			}
 		}
-		upTo[i] += trials[i].weight()
+		upTo[i] += p.weightOf(&trials[i])
 		best = max(best, upTo[i])
 	}
 	return best
@@ -183,10 +192,10 @@
 func (p *SuspectPart) dropTrial() {
 	weight, worst, worstLoss := p.weight(), 0, 0
 	for i := range p.Trials {
-		without := SuspectPart{Trials: slices.Delete(slices.Clone(p.Trials), i, i+1)}
+		without := SuspectPart{Whole: p.Whole, Trials: slices.Delete(slices.Clone(p.Trials), i, i+1)}
 		loss := weight - without.weight()
 		a, b := &p.Trials[i], &p.Trials[worst]
-		if i == 0 || cmp.Or(cmp.Compare(loss, worstLoss), cmp.Compare(a.weight(), b.weight()), cmp.Compare(a.EndedAt, b.EndedAt)) < 0 {
+		if i == 0 || cmp.Or(cmp.Compare(loss, worstLoss), cmp.Compare(p.weightOf(a), p.weightOf(b)), cmp.Compare(a.EndedAt, b.EndedAt)) < 0 {
 			worst, worstLoss = i, loss
 		}
 	}
--- a/core/forward/parthold.go
+++ b/core/forward/parthold.go
@@ -66,6 +66,11 @@
 	return h.Merge(SuspectPart{Key: key, Name: name, Trials: []CrashTrial{t}, LastUse: t.SentAt}, true, now)
 }
 
+// AddWholeTrial records a trial of a whole request.
+func (h *PartHolds) AddWholeTrial(key uint64, name string, t CrashTrial, now time.Duration) (PartChange, bool) {
+	return h.Merge(SuspectPart{Key: key, Name: name, Whole: true, Trials: []CrashTrial{t}, LastUse: t.SentAt}, true, now)
+}
+
 // Merge adds what another entry knows of a part, or what this one has found out itself.
 func (h *PartHolds) Merge(p SuspectPart, own bool, now time.Duration) (PartChange, bool) {
 	s := h.parts[p.Key]
@@ -73,7 +78,7 @@
 		if now-p.LastUse >= suspectLifetime || !slices.ContainsFunc(p.Trials, func(t CrashTrial) bool { return !t.Cleared }) || !h.makeRoom(&p) {
 			return PartChange{}, false
 		}
-		s = &suspectState{SuspectPart: SuspectPart{Key: p.Key, Name: p.Name, LastUse: p.LastUse}, since: now}
+		s = &suspectState{SuspectPart: SuspectPart{Key: p.Key, Name: p.Name, Whole: p.Whole, LastUse: p.LastUse}, since: now}
 		h.parts[p.Key] = s
 	}
 	changed := s.merge(p)
@@ -97,12 +102,12 @@
 		h.byStart[t.On][s.Key] = true
 		s.listed = append(s.listed, t.On)
 	}
-	if own {
-		s.told.repeats = partRepeats
-	}
 	before := h.held(s)
 	h.explained = nil
 	s.weight = s.SuspectPart.weight()
+	if own {
+		s.told.repeats = h.repeats(s)
+	}
 	if s.weight == 0 {
 		s.since = now
 	}
@@ -240,18 +245,22 @@
 
 // blames reports whether a request with the given parts is refused because of a held one. It isn't
 // if other held parts explain its crashes as well, or one with exactly the same crashes that the
-// request doesn't contain.
+// request doesn't contain. A whole request is blamed by its own crashes: no other request contains
+// it.
 func (h *PartHolds) blames(s *suspectState, keys []uint64) bool {
 	if !h.explanation()[s.Key] {
 		return false
 	}
+	if s.Whole {
+		return true
+	}
 	for _, t := range s.Trials {
 		if t.Cleared {
 			continue
 		}
 		for k := range h.byStart[t.On] { // a part with the same crashes has a trial at this one
 			o := h.parts[k]
-			if o != s && h.held(o) && o.covers(&s.SuspectPart) && s.covers(&o.SuspectPart) && !slices.Contains(keys, k) {
+			if o != s && !o.Whole && h.held(o) && o.covers(&s.SuspectPart) && s.covers(&o.SuspectPart) && !slices.Contains(keys, k) {
 				return false
 			}
 		}
--- a/core/forward/parthold_test.go
+++ b/core/forward/parthold_test.go
@@ -424,3 +424,55 @@
 		h.Check(keys, "a", nil, 0)
 	}
 }
+
+// wholeKey returns the key of a request of its own.
+func wholeKey(body string) uint64 {
+	return WholeRequestKey("POST", "h", "/x", "c", nil, []byte(body))
+}
+
+// endUnder lets an endpoint end 100 ms after it got requests with the given bodies, and a part of a
+// prompt if it isn't "".
+func (h *holdTest) endUnder(part string, bodies ...string) {
+	h.ends++
+	t := CrashTrial{On: EndpointStart{fmt.Sprint("e", h.ends), 1}, Place: place1, SentAt: h.now, EndedAt: h.now + 100*time.Millisecond, Witness: "a"}
+	for _, b := range bodies {
+		h.AddWholeTrial(wholeKey(b), "r", t, t.EndedAt)
+	}
+	if part != "" {
+		t.Strong = true
+		h.AddTrial(partKey(part), part, t, t.EndedAt)
+	}
+	h.now += 200 * time.Millisecond
+}
+
+// Guards against a plain call that ends three endpoints before it is held, as no head of its answer
+// ever arrives; and against the requests that ran beside it.
+func TestRequestIsHeldAfterTwoEnds(t *testing.T) {
+	h := newHoldTest(t)
+	held := func(body string) bool {
+		return h.Check([]uint64{wholeKey(body)}, "none", h.members, h.now) != nil
+	}
+	h.endUnder("", "bad", "sound1", "sound2")
+	require.False(t, held("bad"))
+	h.endUnder("", "bad", "sound3")
+	require.True(t, held("bad"))
+	for i := range 3 {
+		require.False(t, held(fmt.Sprint("sound", i+1)))
+	}
+	require.NotEqual(t, wholeKey("bad"), WholeRequestKey("POST", "h", "/x", "other caller", nil, []byte("bad")))
+	require.NotEqual(t, wholeKey("bad"), WholeRequestKey("POST", "h", "/y", "c", nil, []byte("bad")))
+	require.NotEqual(t, wholeKey("bad"), WholeRequestKey("POST", "h", "/x", "c", &Prompt{Parts: []Part{{ID: "p"}}}, []byte("bad")))
+}
+
+// Guards against a part of prompts that isn't held as a request with it had exactly its crashes, and
+// against a request that is held only together with such a part.
+func TestRequestsAndPartsAreHeldApart(t *testing.T) {
+	h := newHoldTest(t)
+	h.endUnder("bad part", "first request")
+	h.endUnder("bad part", "first request")
+	require.True(t, h.holds("bad part"), "another request with the part")
+	require.NotNil(t, h.Check([]uint64{wholeKey("first request")}, "none", h.members, h.now))
+	h.RecordEvent(partKeys("bad part"), place1, h.now, h.now+time.Millisecond)
+	require.False(t, h.holds("bad part"))
+	require.NotNil(t, h.Check([]uint64{wholeKey("first request")}, "none", h.members, h.now), "its own part could be the one")
+}
--- a/core/forward/partreport.go
+++ b/core/forward/partreport.go
@@ -11,6 +11,7 @@
 // What entries tell each other of suspect parts.
 const (
 	partRepeats       = 5                // reports with a change; datagrams are lost
+	requestRepeats    = 2                // the same for a whole request that isn't held: each that an end breaks off is one
 	OwnerRepeatPause  = time.Second      // the owner of a held part repeats it, for entries that start, stood still or were cut off
 	othersRepeatPause = 10 * time.Second // others do if they haven't heard of it for so long
 	useReportPause    = 5 * time.Minute  // well within suspectLifetime
@@ -43,7 +44,16 @@
 	return now >= s.told.at+pause
 }
 
+// repeats returns in how many reports a change of a part is told.
+func (h *PartHolds) repeats(s *suspectState) int {
+	if s.Whole && !h.held(s) {
+		return requestRepeats
+	}
+	return partRepeats
+}
+
 // ToReport returns at most n parts to tell the peers: changes first, and of these held parts first.
+// Whole requests that aren't held come last, as there are many when an endpoint ends.
 func (h *PartHolds) ToReport(self string, members []string, n int, now time.Duration) []SuspectPart {
 	var due []*suspectState
 	for _, s := range h.parts {
@@ -52,7 +62,7 @@
 		}
 	}
 	slices.SortFunc(due, func(a, b *suspectState) int {
-		return cmp.Or(cmp.Compare(b.told.repeats, a.told.repeats), cmp.Compare(b.weight, a.weight), cmp.Compare(a.told.at, b.told.at), cmp.Compare(a.Key, b.Key))
+		return cmp.Or(cmp.Compare(boolInt(a.Whole && !h.held(a)), boolInt(b.Whole && !h.held(b))), cmp.Compare(b.told.repeats, a.told.repeats), cmp.Compare(b.weight, a.weight), cmp.Compare(a.told.at, b.told.at), cmp.Compare(a.Key, b.Key))
 	})
 	var out []SuspectPart
 	for _, s := range due[:min(len(due), n)] {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -66,8 +66,8 @@
 // which prompts may begin on the endpoint's weights.
 var errWeightsOutdated = errors.New("newer weights were named too long ago for the endpoint that the request was placed on")
 
-// errPartHeld is returned when, after the request was placed, a part of its prompt has become held.
-var errPartHeld = errors.New("a part of the prompt has become held since the request was placed")
+// errHeld is returned when, after the request was placed, it or a part of its prompt has become held.
+var errHeld = errors.New("the request or a part of its prompt has become held since it was placed")
 
 // errCallerLeft is returned when the caller has left before the request was sent.
 var errCallerLeft = errors.New("the caller has closed its connection")
@@ -90,15 +90,18 @@
 	s := q.g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err := s.checkStatements(p); err != nil || q.call.Prompt == nil {
+	if err := s.checkStatements(p); err != nil {
 		return err
 	}
+	if p.probe == nil && !q.checkHeld(s, s.clock()).SoundAt(placeOf(&p.endpoint, p.choice.Version)) {
+		return errHeld
+	}
+	if q.call.Prompt == nil {
+		return nil
+	}
 	if since, outdated := s.rollout.RetiredSince(q.call.Prompt.Model, p.choice.Version); outdated && p.choice.Version > 0 && s.clock()+p.choice.ExpectedWait >= s.versionExpiry(since) {
 		return errWeightsOutdated
 	}
-	if p.probe == nil && !q.checkHeld(s, s.clock()).SoundAt(placeOf(&p.endpoint, p.choice.Version)) {
-		return errPartHeld
-	}
 	return nil
 }
 
--- a/gateway/breakoff.go
+++ b/gateway/breakoff.go
@@ -66,7 +66,7 @@
 
 // observeBreakOff finds out whether the endpoint of an attempt that broke off has ended, and logs it
 // with what the endpoint had sent by then. If the endpoint ended before the first complete event,
-// it suspects the parts of the prompt. A further attempt waits for that, as it obeys what is held.
+// it suspects the request and the shared parts of its prompt. A further attempt waits for that, as it obeys what is held.
 func (q *request) observeBreakOff(ctx context.Context, p *placement, x *exchangeError) {
 	if !x.brokeOff() || q.r.Context().Err() != nil {
 		return
@@ -74,7 +74,7 @@
 	g, e, endedAt := q.g, &p.endpoint, q.g.clock()
 	line := log.Info().Str("event", "attempt_broke_off").Str("request", q.call.ID).Str("endpoint", e.ID).Str("build", e.Build).Int64("weights", p.choice.Version).
 		Str("parts", q.sharedParts()).Str("same", partKeyText(q.wholeKey())).Bool("head", p.headArrived).Int("events", p.events).Dur("took_ms", endedAt-p.placedAt)
-	check, evidence := g.beginCheck(e), p.events == 0 && len(q.suspectKeys()) > 0
+	check, evidence := g.beginCheck(e), p.events == 0
 	recorded := make(chan struct{})
 	go func() {
 		defer close(recorded)
--- a/gateway/crash_entries_test.go
+++ b/gateway/crash_entries_test.go
@@ -69,6 +69,16 @@
 	return nil
 }
 
+// stored returns the parts in the store, or the whole requests.
+func (f *fakePartStore) stored(whole bool) (out []StoredPart) {
+	for _, p := range f.parts {
+		if p.Part.Whole == whole {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 func (f *fakePartStore) LoadParts(context.Context) (out []StoredPart, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -96,8 +106,9 @@
 		g.step(crashStep)
 		save()
 	}
-	require.Len(t, store.parts, 1)
-	require.LessOrEqual(t, store.writes, 2, "one entry writes")
+	require.Len(t, store.stored(false), 1)
+	require.Len(t, store.stored(true), 1, "the first request had two attempts")
+	require.LessOrEqual(t, store.writes, 2, "one entry writes for each of them")
 	crashes := len(g.crashes)
 
 	g.testGroup = newTestGroup(t, 4)
@@ -113,8 +124,9 @@
 		g.step(crashStep)
 	}
 	require.Len(t, g.crashes, crashes)
-	key := g.entries[0].state.parts.Held()[0].Key
-	require.True(t, g.entries[1].ReleasePart(key))
+	for _, p := range g.entries[0].state.parts.Held() {
+		require.True(t, g.entries[1].ReleasePart(p.Key))
+	}
 	g.step(crashStep)
 	save()
 	require.Empty(t, store.parts)
@@ -163,7 +175,7 @@
 		g.send(0, "/stream/x", "key", "bad", "own")
 		g.step(crashStep)
 	}
-	require.ErrorIs(t, q.checkPlacement(p), errPartHeld)
+	require.ErrorIs(t, q.checkPlacement(p), errHeld)
 	p.probe = &forward.HeldRequest{}
 	require.NoError(t, q.checkPlacement(p))
 }
@@ -247,12 +259,12 @@
 	f := newFixture(t, serveRaw(t, respondOK("answer")))
 	now := f.clock.read()
 	endpoint, _ := f.state.endpointList.Get("e0", now)
-	q := &request{g: f.Gateway, cacheGroup: sharedCacheGroup, call: RequestInfo{Prompt: &forward.Prompt{Model: "m", Parts: []forward.Part{{ID: "part"}, {ID: "own"}}}}}
+	q := &request{g: f.Gateway, route: &forward.Route{Name: "r"}, cacheGroup: sharedCacheGroup, call: RequestInfo{Prompt: &forward.Prompt{Model: "m", Parts: []forward.Part{{ID: "part"}, {ID: "own"}}}}}
 	p := &placement{endpoint: endpoint, placedAt: now, headArrived: true}
 	f.state.statements.RecordLeaving(&endpoint, now)
 	q.recordCrash(p, now)
 	require.Zero(t, f.state.parts.Len())
 	f.state.statements = newStatements()
 	q.recordCrash(p, now)
-	require.Equal(t, 1, f.state.parts.Len(), "the test records a crash")
+	require.Equal(t, 2, f.state.parts.Len(), "the test records a crash, against the part and the request")
 }
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,6 +53,7 @@
 	sameID    bool // an endpoint is started again under its ID
 	downFor   time.Duration
 	nextID    int
+	bodies    atomic.Int64 // that were made up
 
 	waiting chan *crashingEndpoint // receives the endpoint of each request that it holds
 
@@ -247,10 +249,10 @@
 	g.join(nil, forward.Generation{Number: 1})
 }
 
-// send sends a request with the given parts through an entry and returns the status of the
-// response, 0 if it broke off.
+// send sends a request with the given parts, unlike any other, through an entry and returns the status
+// of the response, 0 if it broke off.
 func (g *crashGroup) send(entry int, path, key string, parts ...string) int {
-	return g.sendBody(entry, path, key, "prompt", parts...)
+	return g.sendBody(entry, path, key, fmt.Sprint("prompt ", g.bodies.Add(1)), parts...)
 }
 
 // sendBody sends a request with a body, and a prompt of the given parts if there are any.
--- a/gateway/partreports.go
+++ b/gateway/partreports.go
@@ -23,6 +23,7 @@
 	UsedAgoMs int64
 	Trials    boundedList[reportTrial]
 	Sound     boundedList[reportPlace]
+	Whole     bool // it is a whole request
 }
 
 type reportPlace struct {
@@ -45,7 +46,7 @@
 func encodeParts(parts []forward.SuspectPart, limit int, now time.Duration) boundedList[reportPart] {
 	var out boundedList[reportPart]
 	for _, p := range parts {
-		r := reportPart{Key: p.Key, Name: p.Name, UsedAgoMs: (now - p.LastUse).Milliseconds()}
+		r := reportPart{Key: p.Key, Name: p.Name, Whole: p.Whole, UsedAgoMs: (now - p.LastUse).Milliseconds()}
 		for _, t := range p.Trials {
 			r.Trials = append(r.Trials, reportTrial{t.On.Endpoint, t.On.StartedUnixMs, reportPlace(t.Place), t.Strong, t.Cleared, (now - t.SentAt).Milliseconds(), (now - t.EndedAt).Milliseconds(), t.Witness})
 		}
@@ -73,7 +74,7 @@
 		valid = valid && ms >= 0 && ms <= maxPartAgeMs
 		return now - milliseconds(ms)
 	}
-	p := forward.SuspectPart{Key: r.Key, Name: r.Name, LastUse: ago(r.UsedAgoMs)}
+	p := forward.SuspectPart{Key: r.Key, Name: r.Name, Whole: r.Whole, LastUse: ago(r.UsedAgoMs)}
 	for _, t := range r.Trials {
 		valid = valid && len(t.Endpoint) <= maxPartTextBytes && len(t.Witness) <= maxPartTextBytes && t.SentAgoMs >= t.EndedAgoMs
 		p.Trials = append(p.Trials, forward.CrashTrial{
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -26,9 +26,14 @@
 	return forward.Place{Version: version, Build: forward.BuildKey(e.Build)}
 }
 
-// suspectKeys returns the keys of the prompt's shared parts.
+// suspectKeys returns the keys under which endpoints may end: that of the request as a whole, and
+// those of the prompt's shared parts after it.
 func (q *request) suspectKeys() []uint64 {
-	if q.partKeys != nil || q.call.Prompt == nil {
+	if q.partKeys != nil {
+		return q.partKeys
+	}
+	q.partKeys = append(q.partKeys, q.wholeKey())
+	if q.call.Prompt == nil {
 		return q.partKeys
 	}
 	shared := q.call.Prompt.SharedParts()
@@ -47,7 +52,7 @@
 		if q.customer != nil {
 			caller = q.customer.Name
 		}
-		q.requestKey = forward.WholeRequestKey(q.msg.method, q.msg.host, path, caller, q.msg.body)
+		q.requestKey = forward.WholeRequestKey(q.msg.method, q.msg.host, path, caller, q.call.Prompt, q.msg.body)
 	}
 	return q.requestKey
 }
@@ -69,19 +74,33 @@
 	}
 	for i := range cs {
 		c := &cs[i]
-		if !c.Excluded && !q.held.Allows(placeOf(&c.Endpoint, c.Endpoint.WeightVersion(q.call.Prompt.Model))) {
+		if !c.Excluded && !q.held.Allows(placeOf(&c.Endpoint, q.weightsAt(&c.Endpoint))) {
 			c.Excluded = true
 			q.accessLog.held++
 		}
 	}
 }
 
-// heldError returns the refusal of a request because of held parts, and has it logged.
+// weightsAt returns the version of the weights on which the request would run at an endpoint, 0 if
+// it has no prompt.
+func (q *request) weightsAt(e *forward.Endpoint) int64 {
+	if q.call.Prompt == nil {
+		return 0
+	}
+	return e.WeightVersion(q.call.Prompt.Model)
+}
+
+// heldError returns the refusal of a request because it or parts of its prompt are held, and has it
+// logged.
 func (q *request) heldError(now time.Duration) *apierr.Error {
 	q.accessLog.heldParts = q.held.Parts
-	names := make([]string, len(q.held.Parts))
-	for i, p := range q.held.Parts {
-		names[i] = p.Name
+	var names []string
+	for _, p := range q.held.Parts {
+		if p.Whole {
+			return apierr.NewRetryable(apierr.RequestHeld, apierr.NotRun, q.held.RetryAfter(now),
+				"endpoints ended as they began to answer this very request", "change the request, or have the operators let it in again")
+		}
+		names = append(names, p.Name)
 	}
 	return apierr.NewRetryable(apierr.PromptPartHeld, apierr.NotRun, q.held.RetryAfter(now),
 		fmt.Sprintf("endpoints ended as they began to answer requests with the part %s of the prompt", strings.Join(names, ", ")),
@@ -104,10 +123,12 @@
 		On: startOf(&p.endpoint), Place: placeOf(&p.endpoint, p.choice.Version), Strong: p.headArrived,
 		SentAt: p.placedAt, EndedAt: endedAt, Witness: q.g.memberID,
 	}
-	shared := q.call.Prompt.SharedParts()
 	for i, key := range q.suspectKeys() {
-		name := shared[i].ID
-		if change, changed := s.parts.AddTrial(key, name[:min(len(name), maxLoggedPartBytes)], trial, now); changed {
+		add, name := s.parts.AddWholeTrial, q.route.Name
+		if i > 0 {
+			add, name = s.parts.AddTrial, q.call.Prompt.SharedParts()[i-1].ID
+		}
+		if change, changed := add(key, name[:min(len(name), maxLoggedPartBytes)], trial, now); changed {
 			q.g.recordPartChange(change, now)
 		}
 	}
@@ -116,11 +137,8 @@
 	}
 }
 
-// recordSound records that a request with the prompt's parts brought an event.
+// recordSound records that the request brought an event.
 func (q *request) recordSound(p *placement) {
-	if q.call.Prompt == nil {
-		return
-	}
 	s := q.g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -159,9 +177,9 @@
 // holds the state's mutex.
 func (g *Gateway) recordPartChange(c forward.PartChange, now time.Duration) {
 	if c.Held {
-		logPart(log.Warn().Str("event", "part_held"), &c.Part).Msg("endpoints ended as they began to answer requests with this part of a prompt; such requests are refused")
+		logPart(log.Warn().Str("event", "part_held"), &c.Part).Msg("endpoints ended as they began to answer requests with this part of a prompt, or this request; such requests are refused")
 	} else {
-		logPart(log.Info().Str("event", "part_released"), &c.Part).Msg("requests with this part of a prompt are served again")
+		logPart(log.Info().Str("event", "part_released"), &c.Part).Msg("requests with this part of a prompt, or this request, are served again")
 	}
 	g.savePart(c)
 }
@@ -170,7 +188,7 @@
 // on them.
 func logPart(e *log.Entry, p *forward.SuspectPart) *log.Entry {
 	crashes, witnesses := describeTrials(p)
-	return e.Str("part", p.Name).Str("key", partKeyText(p.Key)).Strs("crashes", crashes).Strs("entries", witnesses)
+	return e.Str("part", p.Name).Bool("whole", p.Whole).Str("key", partKeyText(p.Key)).Strs("crashes", crashes).Strs("entries", witnesses)
 }
 
 func partKeyText(key uint64) string { return fmt.Sprintf("%016x", key) }
--- a/gateway/partstore.go
+++ b/gateway/partstore.go
@@ -178,7 +178,7 @@
 		part := p.Part.Shift(now - milliseconds(max(unixMs, p.SavedUnixMs)))
 		if change, changed := s.parts.Merge(part, false, now); changed {
 			held++
-			logPart(log.Warn().Str("event", "part_held"), &change.Part).Dur("age_ms", now-part.LastUse).Msg("the log has this part of a prompt as one under which endpoints ended; requests with it are refused")
+			logPart(log.Warn().Str("event", "part_held"), &change.Part).Dur("age_ms", now-part.LastUse).Msg("the log has this part of a prompt, or this request, as one under which endpoints ended; such requests are refused")
 		}
 		if !slices.ContainsFunc(s.parts.Held(), func(h forward.SuspectPart) bool { return h.Key == part.Key }) {
 			s.partSaver.released[part.Key] = true // its requests ceased to come long ago
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -37,20 +37,25 @@
 	IdleConns      int               `json:"idle_connections"`    // of callers
 	DelayMs        float64           `json:"scheduling_delay_ms"` // for which tasks that could run waited for the processor
 	HeldParts      []HeldPart        `json:"held_parts"`          // parts of prompts that are held
+	HeldRequests   []HeldPart        `json:"held_requests"`       // requests that are held as a whole
 }
 
-// HeldPart is a part of prompts that is held because endpoints ended under requests with it.
+// HeldPart is a part of prompts, or a whole request, that is held because endpoints ended under it.
 type HeldPart struct {
-	Part      string   `json:"part"`
+	Part      string   `json:"part"`        // or the route of a whole request
 	Key       string   `json:"key"`         // names it for ReleasePart
 	Crashes   []string `json:"crashes"`     // the endpoints
 	Entries   []string `json:"entries"`     // whose requests were on them
 	LastUseMs int64    `json:"last_use_ms"` // time since the last request with it
 }
 
-func (s *state) heldParts(now time.Duration) []HeldPart {
+// heldParts returns the parts of prompts that are held, or the whole requests.
+func (s *state) heldParts(whole bool, now time.Duration) []HeldPart {
 	out := []HeldPart{}
 	for _, p := range s.parts.Held() {
+		if p.Whole != whole {
+			continue
+		}
 		crashes, witnesses := describeTrials(&p)
 		out = append(out, HeldPart{p.Name, partKeyText(p.Key), crashes, witnesses, (now - p.LastUse).Milliseconds()})
 	}
@@ -101,7 +106,7 @@
 	now := s.clock()
 	st := Status{
 		ID: g.settings.ID, Ready: ready, WeightVersions: s.rollout.NewestTargets(), Members: len(s.peerLoads.members), Generation: g.ownership.FencingToken(), Era: int64(s.eras.Newest()),
-		Rollouts: s.rollout.Stages(), InFlight: g.inFlight.Load(), CallerConns: g.callerConns.Open(), IdleConns: g.callerConns.Idle(), DelayMs: float64(g.schedulingDelay.Load()) / float64(time.Millisecond), OwnedEndpoints: []string{}, HeldParts: s.heldParts(now),
+		Rollouts: s.rollout.Stages(), InFlight: g.inFlight.Load(), CallerConns: g.callerConns.Open(), IdleConns: g.callerConns.Idle(), DelayMs: float64(g.schedulingDelay.Load()) / float64(time.Millisecond), OwnedEndpoints: []string{}, HeldParts: s.heldParts(false, now), HeldRequests: s.heldParts(true, now),
 	}
 	if age, known := s.freshness.Age(now); known {
 		st.ConfigAgeMs = age.Milliseconds()
