Spread the callers that take up streams which broke off together

Cause: all come back at the moment at which the entries are back, are refused by the target for a new prompt's first event, and spend their few tries within a second, as Retry-After is 250 ms for each.

Change: a caller that can't take up its stream for lack of room is told a time of its own within a third of the time that it has left. Streams that are taken up aren't shed.

--- a/core/forward/admit_test.go
+++ b/core/forward/admit_test.go
@@ -1,7 +1,10 @@
 package forward
 
 import (
+	"cmp"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -98,3 +101,49 @@
 	c := Choose(PlacementRequest{Prompt: p, Engine: &Engine{CapacityTokens: 80_000}}, []Candidate{{Endpoint: Endpoint{ID: "e"}, Usable: true}})
 	require.False(t, ShouldShed(c, 500*time.Millisecond))
 }
+
+// Load pattern: all entries are lost at once, and the callers of 300 streams take them up as soon as
+// the entries are back, while endpoints have room for 40 of them a second. Guards against callers
+// that spend all their tries in the first second.
+func TestStreamsThatBreakOffTogetherAreTakenUp(t *testing.T) {
+	const (
+		streams   = 300
+		perSecond = 40.0
+		tries     = 4
+		base      = 250 * time.Millisecond
+		deadline  = 12 * time.Second
+		// beganShare is the share of new streams that began on such a day; those that are taken up
+		// should go on as often.
+		beganShare = 0.55
+	)
+	for seed := range uint64(10) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		type attempt struct {
+			at   time.Duration
+			made int
+		}
+		var due []attempt
+		for range streams {
+			due = append(due, attempt{time.Duration(rng.Float64() * float64(time.Second/2)), 1})
+		}
+		served, room, last := 0, 0.0, time.Duration(0)
+		for len(due) > 0 {
+			slices.SortFunc(due, func(a, b attempt) int { return cmp.Compare(a.at, b.at) })
+			a := due[0]
+			due = due[1:]
+			room, last = min(room+perSecond*(a.at-last).Seconds(), perSecond/10), a.at
+			if room >= 1 {
+				room--
+				served++
+				continue
+			}
+			left := deadline - a.at
+			if after := min(TakeUpRetryAfter(base, left, rng.Float64()), left/takeUpWaitShare); a.made < tries {
+				due = append(due, attempt{a.at + after, a.made + 1})
+			}
+		}
+		require.GreaterOrEqual(t, float64(served)/streams, beganShare, "seed %d", seed)
+	}
+	require.Equal(t, base, TakeUpRetryAfter(base, time.Millisecond, 1), "hardly any time is left")
+	require.Equal(t, maxTakeUpWait, TakeUpRetryAfter(base, time.Hour, 1))
+}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -165,7 +165,11 @@
 // spreads all that are refused. The caller holds the state's mutex.
 func (q *request) noRoom(s *state, kind apierr.Kind, excess, now time.Duration, message string) *apierr.Error {
 	s.shedder.Service(q.service.Name).RecordPlacement(true, now)
-	return q.placementError(apierr.NewRetryable(kind, apierr.NotRun, s.retryAfter(q.service.Name, excess, now), message, "send the request again later"))
+	after := s.retryAfter(q.service.Name, excess, now)
+	if q.bound && !q.headerSent {
+		after = max(after, forward.TakeUpRetryAfter(overloadRetryAfter, remaining(q.deadline, now), s.rng.Float64()))
+	}
+	return q.placementError(apierr.NewRetryable(kind, apierr.NotRun, after, message, "send the request again later"))
 }
 
 // retryAfter returns the time after which a caller comes back that was refused for lack of room.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -171,7 +171,8 @@
 		return apierr.New(apierr.NotFound, apierr.NotRun, "no route for this host and path", "check the address")
 	}
 	name := q.route.Target(s.rng.Float64())
-	if s.shedder.Sheds(name, s.rng.Float64(), now) {
+	takesUp := q.call.LastEventID != "" // a stream, most of whose work is done
+	if !takesUp && s.shedder.Sheds(name, s.rng.Float64(), now) {
 		q.shed = true
 		q.g.shed.Add(1)
 		return apierr.NewRetryable(apierr.Overloaded, apierr.NotRun, s.retryAfter(name, 0, now), "this entry has more requests than processor time", "send the request again later")
--- /dev/null
+++ b/gateway/takeup_test.go
@@ -0,0 +1,53 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaweir/galenaweir/core/apierr"
+	"github.com/galenaweir/galenaweir/core/forward"
+)
+
+// Guards against callers that take up streams and spend their few tries before there is room, as all
+// come back at once; and against new requests that wait for longer than they need to.
+func TestCallersThatTakeUpStreamsAreSpread(t *testing.T) {
+	f := newFixture(t)
+	now := f.clock.read()
+	retryAfter := func(takesUp bool) (least, most time.Duration) {
+		least = time.Hour
+		for range 200 {
+			q := &request{g: f.Gateway, bound: takesUp, service: &forward.Service{Name: "s"}, route: &forward.Route{}, deadline: now + 9*time.Second}
+			err := q.noRoom(f.state, apierr.Overloaded, 0, now, "no room")
+			least, most = min(least, err.RetryAfter), max(most, err.RetryAfter)
+		}
+		return least, most
+	}
+	least, most := retryAfter(false)
+	require.Equal(t, overloadRetryAfter, least)
+	require.Equal(t, overloadRetryAfter, most)
+	least, most = retryAfter(true)
+	require.Less(t, least, 500*time.Millisecond)
+	require.Greater(t, most, 2500*time.Millisecond)
+	require.LessOrEqual(t, most, 3*time.Second, "a third of the time left")
+}
+
+// Guards against streams that are taken up and refused as the entry is short of processor time,
+// though most of their work is done.
+func TestStreamsThatAreTakenUpAreNotShed(t *testing.T) {
+	f := newFixture(t, serveRaw(t, respondOK("answer")))
+	for range 100 {
+		f.state.shedder.Service("s")
+		f.state.shedder.Adjust(true, f.clock.read())
+	}
+	for range 50 {
+		r := f.request(t, "GET", "/resumable/x", "")
+		r.Header.Set("Test-Last", "2")
+		q := &request{g: f.Gateway, r: r, arrivedAt: f.clock.read()}
+		r.RequestURI = "/resumable/x"
+		err := q.admit()
+		require.Nil(t, err)
+	}
+	require.Zero(t, f.shed.Load())
+}
