Forget requests that broke off once after ten minutes

Cause: each request that an end of an endpoint breaks off is a suspect of its own, and was remembered for an hour like a part of prompts. Most never come again; the table of 4,096 would be full after some tens of ends, and all of it is looked through with each report.

Change: a whole request that isn't held is forgotten ten minutes after it came last.

Conclusion: no change of what is held.

--- a/core/forward/overload.go
+++ b/core/forward/overload.go
@@ -11,10 +11,10 @@
 	timelyGain  = 0.03 // of the share that is added after a sample in time, once more for each one before in a row
 	maxGain     = 0.5
 	minAccepted = 0.02 // some are placed always, to learn when there is room again
-	// hopelessFrom is the share of refused placements from which a service is shed before others.
-	hopelessFrom = 0.4
+	// fullFrom is the share of refused placements from which a service is shed before others.
+	fullFrom = 0.4
 	// placedMargin is how many requests are left to the placement for each that finds room: enough
-	// to use the endpoints up, and so few that less than hopelessFrom of them are refused.
+	// to use the endpoints up, and so few that less than fullFrom of them are refused.
 	placedMargin = 1.5
 
 	spreadTime = 2 * time.Second // after a late sample; those that were spread come back by then
@@ -38,10 +38,10 @@
 	}
 }
 
-// hopeless returns whether so many placements are refused that most of them are made in vain.
-func (d *ServiceDemand) hopeless(now time.Duration) bool {
+// full reports whether the endpoints have no room for a large part of the requests.
+func (d *ServiceDemand) full(now time.Duration) bool {
 	refused := d.refused.PerSecond(now)
-	return refused >= hopelessFrom*max(refused+d.placed.PerSecond(now), 1)
+	return refused >= fullFrom*max(refused+d.placed.PerSecond(now), 1)
 }
 
 // worthPlacing returns the share of the requests that the endpoints may have room for.
@@ -79,17 +79,17 @@
 	if s.timely++; late {
 		s.timely, s.lateAt, s.wasLate = 0, now, true
 	}
-	hopeless := false
+	anyFull := false
 	for _, d := range s.services {
-		hopeless = hopeless || d.hopeless(now)
+		anyFull = anyFull || d.full(now)
 	}
 	for _, d := range s.services {
 		switch {
 		case !late:
 			d.accepted = min(d.accepted*(1+min(timelyGain*float64(s.timely), maxGain)), 1)
-		case d.hopeless(now):
+		case d.full(now):
 			d.accepted = max(d.accepted*lateCut, min(d.worthPlacing(now), d.accepted), minAccepted)
-		case !hopeless:
+		case !anyFull:
 			d.accepted = max(d.accepted*lateCut, minAccepted)
 		}
 	}
--- a/core/forward/parthold.go
+++ b/core/forward/parthold.go
@@ -13,6 +13,9 @@
 	// suspectLifetime is how long a part without requests is remembered. Callers come back to a
 	// part for minutes to hours; one that is forgotten too soon costs two endpoints again.
 	suspectLifetime = time.Hour
+	// requestLifetime is the same for a whole request that isn't held: most of those that an end
+	// breaks off never come again, and each one that is remembered costs time with every report.
+	requestLifetime = 10 * time.Minute
 	// clearedLifetime is longer than entries go on telling each other the evidence that was cleared.
 	clearedLifetime = time.Minute
 	maxSuspectParts = 4096
@@ -368,7 +371,11 @@
 // ones among them.
 func (h *PartHolds) Expire(now time.Duration) (released []PartChange) {
 	for _, s := range h.parts {
-		if now < s.LastUse+suspectLifetime && (s.weight > 0 || now < s.since+clearedLifetime) {
+		lifetime := suspectLifetime
+		if s.Whole && !h.held(s) {
+			lifetime = requestLifetime
+		}
+		if now < s.LastUse+lifetime && (s.weight > 0 || now < s.since+clearedLifetime) {
 			continue
 		}
 		if h.held(s) {
--- a/core/forward/parthold_test.go
+++ b/core/forward/parthold_test.go
@@ -459,6 +459,9 @@
 	for i := range 3 {
 		require.False(t, held(fmt.Sprint("sound", i+1)))
 	}
+	h.Expire(h.now + requestLifetime)
+	require.Equal(t, 1, h.Len(), "requests that broke off once are forgotten soon")
+	require.True(t, held("bad"))
 	require.NotEqual(t, wholeKey("bad"), WholeRequestKey("POST", "h", "/x", "other caller", nil, []byte("bad")))
 	require.NotEqual(t, wholeKey("bad"), WholeRequestKey("POST", "h", "/y", "c", nil, []byte("bad")))
 	require.NotEqual(t, wholeKey("bad"), WholeRequestKey("POST", "h", "/x", "c", &Prompt{Parts: []Part{{ID: "p"}}}, []byte("bad")))
--- a/gateway/breakoff.go
+++ b/gateway/breakoff.go
@@ -66,7 +66,8 @@
 
 // observeBreakOff finds out whether the endpoint of an attempt that broke off has ended, and logs it
 // with what the endpoint had sent by then. If the endpoint ended before the first complete event,
-// it suspects the request and the shared parts of its prompt. A further attempt waits for that, as it obeys what is held.
+// it suspects the request and the shared parts of its prompt. A further attempt waits for that, as it
+// obeys what is held.
 func (q *request) observeBreakOff(ctx context.Context, p *placement, x *exchangeError) {
 	if !x.brokeOff() || q.r.Context().Err() != nil {
 		return
