--- a/callerconn/descriptors_test.go
+++ b/callerconn/descriptors_test.go
@@ -149,6 +149,28 @@
 	})
 }
 
+// Guards against more closes than need be while several callers connect at once, and against a
+// change of the idle timeout that keeps connections open which were to make room.
+func TestCallersThatConnectAtOnceCloseAsManyIdleConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit, more = 10, 4
+		cs := New()
+		cs.SetMaxOpen(limit)
+		l := serveScarce(t, cs, 1000, http.HandlerFunc(respond))
+		for range limit {
+			require.Equal(t, http.StatusNoContent, l.dial().get("/"))
+		}
+		for range more {
+			l.dial()
+		}
+		synctest.Wait() // connections in memory are read once more for a millisecond
+		require.Equal(t, limit+more, cs.Open())
+		cs.SetTimeouts(time.Hour, 0)
+		wait.For(t.Context(), 10*lastReadTime)
+		require.Equal(t, limit, cs.Open())
+	})
+}
+
 // Guards against running requests that take all descriptors.
 func TestConnectionsInUseBeyondTheLimitAreCrowded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/core/forward/parthold_test.go
+++ b/core/forward/parthold_test.go
@@ -479,3 +479,35 @@
 	require.False(t, h.holds("bad part"))
 	require.NotNil(t, h.Check([]uint64{wholeKey("first request")}, "none", h.members, h.now), "its own part could be the one")
 }
+
+// Guards against a request that isn't held since a part of other prompts has all its crashes and more.
+func TestPartsOfOthersDoNotExplainARequest(t *testing.T) {
+	h := newHoldTest(t)
+	h.endUnder("part of others", "bad")
+	h.endUnder("part of others", "bad")
+	h.endUnder("part of others")
+	require.NotNil(t, h.Check([]uint64{wholeKey("bad")}, "none", h.members, h.now))
+}
+
+// Guards against reports that are full of requests which an end broke off, so that the peers hear
+// late of a part or of a request that is held.
+func TestReportsPutPartsBeforeRequests(t *testing.T) {
+	h := newHoldTest(t)
+	var requests []string
+	for i := range 64 {
+		requests = append(requests, fmt.Sprint("request", i))
+	}
+	h.endUnder("part", "bad")
+	h.endUnder("", "bad")
+	for range partRepeats - 1 {
+		require.Len(t, h.ToReport("a", h.members, 2, h.now), 2)
+	}
+	h.endUnder("", requests...)
+	told := h.ToReport("a", h.members, 2, h.now) // for the last time
+	require.Len(t, told, 2)
+	var keys []uint64
+	for _, p := range told {
+		keys = append(keys, p.Key)
+	}
+	require.ElementsMatch(t, []uint64{partKey("part"), wholeKey("bad")}, keys)
+}
