Guard a test's crashing requests by the group's mutex

Change: setCulprit changes it under the mutex.

Result: go test -race ./gateway of the tests concerned, three times: no race.

Conclusion: a fault of the test, none of the program.

--- a/gateway/crash_requests_test.go
+++ b/gateway/crash_requests_test.go
@@ -75,7 +75,7 @@
 	require.Equal(t, "/safe/", held[0].Part)
 	require.Len(t, held[0].Crashes, 2)
 
-	g.culprits = map[string]func(*crashingEndpoint) bool{}
+	g.setCulprit("bad body", false)
 	require.Equal(t, 200, g.sendBody(1, "/safe/x", "key", "good body"))
 	require.Equal(t, 200, g.sendBody(1, "/safe/y", "key", "bad body"))
 	require.Equal(t, 200, g.sendBody(1, "/safe/x", "dedicated", "bad body"))
@@ -88,7 +88,7 @@
 	g := newCrashGroup(t, 2, 4, "sound body")
 	g.mode = crashBeforeHead
 	require.Equal(t, 502, g.sendBody(0, "/safe/x", "key", "sound body"))
-	g.culprits = map[string]func(*crashingEndpoint) bool{} // the endpoints were killed
+	g.setCulprit("sound body", false) // the endpoints were killed
 	served := -1
 	for i := 0; i < 100 && served < 0; i++ {
 		g.step(crashStep)
@@ -106,10 +106,10 @@
 	g.mode = crashBeforeHead
 	for range 5 {
 		require.Equal(t, 502, g.sendBody(0, "/unsafe/x", "key", "sound body"), "one attempt")
-		g.culprits["sound body"] = nil
+		g.setCulprit("sound body", false)
 		g.step(g.downFor)
 		require.Equal(t, 200, g.sendBody(0, "/unsafe/x", "key", "sound body"))
-		g.culprits["sound body"] = crashesAll
+		g.setCulprit("sound body", true)
 	}
 }
 
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -222,6 +222,16 @@
 	return false
 }
 
+// setCulprit sets whether requests with a part or body crash endpoints.
+func (g *crashGroup) setCulprit(name string, crashes bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.culprits, name)
+	if crashes {
+		g.culprits[name] = crashesAll
+	}
+}
+
 // list has each entry read the list of endpoints.
 func (g *crashGroup) list() {
 	var changes []forward.EndpointChange
