Hold one request rather than the sound parts of its prompt

Cause: part and request had the same crashes, and each was held for them. The probe after 4 s went to the request itself, so that the third crash counted against the part too, which is then tried again after 5 minutes only.

Change: of a part and a request with as many crashes, the request explains them. A part that ends endpoints under different requests has more than each and is held, at the third end where requests are sent again. As that may come after the part's record was written, the record is written again with each further crash: TestHeldPartsOutliveTheEntries allows three writes instead of two for that, and is as strict otherwise.

Tests of core/forward, gateway (crashes and parts) and platform pass.

--- a/core/forward/partblame.go
+++ b/core/forward/partblame.go
@@ -6,8 +6,9 @@
 
 // explanation returns the held parts that explain all crashes under held parts: again and again those
 // on the most endpoints whose end isn't explained yet, all of them if there are several. A sound part
-// that was on endpoints which other parts ended isn't among them once these have more crashes. Whole
-// requests explain crashes apart from parts: the same end may be evidence against either.
+// that was on endpoints which other parts ended isn't among them once these have more crashes, and a
+// part isn't while one request, as often as it came, explains all crashes under it. Whole requests are
+// explained apart from parts, which may belong to others.
 func (h *PartHolds) explanation() map[uint64]bool {
 	if h.explained != nil {
 		return h.explained
@@ -22,18 +23,24 @@
 		}
 	}
 	h.explained = map[uint64]bool{}
-	h.explain(parts)
-	h.explain(requests)
+	for _, s := range explain(requests) {
+		h.explained[s.Key] = true
+	}
+	for _, s := range explain(append(parts, requests...)) {
+		if !s.Whole {
+			h.explained[s.Key] = true
+		}
+	}
 	return h.explained
 }
 
-// explain adds those of the given suspects that explain all crashes under them.
-func (h *PartHolds) explain(open []*suspectState) {
+// explain returns those of the given suspects that explain all crashes under them.
+func explain(open []*suspectState) (explaining []*suspectState) {
 	done := map[EndpointStart]bool{} // endpoints whose end is explained
 	for len(open) > 0 {
 		chosen, rest := mostUnexplained(open, done, len(open) > maxExplainedParts)
+		explaining = append(explaining, chosen...)
 		for _, s := range chosen {
-			h.explained[s.Key] = true
 			for _, t := range s.Trials {
 				done[t.On] = true
 			}
@@ -43,20 +50,22 @@
 		}
 		open = rest
 	}
+	return explaining
 }
 
 // mostUnexplained returns the parts with the most crashes at endpoints that aren't done, none if no
-// part has any, and the other parts. It returns all parts as chosen if all is set.
+// part has any, and the other parts. Of a part and a request with as many, the request is chosen. It
+// returns all parts as chosen if all is set.
 func mostUnexplained(parts []*suspectState, done map[EndpointStart]bool, all bool) (chosen, rest []*suspectState) {
 	if all {
 		return parts, nil
 	}
-	most := 1
+	most := 2 // twice the crashes, and one more for a request
 	for _, s := range parts {
-		n := 0
+		n := boolInt(s.Whole)
 		for _, t := range s.Trials {
 			if !t.Cleared && !done[t.On] {
-				n++
+				n += 2
 			}
 		}
 		if n > most {
--- a/core/forward/partevidence.go
+++ b/core/forward/partevidence.go
@@ -118,6 +118,12 @@
 	return best
 }
 
+// Crashes returns the number of endpoints that ended.
+func (p *SuspectPart) Crashes() int {
+	n, _ := p.crashes()
+	return n
+}
+
 // crashes returns the number of endpoints that ended, and when the last one did.
 func (p *SuspectPart) crashes() (n int, last time.Duration) {
 	for _, t := range p.Trials {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -159,7 +159,7 @@
 			g.requestSaveNaming(n)
 		}
 		s.streamsAfterReturn(now)
-		clear(s.partSaver.savedAt) // the log may have lost the records
+		clear(s.partSaver.saved) // the log may have lost the records
 	case forward.EraStale:
 		log.Warn().Str("event", "log_answer_stale").Str("feed", feed).Int64("era", int64(e)).Int64("newest", int64(before)).Msg("the answer's era is older than the newest one, or skips others and is not confirmed; the answer is ignored")
 	}
--- a/gateway/partstore.go
+++ b/gateway/partstore.go
@@ -37,13 +37,19 @@
 
 // partSaver holds what this process has to write. It is guarded by the state's mutex.
 type partSaver struct {
-	released map[uint64]bool          // records to delete
-	savedAt  map[uint64]time.Duration // when the newest record of a held part was written or read
+	released map[uint64]bool      // records to delete
+	saved    map[uint64]savedPart // the newest records of held parts
 	wake     chan struct{}
 }
 
 func newPartSaver() partSaver {
-	return partSaver{released: map[uint64]bool{}, savedAt: map[uint64]time.Duration{}, wake: make(chan struct{}, 1)}
+	return partSaver{released: map[uint64]bool{}, saved: map[uint64]savedPart{}, wake: make(chan struct{}, 1)}
+}
+
+// savedPart is the newest record of a held part.
+type savedPart struct {
+	at      time.Duration // when it was written or read
+	crashes int           // in it
 }
 
 // savePart has a change of a held part written to the log. The caller holds the state's mutex.
@@ -52,7 +58,7 @@
 		return
 	}
 	w := &g.state.partSaver
-	delete(w.savedAt, c.Part.Key)
+	delete(w.saved, c.Part.Key)
 	delete(w.released, c.Part.Key)
 	if !c.Held {
 		w.released[c.Part.Key] = true
@@ -114,7 +120,7 @@
 	defer s.mu.Unlock()
 	for _, p := range list {
 		if p.Held {
-			s.partSaver.savedAt[p.Part.Key] = s.clock()
+			s.partSaver.saved[p.Part.Key] = savedPart{s.clock(), p.Part.Crashes()}
 		} else {
 			delete(s.partSaver.released, p.Part.Key)
 		}
@@ -139,8 +145,9 @@
 		list = append(list, StoredPart{Part: forward.SuspectPart{Key: key}})
 	}
 	for _, p := range s.parts.Held() {
-		at, saved := s.partSaver.savedAt[p.Key]
-		if rendezvous.Owner(p.Key, members) != g.memberID || saved && (now < at+partSaveInterval || p.LastUse <= at) {
+		last, saved := s.partSaver.saved[p.Key]
+		current := saved && last.crashes >= p.Crashes() && (now < last.at+partSaveInterval || p.LastUse <= last.at)
+		if rendezvous.Owner(p.Key, members) != g.memberID || current {
 			continue
 		}
 		list = append(list, StoredPart{Part: p.Shift(milliseconds(unixMs) - now), Held: true, SavedUnixMs: unixMs})
@@ -173,7 +180,7 @@
 	now, unixMs := s.clock(), g.wallClock().UnixMilli()
 	held := 0
 	for _, p := range stored {
-		s.partSaver.savedAt[p.Part.Key] = now
+		s.partSaver.saved[p.Part.Key] = savedPart{now, p.Part.Crashes()}
 		// The time of day may have been set back since.
 		part := p.Part.Shift(now - milliseconds(max(unixMs, p.SavedUnixMs)))
 		if change, changed := s.parts.Merge(part, false, now); changed {
