Wait for the last log lines in two tests of caller connections

Cause: TestNothingIsSentForCallersThatLeftBeforeTheyWereRead ended while a request was counted but not yet in flight; its log line raced with the logger that TestUnknownHeadersAreCountedAndBounded sets.

Change: it waits until all connections are closed, and so does TestRequestsBeyondTheDescriptorsAreRefusedAtOnce.

Conclusion: a fault of the tests, none of the program.

--- a/gateway/crowded_test.go
+++ b/gateway/crowded_test.go
@@ -46,4 +46,5 @@
 	close(release)
 	require.Equal(t, 200, <-running)
 	require.Equal(t, 200, <-running)
+	require.Eventually(t, func() bool { return f.callerConns.Open() == 0 }, 5*time.Second, time.Millisecond) // the log lines are written
 }
--- a/gateway/left_test.go
+++ b/gateway/left_test.go
@@ -37,7 +37,7 @@
 	before := f.requests.Value()
 	srv := serveOn(l, f.Gateway, callerconn.New())
 	defer srv.Close()
-	require.Eventually(t, func() bool { return f.requests.Value() == before+callers && f.inFlight.Load() == 0 }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return f.requests.Value() == before+callers && srv.conns.Open() == 0 }, 5*time.Second, time.Millisecond)
 	require.Zero(t, e.requests.Load(), "of %d requests", callers)
 }
 
