Show that a late heartbeat brings a draining endpoint back into use

Claim: rule DRAIN. A heartbeat that the store carries out seconds late puts an endpoint, whose draining the entry has read, back into use; the requests that it gets are lost when it exits.

Case: review/2, a script with three servers of payments, one of which drains after a heartbeat whose answer was lost.

--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -19,6 +19,7 @@
 // play the disruption.
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
 	"abandoned-part": abandonedPart,
+	"late-beat":      lateBeat,
 }
 
 func main() {
