Show that an entry runs out of memory with bodies within the limit

An entry holds the whole body of each request until its answer has ended, without a bound on all of them, is killed for its memory and leaves the requests that it has passed on without an answer.

--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
 	"abandoned-part": abandonedPart,
 	"late-beat":      lateBeat,
+	"large-bodies":   largeBodies,
 }
 
 func main() {
