Show that a payment that has run is answered with a promise that it has not

A 503 of an endpoint without the statement that the request has not run is handed on to the caller of a request that may run once.

--- a/review/driver/engine.go
+++ b/review/driver/engine.go
@@ -25,6 +25,7 @@
 	address           string
 	plain             bool
 	workTime          time.Duration // of a request at a plain service
+	failEvery         int           // of the requests that it has run, one in so many gets 503; 0 for none
 	rec               *record
 	http              *http.Server
 	stores            map[string]*store // by address
@@ -41,6 +42,7 @@
 	version int64
 	memory  []residentPart // least recently used first
 	arrived []arrival
+	ran     []string // requests that a plain service has run, in this order
 }
 
 type residentPart struct {
@@ -134,11 +136,27 @@
 func (s *server) servePlain(w http.ResponseWriter, r *http.Request, id string) {
 	s.rec.logf("%s: runs %s", s.id, id)
 	time.Sleep(s.workTime)
+	s.mu.Lock()
+	s.ran = append(s.ran, id)
+	fails := s.failEvery > 0 && len(s.ran)%s.failEvery == 0
+	s.mu.Unlock()
+	if fails {
+		s.rec.logf("%s: answers %s with 503 after it has run it", s.id, id)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if r.Context().Err() == nil {
 		fmt.Fprintf(w, "answer to %s", id)
 	}
 }
 
+// ranIDs returns the requests that a plain service has run.
+func (s *server) ranIDs() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.ran)
+}
+
 // serveStream reads the prompt, with what the store has of it, and streams a few events.
 func (s *server) serveStream(w http.ResponseWriter, r *http.Request, id string) {
 	if v := r.Header.Get(name("expectVersion")); v != "" && v != strconv.FormatInt(s.version, 10) {
--- /dev/null
+++ b/review/driver/greyrefusal.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Sizes of the case grey-refusal.
+const (
+	paymentServers = 7 // one of them is a share of 0.14
+	greyEvery      = 3 // of the requests that the grey server runs, one in so many fails
+	paymentCount   = 400
+	paymentWork    = 30 * time.Millisecond
+)
+
+// greyRefusal checks that no payment that has run is answered with 503, which promises that it has
+// not. The disruption: one server fails part of its requests after it has run them, with 503 and
+// without the header that states "not run".
+func greyRefusal(rec *record, trouble bool) (bool, error) {
+	d, err := newDeployment(rec)
+	if err != nil {
+		return false, err
+	}
+	defer d.close()
+	var servers []*server
+	for i := range paymentServers {
+		s, err := startServer(host, fmt.Sprintf("i-%d", i), plainService, rec)
+		if err != nil {
+			return false, err
+		}
+		s.plain, s.workTime = true, paymentWork
+		servers = append(servers, s)
+		d.publish(s, "ready")
+	}
+	if trouble {
+		servers[0].failEvery = greyEvery
+	}
+	d.log.Put(name("topicOp"), "config", mustJSON(payConfig()))
+	e, err := d.addEntry("entry-a")
+	if err != nil {
+		return false, err
+	}
+	if err := e.awaitReady(); err != nil {
+		return false, err
+	}
+	tally := &payTally{statuses: map[string]int{}, refused: map[string]bool{}}
+	var callers sync.WaitGroup
+	for n := range paymentCount {
+		callers.Go(func() { d.pay(e, fmt.Sprintf("pay-%04d", n), tally) })
+		time.Sleep(payInterval)
+	}
+	callers.Wait()
+	broken := 0
+	for _, s := range servers {
+		for _, id := range s.ranIDs() {
+			if tally.refused[id] {
+				rec.logf("VIOLATION: payment %s ran at %s, and its requester got 503", id, s.id)
+				broken++
+			}
+		}
+	}
+	rec.logf("payments that ran and were refused with 503: %d; answers: %v", broken, tally.statuses)
+	return broken > 0, nil
+}
--- a/review/driver/latebeat.go
+++ b/review/driver/latebeat.go
@@ -50,7 +50,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 12*time.Second)
 	defer cancel()
 	var callers sync.WaitGroup
-	tally := &payTally{statuses: map[string]int{}}
+	tally := &payTally{statuses: map[string]int{}, refused: map[string]bool{}}
 	callers.Go(func() {
 		for n := 0; ctx.Err() == nil; n++ {
 			callers.Go(func() { d.pay(e, fmt.Sprintf("pay-%04d", n), tally) })
@@ -89,12 +89,16 @@
 type payTally struct {
 	mu       sync.Mutex
 	statuses map[string]int
+	refused  map[string]bool // payments that were answered with 503
 }
 
-func (t *payTally) add(status string) {
+func (t *payTally) add(id, status string, refused bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.statuses[status]++
+	if refused {
+		t.refused[id] = true
+	}
 }
 
 // pay sends a payment, once.
@@ -111,13 +115,13 @@
 	req.Header.Set(name("deadline"), "1000")
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		tally.add("none")
+		tally.add(id, "none", false)
 		d.rec.logf("%s: no answer: %v", id, err)
 		return
 	}
 	defer resp.Body.Close()
 	body, _ := io.ReadAll(resp.Body)
-	tally.add(resp.Status)
+	tally.add(id, resp.Status, resp.StatusCode == http.StatusServiceUnavailable)
 	d.rec.logf("%s: %d from %q", id, resp.StatusCode, resp.Header.Get(name("seal")))
 	if resp.StatusCode != http.StatusOK {
 		d.rec.logf("%s: %s", id, body)
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -21,6 +21,7 @@
 	"abandoned-part": abandonedPart,
 	"late-beat":      lateBeat,
 	"large-bodies":   largeBodies,
+	"grey-refusal":   greyRefusal,
 }
 
 func main() {
