Show that two entries order an endpoint within the lease

An entry forgets that a peer was changing an endpoint, and how many orders it has accepted, when the endpoint's record is missing from one read of the list, and then orders it right after a peer that has ended.

--- a/review/driver/engine.go
+++ b/review/driver/engine.go
@@ -40,6 +40,10 @@
 	born    int64
 	beats   int64
 	version int64
+	loading bool
+	seq     int64 // number of orders accepted
+	orders  []order
+	onOrder func(o order)  // called with the first order, if it is left unanswered
 	memory  []residentPart // least recently used first
 	arrived []arrival
 	ran     []string // requests that a plain service has run, in this order
@@ -108,10 +112,10 @@
 	case r.URL.Path == "/report":
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		writeJSON(w, map[string]any{"stage": "both", "models": []any{map[string]any{"name": modelName, "version": s.version}}, "busy": false, "seq": 0, "clock_ms": clockMs()})
+		writeJSON(w, map[string]any{"stage": "both", "models": []any{map[string]any{"name": modelName, "version": s.version}}, "busy": s.loading, "seq": s.seq, "clock_ms": clockMs()})
 		return
 	case r.URL.Path == "/order":
-		w.WriteHeader(http.StatusOK) // the order already holds
+		s.serveOrder(w, r)
 		return
 	case id == "":
 		w.Header().Set(name("notRun"), "1")
--- a/review/driver/harness.go
+++ b/review/driver/harness.go
@@ -63,6 +63,8 @@
 	binary  string
 	entries []*entryProcess
 
+	nextPort int
+
 	mu    sync.Mutex
 	beats map[*server]*time.Timer // for the next record of each server
 }
@@ -76,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{rec: rec, log: standin.NewLog(), logAddr: l.Addr().String(), dir: dir, binary: os.Getenv("ENTRY"), beats: map[*server]*time.Timer{}}
+	d := &deployment{rec: rec, log: standin.NewLog(), logAddr: l.Addr().String(), dir: dir, binary: os.Getenv("ENTRY"), nextPort: 20000 + os.Getpid()%5000, beats: map[*server]*time.Timer{}}
 	if d.binary == "" {
 		d.binary = "target/galenaweir-entry"
 	}
@@ -118,6 +120,14 @@
 	})
 }
 
+// silence ends the heartbeats of a server. Its entry stays.
+func (d *deployment) silence(s *server) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.beats[s].Stop()
+	delete(d.beats, s)
+}
+
 // withdraw removes a server that has left from the list.
 func (d *deployment) withdraw(s *server) {
 	d.mu.Lock()
@@ -130,15 +140,17 @@
 // entryProcess is an entry that runs as a process.
 type entryProcess struct {
 	id, callers, ready string
+	metrics            string
 	settings, logPath  string
 	binary             string
 	cmd                *exec.Cmd
 }
 
-// freePorts returns free ports below those that the kernel gives to outgoing connections.
-func freePorts(n int) ([]int, error) {
+// freePorts returns n free ports below those that the kernel gives to outgoing connections.
+func (d *deployment) freePorts(n int) ([]int, error) {
 	var out []int
-	for p := 20000 + os.Getpid()%5000; p < 30000 && len(out) < n; p++ {
+	for ; d.nextPort < 30000 && len(out) < n; d.nextPort++ {
+		p := d.nextPort
 		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", host, p))
 		if err != nil {
 			continue
@@ -153,7 +165,7 @@
 }
 
 func (d *deployment) addEntry(id string) (*entryProcess, error) {
-	ports, err := freePorts(5)
+	ports, err := d.freePorts(5)
 	if err != nil {
 		return nil, err
 	}
@@ -163,7 +175,7 @@
 		"peerPorts": []int{ports[2], ports[3]}, "metricsPort": ports[4], "drainMs": 2000, "graceS": 8, "revokeMs": 5000, "budgetRatio": 0.2, "budgetWindowS": 10,
 		"versionMs": 10000, "orderHandoverMs": 3000, "logWritesPerS": 400, "memoryMb": 284,
 	}
-	e := &entryProcess{id: id, callers: at(0), ready: at(1), settings: filepath.Join(d.dir, id+".json"), logPath: filepath.Join(d.dir, id+".log"), binary: d.binary}
+	e := &entryProcess{id: id, callers: at(0), ready: at(1), metrics: at(4), settings: filepath.Join(d.dir, id+".json"), logPath: filepath.Join(d.dir, id+".log"), binary: d.binary}
 	if err := os.WriteFile(e.settings, mustJSON(settings), 0o600); err != nil {
 		return nil, err
 	}
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -22,6 +22,7 @@
 	"late-beat":      lateBeat,
 	"large-bodies":   largeBodies,
 	"grey-refusal":   greyRefusal,
+	"two-holders":    twoHolders,
 }
 
 func main() {
