--- a/review/driver/engine.go
+++ b/review/driver/engine.go
@@ -46,7 +46,7 @@
 	onOrder func(o order)  // called with the first order, if it is left unanswered
 	memory  []residentPart // least recently used first
 	arrived []arrival
-	ran     []string // requests that a plain service has run, in this order
+	ran     []run // requests that a plain service has run, in this order
 }
 
 type residentPart struct {
@@ -122,7 +122,8 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
 		return
 	}
 	s.mu.Lock()
@@ -131,17 +132,17 @@
 	w.Header().Set("X-Request-Id", id)
 	w.Header().Set(name("seal"), s.id)
 	if s.plain {
-		s.servePlain(w, r, id)
+		s.servePlain(w, r, id, string(body))
 		return
 	}
 	s.serveStream(w, r, id)
 }
 
-func (s *server) servePlain(w http.ResponseWriter, r *http.Request, id string) {
+func (s *server) servePlain(w http.ResponseWriter, r *http.Request, id, body string) {
 	s.rec.logf("%s: runs %s", s.id, id)
 	time.Sleep(s.workTime)
 	s.mu.Lock()
-	s.ran = append(s.ran, id)
+	s.ran = append(s.ran, run{id, body})
 	fails := s.failEvery > 0 && len(s.ran)%s.failEvery == 0
 	s.mu.Unlock()
 	if fails {
@@ -154,8 +155,11 @@
 	}
 }
 
-// ranIDs returns the requests that a plain service has run.
-func (s *server) ranIDs() []string {
+// run is a request that a plain service has run.
+type run struct{ id, body string }
+
+// ranSoFar returns the requests that a plain service has run.
+func (s *server) ranSoFar() []run {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return slices.Clone(s.ran)
--- a/review/driver/greyrefusal.go
+++ b/review/driver/greyrefusal.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -47,19 +48,27 @@
 	tally := &payTally{statuses: map[string]int{}, refused: map[string]bool{}}
 	var callers sync.WaitGroup
 	for n := range paymentCount {
-		callers.Go(func() { d.pay(e, fmt.Sprintf("pay-%04d", n), tally) })
+		callers.Go(func() {
+			payment := fmt.Sprintf(`{"payment":%d}`, n)
+			if d.pay(e, fmt.Sprintf("pay-%04d", n), payment, tally) == http.StatusServiceUnavailable {
+				d.pay(e, fmt.Sprintf("pay-%04d-again", n), payment, tally) // it was promised that it has not run
+			}
+		})
 		time.Sleep(payInterval)
 	}
 	callers.Wait()
-	broken := 0
+	broken, effects, doubled := 0, map[string]int{}, 0
 	for _, s := range servers {
-		for _, id := range s.ranIDs() {
-			if tally.refused[id] {
-				rec.logf("VIOLATION: payment %s ran at %s, and its requester got 503", id, s.id)
+		for _, r := range s.ranSoFar() {
+			if tally.refused[r.id] {
+				rec.logf("VIOLATION: request %s ran at %s, and its requester got 503", r.id, s.id)
 				broken++
 			}
+			if effects[r.body]++; effects[r.body] == 2 {
+				doubled++
+			}
 		}
 	}
-	rec.logf("payments that ran and were refused with 503: %d; answers: %v", broken, tally.statuses)
+	rec.logf("requests that ran and were refused with 503: %d; payments that took effect twice: %d; answers: %v", broken, doubled, tally.statuses)
 	return broken > 0, nil
 }
--- a/review/driver/latebeat.go
+++ b/review/driver/latebeat.go
@@ -53,7 +53,7 @@
 	tally := &payTally{statuses: map[string]int{}, refused: map[string]bool{}}
 	callers.Go(func() {
 		for n := 0; ctx.Err() == nil; n++ {
-			callers.Go(func() { d.pay(e, fmt.Sprintf("pay-%04d", n), tally) })
+			callers.Go(func() { d.pay(e, fmt.Sprintf("pay-%04d", n), "{}", tally) })
 			time.Sleep(payInterval)
 		}
 	})
@@ -101,13 +101,13 @@
 	}
 }
 
-// pay sends a payment, once.
-func (d *deployment) pay(e *entryProcess, id string, tally *payTally) {
+// pay sends a payment, once, and returns the status of the answer, 0 if there was none.
+func (d *deployment) pay(e *entryProcess, id, payment string, tally *payTally) int {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.callers+"/pay/x", strings.NewReader("{}"))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.callers+"/pay/x", strings.NewReader(payment))
 	if err != nil {
-		return
+		return 0
 	}
 	req.Host = routeHost
 	req.Header.Set("X-Request-Id", id)
@@ -117,7 +117,7 @@
 	if err != nil {
 		tally.add(id, "none", false)
 		d.rec.logf("%s: no answer: %v", id, err)
-		return
+		return 0
 	}
 	defer resp.Body.Close()
 	body, _ := io.ReadAll(resp.Body)
@@ -126,6 +126,7 @@
 	if resp.StatusCode != http.StatusOK {
 		d.rec.logf("%s: %s", id, body)
 	}
+	return resp.StatusCode
 }
 
 func payConfig() map[string]any {
