--- a/review/driver/abandoned.go
+++ b/review/driver/abandoned.go
@@ -12,15 +12,19 @@
 
 // Sizes of the case abandoned-part. The prompts are like those of the users' drafting requests.
 const (
-	systemTokens  = 1024
-	sessionTokens = 8098
-	ownTokens     = 2870
-	engineCount   = 1
-	engineTokens  = 32_000 // of the memory of a model server
-	saverCount    = 8
-	returnerCount = 2
-	others        = 6    // sessions that come back beside those of the lost events
-	linkTokens    = 30.0 // of the store, per ms
+	systemTokens   = 1024
+	sessionTokens  = 8098
+	ownTokens      = 2870
+	documentCount  = 9
+	documentTokens = 16
+	savingTime     = 15 * time.Second
+	engineCount    = 1
+	engineTokens   = 32_000 // of the memory of a model server
+	saverCount     = 8
+	returnerCount  = 2
+	linkMbps       = linkTokens * 18432 * 8 / 1000
+	others         = 6    // sessions that come back beside those of the lost events
+	linkTokens     = 30.0 // of the store, per ms
 )
 
 // abandonedPart checks that no request takes a part from a store that is freed before the fetch has
@@ -58,7 +62,7 @@
 	st.mu.Lock()
 	began := time.Now()
 	st.onList = func(held, partial int, _ string) {
-		if partial > 0 && time.Since(began) > 5*time.Second {
+		if partial > 0 && time.Since(began) > savingTime {
 			once.Do(func() { close(listed) })
 		}
 	}
@@ -68,11 +72,12 @@
 	for i := range saverCount {
 		savers.Go(func() {
 			for n := 0; saving.Err() == nil; n++ {
-				d.prompt(saving, first, fmt.Sprintf("%02d%04d", i, n), fmt.Sprintf("a-%d-%d", i, n))
+				session := fmt.Sprintf("%02d%04d", i, n)
+				d.prompt(saving, first, fmt.Sprintf("a-%d-%d", i, n), session, documents(session)...)
 			}
 		})
 	}
-	time.Sleep(time.Until(began.Add(5 * time.Second)))
+	time.Sleep(time.Until(began.Add(savingTime)))
 	st.mu.Lock()
 	st.silence = trouble
 	st.mu.Unlock()
@@ -108,7 +113,7 @@
 				session := sessions[turn%len(sessions)]
 				turn++
 				mu.Unlock()
-				d.prompt(coming, second, session, fmt.Sprintf("b-%d-%d", i, n))
+				d.prompt(coming, second, fmt.Sprintf("b-%d-%d", i, n), session)
 			}
 		})
 	}
@@ -131,7 +136,7 @@
 	defer s.mu.Unlock()
 	var held, out []string
 	for _, e := range s.events {
-		if len(held) < others && e.sign == "+" && !e.dropped && e.part.id.id != systemPart {
+		if len(held) < others && e.sign == "+" && !e.dropped && e.part.tokens == sessionTokens {
 			held = append(held, e.part.id.id)
 		}
 	}
@@ -146,8 +151,17 @@
 
 const systemPart = "5e5e"
 
-// prompt sends a prompt of a session.
-func (d *deployment) prompt(ctx context.Context, e *entryProcess, session, id string) {
+// documents returns the IDs of the small parts that follow a new session's part.
+func documents(session string) []string {
+	var out []string
+	for n := range documentCount {
+		out = append(out, fmt.Sprintf("d%s%d", session, n))
+	}
+	return out
+}
+
+// prompt sends a prompt of a session, with the documents that follow it.
+func (d *deployment) prompt(ctx context.Context, e *entryProcess, id, session string, parts ...string) {
 	ctx, cancel := context.WithTimeout(ctx, 15*time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.callers+"/draft/x", strings.NewReader("{}"))
@@ -159,8 +173,12 @@
 	req.Header.Set("X-Model", modelName)
 	req.Header.Set("Authorization", "Bearer "+customerKey)
 	req.Header.Set(name("deadline"), "15000")
-	req.Header.Set(name("tokenCount"), fmt.Sprintf("%d,%d", systemTokens+sessionTokens+ownTokens, eventCount))
-	req.Header.Set(name("prefix"), fmt.Sprintf("%s:%d,%s:%d,%s:%d", systemPart, systemTokens, session, sessionTokens, "0f"+fmt.Sprintf("%x", id), ownTokens))
+	req.Header.Set(name("tokenCount"), fmt.Sprintf("%d,%d", systemTokens+sessionTokens+len(parts)*documentTokens+ownTokens, eventCount))
+	prefix := []string{fmt.Sprintf("%s:%d", systemPart, systemTokens), fmt.Sprintf("%s:%d", session, sessionTokens)}
+	for _, p := range parts {
+		prefix = append(prefix, fmt.Sprintf("%s:%d", p, documentTokens))
+	}
+	req.Header.Set(name("prefix"), strings.Join(append(prefix, fmt.Sprintf("0f%x:%d", id, ownTokens)), ","))
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return
@@ -184,7 +202,7 @@
 			map[string]any{"name": engineService, "healthPath": "/health", "maxConns": 370, "engine": map[string]any{
 				"slots": 64, name("kvCapacity"): engineTokens, name("bytesField"): 18432, "linkMbps": 550_000, "managed": true, "models": []any{map[string]any{"name": modelName}},
 			}},
-			map[string]any{"name": "vault", "kvStoreAddr": storeAddress, "zone": zoneName, name("kvCapacity"): 1_071_442, "managed": true},
+			map[string]any{"name": "vault", "kvStoreAddr": storeAddress, "zone": zoneName, name("kvCapacity"): 1_071_442, "managed": true, "linkMbps": linkMbps, "first_ms": 6.0},
 		},
 		"tenants": []any{map[string]any{"name": "one", "keys": []string{customerKey}}},
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 5000, "idleTimeoutMs": 10000},
--- a/review/driver/engine.go
+++ b/review/driver/engine.go
@@ -25,14 +25,10 @@
 	address           string
 	plain             bool
 	workTime          time.Duration // of a request at a plain service
-	failEvery         int           // of the requests that it has run, one in so many gets 503; 0 for none
 	rec               *record
 	http              *http.Server
 	stores            map[string]*store // by address
 	capacity          int               // tokens of its memory
-	events            int               // of a stream
-	firstWait         time.Duration     // before the first event, beside the time to read the prompt
-	eventGap          time.Duration
 
 	prefill sync.Mutex // prompts are read one after another
 
@@ -46,7 +42,6 @@
 	onOrder func(o order)  // called with the first order, if it is left unanswered
 	memory  []residentPart // least recently used first
 	arrived []arrival
-	ran     []run // requests that a plain service has run, in this order
 }
 
 type residentPart struct {
@@ -81,7 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &server{id: id, service: service, zone: zoneName, address: l.Addr().String(), rec: rec, stores: map[string]*store{}, events: eventCount, eventGap: stepTime, born: time.Now().UnixMilli(), version: 1}
+	s := &server{id: id, service: service, zone: zoneName, address: l.Addr().String(), rec: rec, stores: map[string]*store{}, born: time.Now().UnixMilli(), version: 1}
 	s.http = &http.Server{Handler: s}
 	go func() { _ = s.http.Serve(l) }() // until the server or the process ends
 	return s, nil
@@ -122,8 +117,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
 	s.mu.Lock()
@@ -132,39 +126,20 @@
 	w.Header().Set("X-Request-Id", id)
 	w.Header().Set(name("seal"), s.id)
 	if s.plain {
-		s.servePlain(w, r, id, string(body))
+		s.servePlain(w, r, id)
 		return
 	}
 	s.serveStream(w, r, id)
 }
 
-func (s *server) servePlain(w http.ResponseWriter, r *http.Request, id, body string) {
+func (s *server) servePlain(w http.ResponseWriter, r *http.Request, id string) {
 	s.rec.logf("%s: runs %s", s.id, id)
 	time.Sleep(s.workTime)
-	s.mu.Lock()
-	s.ran = append(s.ran, run{id, body})
-	fails := s.failEvery > 0 && len(s.ran)%s.failEvery == 0
-	s.mu.Unlock()
-	if fails {
-		s.rec.logf("%s: answers %s with 503 after it has run it", s.id, id)
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
 	if r.Context().Err() == nil {
 		fmt.Fprintf(w, "answer to %s", id)
 	}
 }
 
-// run is a request that a plain service has run.
-type run struct{ id, body string }
-
-// ranSoFar returns the requests that a plain service has run.
-func (s *server) ranSoFar() []run {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Clone(s.ran)
-}
-
 // serveStream reads the prompt, with what the store has of it, and streams a few events.
 func (s *server) serveStream(w http.ResponseWriter, r *http.Request, id string) {
 	if v := r.Header.Get(name("expectVersion")); v != "" && v != strconv.FormatInt(s.version, 10) {
@@ -193,7 +168,6 @@
 	s.prefill.Lock()
 	time.Sleep(time.Duration(float64(total-have) / prefillTokensPerMs * float64(time.Millisecond)))
 	s.prefill.Unlock()
-	time.Sleep(s.firstWait)
 	for i, p := range parts {
 		s.remember(partID{salt, p.id}, p.tokens)
 		if st := s.stores[save[i]]; st != nil {
@@ -206,8 +180,8 @@
 	s.rec.countRun(id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set(name("weights"), strconv.FormatInt(s.version, 10))
-	for n := 1; n <= s.events; n++ {
-		time.Sleep(s.eventGap)
+	for n := 1; n <= eventCount; n++ {
+		time.Sleep(stepTime)
 		fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", n, id, n)
 		_ = http.NewResponseController(w).Flush() // the caller may have disconnected
 	}
--- a/review/driver/latebeat.go
+++ b/review/driver/latebeat.go
@@ -13,7 +13,8 @@
 // Times of the case late-beat.
 const (
 	drainBound   = 2 * time.Second         // drainMs of the settings
-	lateBy       = 2500 * time.Millisecond // until the unanswered heartbeat is carried out
+	stableAfter  = 3100 * time.Millisecond // from the lost answer to the draining; contactMs is 3 s
+	lateBy       = 2500 * time.Millisecond // from the draining until the unanswered heartbeat is carried out
 	exitAfter    = 3500 * time.Millisecond // from the confirmed draining to the end of the server
 	payInterval  = 12 * time.Millisecond
 	payWork      = 60 * time.Millisecond
@@ -47,13 +48,13 @@
 	if err := e.awaitReady(); err != nil {
 		return false, err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 12*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
 	defer cancel()
 	var callers sync.WaitGroup
-	tally := &payTally{statuses: map[string]int{}, refused: map[string]bool{}}
+	tally := &payTally{statuses: map[string]int{}}
 	callers.Go(func() {
 		for n := 0; ctx.Err() == nil; n++ {
-			callers.Go(func() { d.pay(e, fmt.Sprintf("pay-%04d", n), "{}", tally) })
+			callers.Go(func() { d.pay(e, fmt.Sprintf("pay-%04d", n), tally) })
 			time.Sleep(payInterval)
 		}
 	})
@@ -61,7 +62,7 @@
 
 	leaving := servers[leavingIndex]
 	unanswered := leaving.beat("ready") // sent, and not answered
-	time.Sleep(100 * time.Millisecond)
+	time.Sleep(stableAfter)
 	d.publish(leaving, "draining")
 	drainedAt := time.Now()
 	rec.logf("the store confirms that %s drains; the heartbeat before, %s, has had no answer", leaving.id, unanswered)
@@ -89,25 +90,21 @@
 type payTally struct {
 	mu       sync.Mutex
 	statuses map[string]int
-	refused  map[string]bool // payments that were answered with 503
 }
 
-func (t *payTally) add(id, status string, refused bool) {
+func (t *payTally) add(status string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.statuses[status]++
-	if refused {
-		t.refused[id] = true
-	}
 }
 
-// pay sends a payment, once, and returns the status of the answer, 0 if there was none.
-func (d *deployment) pay(e *entryProcess, id, payment string, tally *payTally) int {
+// pay sends a payment, once.
+func (d *deployment) pay(e *entryProcess, id string, tally *payTally) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.callers+"/pay/x", strings.NewReader(payment))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.callers+"/pay/x", strings.NewReader("{}"))
 	if err != nil {
-		return 0
+		return
 	}
 	req.Host = routeHost
 	req.Header.Set("X-Request-Id", id)
@@ -115,18 +112,17 @@
 	req.Header.Set(name("deadline"), "1000")
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		tally.add(id, "none", false)
+		tally.add("none")
 		d.rec.logf("%s: no answer: %v", id, err)
-		return 0
+		return
 	}
 	defer resp.Body.Close()
 	body, _ := io.ReadAll(resp.Body)
-	tally.add(id, resp.Status, resp.StatusCode == http.StatusServiceUnavailable)
+	tally.add(resp.Status)
 	d.rec.logf("%s: %d from %q", id, resp.StatusCode, resp.Header.Get(name("seal")))
 	if resp.StatusCode != http.StatusOK {
 		d.rec.logf("%s: %s", id, body)
 	}
-	return resp.StatusCode
 }
 
 func payConfig() map[string]any {
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -20,8 +20,6 @@
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
 	"abandoned-part": abandonedPart,
 	"late-beat":      lateBeat,
-	"large-bodies":   largeBodies,
-	"grey-refusal":   greyRefusal,
 	"two-holders":    twoHolders,
 }
 
--- a/review/driver/orders.go
+++ b/review/driver/orders.go
@@ -25,8 +25,8 @@
 	at time.Time
 }
 
-// serveOrder carries an order out, or with onOrder set leaves it without an answer and carries it
-// out seconds later, if its condition still holds.
+// serveOrder carries an order out, or with onOrder set leaves the first one without an answer and
+// carries it out seconds later, if its condition still holds.
 func (s *server) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var o order
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.Holder == "" || o.Fence == 0 {
@@ -39,10 +39,8 @@
 	first, tell := len(s.orders) == 1, s.onOrder
 	s.mu.Unlock()
 	s.rec.logf("%s: order of %s, fence %d, version %d", s.id, o.Holder, o.Fence, o.Version)
-	if tell != nil {
-		if first {
-			tell(o)
-		}
+	if tell != nil && first {
+		tell(o)
 		time.AfterFunc(lateOrders, func() { s.accept(o) })
 		<-r.Context().Done() // no answer
 		return
--- a/review/driver/store.go
+++ b/review/driver/store.go
@@ -173,7 +173,7 @@
 			continue
 		}
 		partial = append(partial, []any{p.id.salt, p.id.id, 0, p.tokens})
-		if s.silence && len(s.silenced) < maxSilencedParts {
+		if s.silence && p.tokens == sessionTokens && len(s.silenced) < maxSilencedParts {
 			p.silenced = true
 			s.silenced = append(s.silenced, p)
 		}
