Remember peers' updates of endpoints that the list lacks

Cause: an owner that takes an endpoint over may order within the handover pause if no peer has reported an update of it. That report was kept in the endpoint's state, which is deleted when the list lacks the endpoint's record once; reports on an endpoint that wasn't listed were dropped.

Evidence: weights_ordered states handover_done and the age of the last report now.

Change: PeerUpdates, a bounded state machine in core/forward, keeps the reports by the hash that they name, apart from the list. It has no effect after the pause, and nothing else outlives an endpoint.

Conclusion: what guards against a peer's action must not live in the state of the thing acted on.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -352,18 +352,16 @@
 	}
 	g.applyParts(r.Parts, now)
 	for _, h := range r.Loading {
-		if id, ok := s.endpointsByHash[h]; ok {
-			st := s.endpointState(id)
+		if st := g.recordPeerUpdate(h, r.Member, now); st != nil {
 			if now >= st.loadingUntil {
 				st.loadingSince = now
 			}
-			st.loadingUntil, st.lastPeerChange = now+updateTTL, now
+			st.loadingUntil = now + updateTTL
 		}
 	}
 	for _, h := range r.Emptying {
-		if id, ok := s.endpointsByHash[h]; ok {
-			s.endpointState(id).emptyingUntil = now + updateTTL
-			s.endpointState(id).lastPeerChange = now
+		if st := g.recordPeerUpdate(h, r.Member, now); st != nil {
+			st.emptyingUntil = now + updateTTL
 		}
 	}
 	for _, l := range r.Loaded {
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -171,14 +171,39 @@
 		m := forward.ManagedEndpoint{
 			Endpoint: e, LongRunning: st.load.LongRunning + s.peerLoads.load(e.ID).LongRunning, HandoverDone: g.ownership.Owns(e.ID, now), OrderSeq: st.orderCount, Expired: expired,
 		}
-		if !m.HandoverDone && st.lastPeerChange > 0 && now < st.lastPeerChange+g.ownership.Handover+s.peerLoads.interval() {
-			continue
+		if !m.HandoverDone {
+			if at, heard := s.peerUpdates.Last(st.hash); heard && now < at+g.peerUpdatePause() {
+				continue
+			}
 		}
 		out = append(out, m)
 	}
 	return out, fleets
 }
 
+// peerUpdatePause returns how long after a peer's last report that it updates an endpoint the peer may
+// have sent an order to it within the handover pause. The caller holds the state's mutex.
+func (g *Gateway) peerUpdatePause() time.Duration {
+	return g.ownership.Handover + g.state.peerLoads.interval()
+}
+
+// recordPeerUpdate records a peer's report that it is loading weights on an endpoint or emptying it,
+// also of an endpoint that the list lacks. It returns the state of a listed one, nil otherwise.
+func (g *Gateway) recordPeerUpdate(endpoint uint32, member string, now time.Duration) *endpointState {
+	s := g.state
+	pause := g.peerUpdatePause()
+	last, heard := s.peerUpdates.Last(endpoint)
+	s.peerUpdates.Record(endpoint, pause, now)
+	id, listed := s.endpointsByHash[endpoint]
+	if !heard || now >= last+pause {
+		log.Info().Str("event", "peer_updates_endpoint").Str("peer", member).Str("endpoint", id).Uint32("endpoint_hash", endpoint).Bool("listed", listed).Msg("a peer loads weights on the endpoint or empties it for that")
+	}
+	if !listed {
+		return nil
+	}
+	return s.endpointState(id)
+}
+
 // runStep sends a load order, or reads an endpoint's state to see whether its weights are loaded.
 func (g *Gateway) runStep(ctx context.Context, st forward.RolloutStep) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -218,6 +243,8 @@
 	s := g.state
 	s.mu.Lock()
 	owned, fencingToken := g.ownership.IsSoleOwner(st.Endpoint.ID, s.clock()), g.ownership.FencingToken()
+	handoverDone := g.ownership.Owns(st.Endpoint.ID, s.clock())
+	peerUpdate, heard := s.peerUpdates.Last(endpointHash(st.Endpoint.ID))
 	if owned {
 		s.rollout.RecordOrderSent(st.Endpoint.ID, s.clock())
 		s.countOrder(st.Endpoint.ID, s.clock())
@@ -242,6 +269,9 @@
 	if err != nil || status >= http.StatusBadRequest {
 		e = log.Warn()
 	}
+	if heard {
+		e.Dur("peer_update_ms", started-peerUpdate)
+	}
 	e.Str("event", "weights_ordered").Str("endpoint", st.Endpoint.ID).Str("model", st.Model).Int64("version", st.Version).
-		Int64("fence", fencingToken).Int64("orders_before", st.OrderSeq).Int("status", status).Err(err).Msg("load order for a weight version")
+		Int64("fence", fencingToken).Bool("handover_done", handoverDone).Int64("orders_before", st.OrderSeq).Int("status", status).Err(err).Msg("load order for a weight version")
 }
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -43,7 +43,6 @@
 	loadingUntil     time.Duration    // loading weights by a peer's order until then
 	loadingSince     time.Duration    // when a peer first reported that
 	emptyingUntil    time.Duration    // emptied by a peer before loading weights: gets no long prompts until then
-	lastPeerChange   time.Duration    // when a peer last reported that the endpoint is loading weights or being emptied for it
 	orderCount       int64            // number of orders that the endpoint has accepted, as far as known
 }
 
@@ -83,7 +82,8 @@
 	streams           *forward.StreamBuilds
 	streamLog         streamLog
 	peerLoads         peerLoads
-	promptRate        forward.Rate // of the prompts that this process places
+	peerUpdates       *forward.PeerUpdates // of endpoints, listed or not
+	promptRate        forward.Rate         // of the prompts that this process places
 	limitGroup        forward.LimitGroup
 	shedder           forward.Shedder
 	processorShort    bool                           // tasks that could run wait for the processor
@@ -101,7 +101,7 @@
 	rollout.RetireDelay = forward.RetireDelayFor(milliseconds(s.VersionMs))
 	return &state{
 		clock: clock, rng: rng, endpointList: forward.NewEndpointList(), endpoints: map[string]*endpointState{}, endpointsByHash: map[uint32]string{}, peerFacts: map[string]knownFacts{}, rollout: rollout,
-		retryBudgets: map[string]*retry.Budget{}, peerLoads: newPeerLoads(), settings: s, streams: forward.NewStreamBuilds(), streamLog: newStreamLog(), limitQueues: map[string]*forward.LimitQueue{}, statements: newStatements(),
+		retryBudgets: map[string]*retry.Budget{}, peerLoads: newPeerLoads(), peerUpdates: forward.NewPeerUpdates(), settings: s, streams: forward.NewStreamBuilds(), streamLog: newStreamLog(), limitQueues: map[string]*forward.LimitQueue{}, statements: newStatements(),
 		parts: forward.NewPartHolds(), partSaver: newPartSaver(), endpointChecks: map[forward.EndpointStart]*endpointCheck{}, storeFollowers: map[uint32]*storeFollower{},
 		freshness: forward.Freshness{MaxKeyAge: milliseconds(s.RevokeMs) - revokeMargin}, readConfirmed: make(chan struct{}), storeRead: make(chan struct{}), resumes: make(chan struct{}, 1),
 	}
