Delete abandoned parts only right after a list that shows them

Cause: a part counted as abandoned 8 s after a list had shown it as incomplete if no event of its completion had come. Events may be lost, lists are read every 10 s, and the call frees complete parts too.

Evidence: in the case's record the list of 24.06 s shows the parts as being written, they are complete at 25.95 s, another entry's list of 28.59 s shows none as incomplete, and they are freed at 32.07 s.

Change: a part is deleted only in the half second after the start of a list that shows it as incomplete, and only if a list 8 to 15 s before showed as many tokens written and no save or completion has been told since. The call's validity counts from the list too.

Conclusion: the absence of an event is no observation.

--- a/core/forward/stores.go
+++ b/core/forward/stores.go
@@ -23,17 +23,23 @@
 //     caller of Choose enforces this, by passing no stores.
 //   - Nothing is saved to a restarted store until no process that has missed the
 //     restart can still be fetching from it.
+//   - A part whose write was abandoned is deleted only on the word of a list that was read
+//     just before: events of completions may be lost, and the call deletes complete parts
+//     too.
 const (
 	maxViewAge          = 1700 * time.Millisecond                           // since the start of the last read of the store's events
 	FetchWindow         = 1300 * time.Millisecond                           // from the placement decision to the end of the fetch
 	maxConfigAge        = 3200 * time.Millisecond                           // since the start of the last read of the operators' records
 	deleteMargin        = maxConfigAge + FetchWindow + 500*time.Millisecond // from the last fetch of a part of older weights to its deletion
 	restartDelay        = maxViewAge + FetchWindow + 500*time.Millisecond
-	pendingSaveTimeout  = 4 * time.Second // time after which a save that is not complete is tried again
-	partialWriteTimeout = 8 * time.Second // time after which a part that is not complete counts as abandoned
-	maxFillShare        = 0.97            // share of a store's capacity that may be filled
-	blockTokens         = 16              // allocation granularity of a store
-	maxDeleteBatch      = 200             // maximum number of parts to delete in one call
+	pendingSaveTimeout  = 4 * time.Second        // time after which a save that is not complete is tried again
+	partialWriteTimeout = 8 * time.Second        // time without progress after which the write of a part counts as abandoned
+	maxListGap          = 15 * time.Second       // two lists further apart say nothing on the write between them
+	maxDeleteListAge    = 500 * time.Millisecond // age of the list that shows a part as incomplete, since the start of its read, until the part is to be deleted
+	deleteTransitTime   = 250 * time.Millisecond // for the call that deletes it to arrive
+	maxFillShare        = 0.97                   // share of a store's capacity that may be filled
+	blockTokens         = 16                     // allocation granularity of a store
+	maxDeleteBatch      = 200                    // maximum number of parts to delete in one call
 )
 
 // Salt returns the cache salt for a cache group and a weight version. Parts are
@@ -72,7 +78,14 @@
 	Next    int64 // position of the first event after the list
 	ClockMs float64
 	Held    []StoredPart
-	Partial []StoredPart // parts being written or abandoned; Tokens is the reserved size
+	Partial []PartialPart
+}
+
+// PartialPart is a part that is being written, or whose write was abandoned. Tokens is the reserved
+// size.
+type PartialPart struct {
+	StoredPart
+	Written int // tokens
 }
 
 // StoreEvents holds the changes since an earlier read.
@@ -99,6 +112,7 @@
 	saveFrom       time.Duration
 	held           map[uint64]StoredPart
 	partial        map[uint64]partialPart
+	listedAt       time.Duration // start of the read of the last list
 	pending        map[uint64]pendingSave
 	usedTokens     int
 	reservedTokens int
@@ -108,9 +122,10 @@
 	busyUntil           time.Duration // expected end of the transfers that this process has begun
 }
 
+// partialPart is a partial part as lists have shown it.
 type partialPart struct {
-	part  StoredPart
-	since time.Duration
+	PartialPart
+	since time.Duration // when the first list arrived that showed as many tokens written
 }
 
 type pendingSave struct {
@@ -169,11 +184,14 @@
 		v.add(p)
 	}
 	old := v.partial
-	v.partial = map[uint64]partialPart{}
+	if started > v.listedAt+maxListGap {
+		old = nil
+	}
+	v.partial, v.listedAt = map[uint64]partialPart{}, started
 	for _, p := range l.Partial {
 		k := PartKey(p.Salt, p.ID)
 		since := now
-		if o, ok := old[k]; ok {
+		if o, ok := old[k]; ok && o.PartialPart == p {
 			since = o.since
 		}
 		v.partial[k] = partialPart{p, since}
@@ -221,7 +239,7 @@
 		delete(v.held, k)
 	}
 	if p, ok := v.partial[k]; ok {
-		v.usedTokens -= roundUpToBlocks(p.part.Tokens)
+		v.usedTokens -= roundUpToBlocks(p.Tokens)
 		delete(v.partial, k)
 	}
 }
@@ -241,6 +259,9 @@
 	return ms, v.clock.known
 }
 
+// ListedAt returns the start of the read of the last list.
+func (v *StoreView) ListedAt() time.Duration { return v.listedAt }
+
 // Clock returns the store's clock.
 func (v *StoreView) Clock() EndpointClock { return v.clock }
 
@@ -266,6 +287,10 @@
 
 // RecordSave records that this process or a peer is having a part written to the store.
 func (v *StoreView) RecordSave(k uint64, tokens int, now time.Duration) {
+	if p, ok := v.partial[k]; ok {
+		p.since = now // a peer that hasn't seen the abandoned write has the part written again
+		v.partial[k] = p
+	}
 	if _, ok := v.pending[k]; ok {
 		return
 	}
@@ -276,15 +301,19 @@
 	v.reservedTokens += roundUpToBlocks(tokens)
 }
 
-// AbandonedParts returns the parts whose write was abandoned.
-func (v *StoreView) AbandonedParts(now time.Duration) []StoredPart {
-	var out []StoredPart
+// AbandonedParts returns the parts whose write was abandoned, and until when a call may delete them.
+// There are none unless a list was read just before: a part that it shows as incomplete may be
+// completed at any later time.
+func (v *StoreView) AbandonedParts(now time.Duration) (parts []StoredPart, until time.Duration) {
+	if !v.synced || now >= v.listedAt+maxDeleteListAge {
+		return nil, 0
+	}
 	for _, p := range v.partial {
-		if now >= p.since+partialWriteTimeout && len(out) < maxDeleteBatch {
-			out = append(out, p.part)
+		if v.listedAt >= p.since+partialWriteTimeout && len(parts) < maxDeleteBatch {
+			parts = append(parts, p.StoredPart)
 		}
 	}
-	return out
+	return parts, v.listedAt + maxDeleteListAge + deleteTransitTime
 }
 
 // RetiredParts returns the parts for whose weights retired returns true.
--- a/gateway/stores.go
+++ b/gateway/stores.go
@@ -23,7 +23,7 @@
 	waitErrorShare     = 0.5              // relative error up to which the rest of the wait may be underestimated
 	waitErrorMs        = 60.0             // absolute error, in addition to the relative one
 	deleteTimeout      = 600 * time.Millisecond
-	deleteValidity     = time.Second // validity of a call on the store's clock; a call that arrives later deletes nothing
+	deleteValidity     = time.Second // validity of a call for parts of retired weights on the store's clock; a call that arrives later deletes nothing
 )
 
 // fetchableStores returns the stores, or nil while the configuration is too old to fetch:
@@ -312,9 +312,9 @@
 	}
 }
 
-// cleanStores deletes incomplete parts and parts of retired weights from the stores that
-// this process owns, until ctx is done. It lists each store at intervals to find incomplete
-// parts.
+// cleanStores deletes abandoned parts and parts of retired weights from the stores that
+// this process owns, until ctx is done. It lists each store at intervals to find abandoned
+// ones.
 func (g *Gateway) cleanStores(ctx context.Context) {
 	listed := map[string]time.Duration{}
 	for wait.For(ctx, cleanInterval) {
@@ -329,31 +329,60 @@
 		}
 		s.mu.Unlock()
 		for _, v := range owned {
-			if now-listed[v.Name] > relistInterval {
+			lists := now-listed[v.Name] > relistInterval
+			if lists {
 				listed[v.Name] = now
-				if err := g.listStore(ctx, v); err != nil {
-					log.Warn().Str("event", "store_unlisted").Str("store", v.Name).Err(err).Msg("cannot list the cache store; retrying later")
-				}
 			}
-			g.deleteParts(ctx, v)
+			g.cleanStore(ctx, v, lists)
+		}
+	}
+}
+
+// cleanStore deletes parts of retired weights from a store and, if it also lists the store,
+// abandoned parts.
+func (g *Gateway) cleanStore(ctx context.Context, v *forward.StoreView, lists bool) {
+	if lists {
+		if err := g.listStore(ctx, v); err != nil {
+			log.Warn().Str("event", "store_unlisted").Str("store", v.Name).Err(err).Msg("cannot list the cache store; retrying later")
+		} else {
+			g.deleteAbandoned(ctx, v)
 		}
 	}
+	g.deleteRetired(ctx, v)
 }
 
-func (g *Gateway) deleteParts(ctx context.Context, v *forward.StoreView) {
+// deleteAbandoned deletes the parts that the list which was just read shows as abandoned.
+func (g *Gateway) deleteAbandoned(ctx context.Context, v *forward.StoreView) {
+	s := g.state
+	s.mu.Lock()
+	parts, until := v.AbandonedParts(s.clock())
+	s.mu.Unlock()
+	g.deleteParts(ctx, v, parts, until, "delete call for parts whose write was abandoned")
+}
+
+// deleteRetired deletes the parts of retired weights.
+func (g *Gateway) deleteRetired(ctx context.Context, v *forward.StoreView) {
 	s := g.state
 	s.mu.Lock()
 	now := s.clock()
 	parts := v.RetiredParts(func(model string, version int64) bool { return s.rollout.Deletable(model, version, now) })
-	parts = append(parts, v.AbandonedParts(now)...)
-	clockMs, clockKnown := v.ClockMs(now + deleteValidity)
-	epoch, until := v.Epoch(), int64(clockMs)
+	s.mu.Unlock()
+	g.deleteParts(ctx, v, parts, now+deleteValidity, "delete call for parts of retired weights")
+}
+
+// deleteParts has a store delete parts, unless the call arrives after the given time.
+func (g *Gateway) deleteParts(ctx context.Context, v *forward.StoreView, parts []forward.StoredPart, until time.Duration, message string) {
+	s := g.state
+	s.mu.Lock()
+	clockMs, clockKnown := v.ClockMs(until)
+	epoch, listedAt := v.Epoch(), v.ListedAt()
 	s.mu.Unlock()
 	if len(parts) == 0 || !clockKnown {
 		return
 	}
+	listAge := g.clock() - listedAt
 	ctx, cancel := context.WithTimeout(ctx, deleteTimeout)
 	defer cancel()
-	err := g.storeClient.DeleteParts(ctx, v.Address, parts, epoch, until)
-	log.Info().Str("event", "parts_freed").Str("store", v.Name).Int("parts", len(parts)).Err(err).Msg("delete call for incomplete parts and parts of retired weights")
+	err := g.storeClient.DeleteParts(ctx, v.Address, parts, epoch, int64(clockMs))
+	log.Info().Str("event", "parts_freed").Str("store", v.Name).Int("parts", len(parts)).Dur("list_age_ms", listAge).Err(err).Msg(message)
 }
--- a/gateway/stores_test.go
+++ b/gateway/stores_test.go
@@ -129,3 +129,68 @@
 	next, _ := v.Cursor()
 	require.EqualValues(t, 6, next)
 }
+
+// listedStore is a StoreClient of a store whose lists are scripted. It records what it deletes.
+type listedStore struct {
+	fakeStore
+	lists   []func() (forward.StoreList, error)
+	deleted []string
+	untilMs int64
+}
+
+func (s *listedStore) List(context.Context, string) (forward.StoreList, error) {
+	l := s.lists[0]
+	s.lists = s.lists[1:]
+	return l()
+}
+
+func (s *listedStore) DeleteParts(_ context.Context, _ string, parts []forward.StoredPart, _, untilMs int64) error {
+	for _, p := range parts {
+		s.deleted = append(s.deleted, p.ID)
+	}
+	s.untilMs = untilMs
+	return nil
+}
+
+// Guards against complete parts that are deleted while requests fetch them: an earlier list showed
+// them as incomplete, and the event of their completion was lost.
+func TestCompletePartIsNotDeletedOnTheWordOfAnOldList(t *testing.T) {
+	const clockMs = 1e6
+	part := forward.StoredPart{Salt: forward.Salt(sharedCacheGroup, "m", 1), ID: "p", Tokens: 8000}
+	partial := func() (forward.StoreList, error) {
+		return forward.StoreList{Epoch: 1, ClockMs: clockMs, Partial: []forward.PartialPart{{StoredPart: part}}}, nil
+	}
+	complete := func() (forward.StoreList, error) {
+		return forward.StoreList{Epoch: 1, ClockMs: clockMs, Held: []forward.StoredPart{part}}, nil
+	}
+	lost := func() (forward.StoreList, error) { return forward.StoreList{}, errStoreDown }
+	for name, c := range map[string]struct {
+		second  func() (forward.StoreList, error)
+		took    time.Duration
+		deleted bool
+	}{
+		"complete by now":          {complete, 0, false},
+		"the list can't be read":   {lost, 0, false},
+		"the list takes long":      {partial, time.Second, false},
+		"incomplete in both lists": {partial, 0, true},
+	} {
+		store := &listedStore{}
+		g, clock := newStoreGateway(t, &store.fakeStore)
+		g.storeClient = store
+		v := forward.NewStoreView(g.state.table.Config.Services[0])
+		store.lists = []func() (forward.StoreList, error){partial, func() (forward.StoreList, error) {
+			clock.advance(c.took)
+			return c.second()
+		}}
+		g.cleanStore(t.Context(), v, true)
+		require.Empty(t, store.deleted, name)
+		clock.advance(relistInterval + time.Second)
+		g.cleanStore(t.Context(), v, false)
+		require.Empty(t, store.deleted, "%s: deleted without a further list", name)
+		g.cleanStore(t.Context(), v, true)
+		require.Equal(t, c.deleted, len(store.deleted) > 0, name)
+		if c.deleted {
+			require.Less(t, store.untilMs, int64(clockMs)+deleteValidity.Milliseconds(), "%s: a late call may delete what was completed meanwhile", name)
+		}
+	}
+}
