Ignore heartbeats that the log carries out after a draining

Cause: records were compared with the known one only for 15 s after the log had returned from an older copy. A heartbeat without an answer may be carried out seconds later at any time, and its record said ready.

Evidence: in the case's record, arrivals at the endpoint stop at 7.2 s and begin again after 9.65 s, when the log carries out heartbeat 5; the draining was heartbeat 6 of the same start. With the fix the entry logs endpoint_record_late with heartbeat 5 at that time.

Change: a record that would bring back an endpoint which drains or has left has no effect if it is of a lower start, or of the same one and of a draining endpoint or a lower heartbeat. This ends 15 s after the last record or an outage, so that odd numbers exclude nobody for good, and doesn't concern records between two that are ready.

Conclusion: the order of the log is not the order of the writers.

--- a/core/forward/endpoints.go
+++ b/core/forward/endpoints.go
@@ -9,15 +9,19 @@
 // again. Live endpoints renew their entries within about two seconds.
 const lapseGracePeriod = 2200 * time.Millisecond
 
-// Records from before a return of the log from an older copy.
+// Records that are older than what is known.
 const (
-	reorderWindow = 15 * time.Second // after the return: older records may still be written again
-	maxDeparted   = 4096             // departed endpoints to remember, the oldest are forgotten first
+	// reorderWindow is how long after a record older ones may still be written: by calls to the log
+	// that got no answer, or after the log has returned from an older copy. It is bounded because a
+	// record of another writer may name any heartbeat or start, and because an endpoint may start
+	// again with its clock set back.
+	reorderWindow = 15 * time.Second
+	maxDeparted   = 4096 // departed endpoints to remember, the oldest are forgotten first
 )
 
 // EndpointList is the list of endpoints as read from the log.
 type EndpointList struct {
-	current     map[string]Endpoint
+	current     map[string]listedEntry
 	lapsed      map[string]lapsedEntry
 	lostAt      time.Duration // time of the first failed read in the current or last outage
 	lost        bool
@@ -25,7 +29,13 @@
 	outageEnded bool // an outage has ended, so lapseGracePeriod may still apply
 	returned    bool // the log has returned from an older copy
 	returnedAt  time.Duration
-	departed    map[string]departedEntry
+	departed    map[string]departedEntry // the last known entries of endpoints that were removed
+}
+
+// listedEntry is an entry of the list.
+type listedEntry struct {
+	Endpoint
+	readAt time.Duration
 }
 
 // departedEntry is the last known entry of an endpoint that was removed from the list.
@@ -42,7 +52,7 @@
 
 // NewEndpointList returns an empty list.
 func NewEndpointList() *EndpointList {
-	return &EndpointList{current: map[string]Endpoint{}, lapsed: map[string]lapsedEntry{}, departed: map[string]departedEntry{}}
+	return &EndpointList{current: map[string]listedEntry{}, lapsed: map[string]lapsedEntry{}, departed: map[string]departedEntry{}}
 }
 
 // LogLost records that the log can't be read.
@@ -75,7 +85,8 @@
 	if !e.returned || now >= e.returnedAt+reorderWindow {
 		return false
 	}
-	known, listed := e.current[p.ID]
+	entry, listed := e.current[p.ID]
+	known := entry.Endpoint
 	if !listed {
 		d, ok := e.departed[p.ID]
 		if !ok {
@@ -94,14 +105,45 @@
 	return !listed
 }
 
+// writtenLate reports whether an entry that would bring back an endpoint which drains or has left is
+// from before that: the log may carry out a call that got no answer after newer ones. Within one
+// incarnation, an endpoint that drains never becomes ready again.
+func (e *EndpointList) writtenLate(p *Endpoint, now time.Duration) bool {
+	entry, listed := e.current[p.ID]
+	known, at := entry.Endpoint, entry.readAt
+	if !listed {
+		d, ok := e.departed[p.ID]
+		if !ok {
+			return false
+		}
+		known, at = d.endpoint, d.at
+	}
+	if e.outageEnded {
+		at = max(at, e.regainedAt)
+	}
+	switch {
+	case p.Draining || listed && !known.Draining || now >= at+reorderWindow:
+		return false
+	case p.StartedUnixMs != known.StartedUnixMs:
+		return p.StartedUnixMs < known.StartedUnixMs
+	}
+	return known.Draining || p.Heartbeat < known.Heartbeat
+}
+
+// Outdated reports whether an entry has no effect because it is older than what is known of the
+// endpoint.
+func (e *EndpointList) Outdated(p *Endpoint, now time.Duration) bool {
+	return e.superseded(p, now) || e.writtenLate(p, now)
+}
+
 // Apply applies changes in log order.
 func (e *EndpointList) Apply(changes []EndpointChange, now time.Duration) {
 	for _, c := range changes {
-		if c.Endpoint != nil && e.superseded(c.Endpoint, now) {
+		if c.Endpoint != nil && e.Outdated(c.Endpoint, now) {
 			continue
 		}
 		if c.Endpoint != nil {
-			e.current[c.ID] = *c.Endpoint
+			e.current[c.ID] = listedEntry{*c.Endpoint, now}
 			delete(e.lapsed, c.ID)
 			continue
 		}
@@ -109,8 +151,8 @@
 	}
 }
 
-// ApplySnapshot replaces the list with a snapshot.
-func (e *EndpointList) ApplySnapshot(changes []EndpointChange, now time.Duration) {
+// RemoveMissing removes the entries that a snapshot lacks.
+func (e *EndpointList) RemoveMissing(changes []EndpointChange, now time.Duration) {
 	seen := map[string]bool{}
 	for _, c := range changes {
 		seen[c.ID] = true
@@ -120,14 +162,14 @@
 			e.remove(id, true, now)
 		}
 	}
-	e.Apply(changes, now)
 }
 
 // remove deletes an entry. Entries of live endpoints lapse while the log is
 // unavailable, so an entry that lapsed and was not draining is kept until its
 // endpoint has had time to renew it. The argument lapsed is false for an invalid entry.
 func (e *EndpointList) remove(id string, lapsed bool, now time.Duration) {
-	old, ok := e.current[id]
+	entry, ok := e.current[id]
+	old := entry.Endpoint
 	delete(e.current, id)
 	if ok {
 		e.recordDeparture(old, now)
@@ -137,8 +179,7 @@
 	}
 }
 
-// recordDeparture remembers a removed entry, so that an older copy of the log can't bring it
-// back.
+// recordDeparture remembers a removed entry, so that an older one can't bring it back.
 func (e *EndpointList) recordDeparture(p Endpoint, now time.Duration) {
 	if len(e.departed) >= maxDeparted {
 		oldest, at := "", time.Duration(math.MaxInt64)
@@ -156,7 +197,7 @@
 func (e *EndpointList) Each(now time.Duration, f func(Endpoint)) {
 	for _, p := range e.current {
 		if !p.Draining {
-			f(p)
+			f(p.Endpoint)
 		}
 	}
 	for id, l := range e.lapsed {
@@ -185,7 +226,7 @@
 // requests.
 func (e *EndpointList) Get(id string, now time.Duration) (Endpoint, bool) {
 	if p, ok := e.current[id]; ok {
-		return p, !p.Draining
+		return p.Endpoint, !p.Draining
 	}
 	l, ok := e.lapsed[id]
 	return l.endpoint, ok && now < l.expires
--- a/core/forward/endpoints_test.go
+++ b/core/forward/endpoints_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -18,6 +19,12 @@
 	return out
 }
 
+// applySnapshot replaces the list with a snapshot.
+func applySnapshot(e *EndpointList, changes []EndpointChange, now time.Duration) {
+	e.RemoveMissing(changes, now)
+	e.Apply(changes, now)
+}
+
 // Guards against sending requests to draining endpoints, and against dropping all
 // endpoints because their entries lapsed during an outage of the log.
 func TestEndpointsLeaveAndLapse(t *testing.T) {
@@ -45,7 +52,7 @@
 	e.Apply([]EndpointChange{readyChange("a"), readyChange("b")}, 0)
 	e.Apply([]EndpointChange{{ID: "a", Err: errUnreadable}}, 0)
 	require.Equal(t, []string{"b"}, ids(e, 0))
-	e.ApplySnapshot([]EndpointChange{readyChange("c")}, time.Second)
+	applySnapshot(e, []EndpointChange{readyChange("c")}, time.Second)
 	require.Equal(t, []string{"c"}, ids(e, time.Second))
 }
 
@@ -125,3 +132,98 @@
 	require.Equal(t, 0, c.Index)
 	require.Equal(t, 8000, c.FetchedTokens, "fetched from the endpoint that has it")
 }
+
+func recordOf(started, heartbeat int64, draining bool) EndpointChange {
+	return EndpointChange{ID: "e", Endpoint: &Endpoint{ID: "e", Service: "s", StartedUnixMs: started, Heartbeat: heartbeat, Draining: draining}}
+}
+
+// Guards against a heartbeat that the log carries out seconds late and that brings back an endpoint
+// which drains or has left: requests are sent to it while it exits.
+func TestLateHeartbeatDoesNotBringBackAnEndpoint(t *testing.T) {
+	removed := EndpointChange{ID: "e"}
+	rejected := EndpointChange{ID: "e", Err: errUnreadable}
+	for name, c := range map[string]struct {
+		before []EndpointChange
+		late   EndpointChange
+		usable bool
+	}{
+		"draining":                              {[]EndpointChange{recordOf(5, 40, false), recordOf(5, 42, true)}, recordOf(5, 41, false), false},
+		"draining, numbered like it":            {[]EndpointChange{recordOf(5, 42, true)}, recordOf(5, 42, false), false},
+		"drained and removed":                   {[]EndpointChange{recordOf(5, 42, true), removed}, recordOf(5, 41, false), false},
+		"draining, its record was overwritten":  {[]EndpointChange{recordOf(5, 42, true), rejected}, recordOf(5, 41, false), false},
+		"removed without a word":                {[]EndpointChange{recordOf(5, 42, false), removed}, recordOf(5, 41, false), false},
+		"draining, from the incarnation before": {[]EndpointChange{recordOf(4, 90, false), recordOf(5, 42, true)}, recordOf(4, 91, false), false},
+		"back after its record lapsed":          {[]EndpointChange{recordOf(5, 42, false), removed}, recordOf(5, 43, false), true},
+		"back with the record that lapsed":      {[]EndpointChange{recordOf(5, 42, false), removed}, recordOf(5, 42, false), true},
+		"started again":                         {[]EndpointChange{recordOf(5, 42, true)}, recordOf(6, 1, false), true},
+		"started again after its removal":       {[]EndpointChange{recordOf(5, 42, true), removed}, recordOf(6, 1, false), true},
+		"ready all the time":                    {[]EndpointChange{recordOf(5, 42, false)}, recordOf(5, 41, false), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Hour
+			e := NewEndpointList()
+			e.Apply(c.before, now)
+			now += 6 * time.Second
+			require.Equal(t, !c.usable, e.Outdated(c.late.Endpoint, now))
+			e.Apply([]EndpointChange{c.late}, now)
+			require.Equal(t, c.usable, len(ids(e, now)) > 0)
+			if !c.usable {
+				applySnapshot(e, []EndpointChange{c.late}, now)
+				require.Empty(t, ids(e, now), "read again as the newest record")
+			}
+		})
+	}
+}
+
+// Guards against late records that are taken for new ones because the draining was read long before
+// an outage of the log, or long ago while the endpoint still drains.
+func TestLateHeartbeatsAreToldForAsLongAsTheyMayCome(t *testing.T) {
+	late := []EndpointChange{recordOf(5, 41, false)}
+	e := NewEndpointList()
+	e.Apply([]EndpointChange{recordOf(5, 42, true)}, time.Hour)
+	e.LogLost(time.Hour + time.Second)
+	now := time.Hour + time.Minute
+	require.True(t, e.LogRegained(now))
+	e.Apply(late, now)
+	require.Empty(t, ids(e, now))
+
+	e = NewEndpointList()
+	for now = time.Hour; now < time.Hour+time.Minute; now += time.Second {
+		e.Apply([]EndpointChange{recordOf(5, 42+int64((now-time.Hour)/time.Second), true)}, now)
+	}
+	e.Apply(late, now)
+	require.Empty(t, ids(e, now))
+}
+
+// Guards against an endpoint that is lost for good after one record of another writer under its ID, or
+// after a start with its clock set back: its own records name lower numbers than the known one.
+func TestEndpointComesBackAfterAnOddRecord(t *testing.T) {
+	const future = math.MaxInt64
+	for name, c := range map[string]struct {
+		odd  []EndpointChange
+		wait time.Duration
+	}{
+		"highest heartbeat":           {[]EndpointChange{recordOf(5, future, false)}, 0},
+		"start in the future":         {[]EndpointChange{recordOf(future, 1, false)}, 0},
+		"draining, highest heartbeat": {[]EndpointChange{recordOf(5, future, true)}, reorderWindow},
+		"draining, future start":      {[]EndpointChange{recordOf(future, future, true)}, reorderWindow},
+		"removed, future start":       {[]EndpointChange{recordOf(future, future, false), {ID: "e"}}, reorderWindow},
+		"clock set back":              {[]EndpointChange{recordOf(9, 70, true), {ID: "e"}}, reorderWindow},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Hour
+			e := NewEndpointList()
+			e.Apply([]EndpointChange{recordOf(5, 40, false)}, now)
+			e.Apply(c.odd, now)
+			at := now
+			for heartbeat := int64(41); len(ids(e, now)) == 0 || at == now; heartbeat++ {
+				now += time.Second
+				e.Apply([]EndpointChange{recordOf(5, heartbeat, false)}, now)
+			}
+			require.LessOrEqual(t, now-at, c.wait+time.Second)
+			p, usable := e.Get("e", now)
+			require.True(t, usable)
+			require.EqualValues(t, 5, p.StartedUnixMs)
+		})
+	}
+}
--- a/core/forward/era_test.go
+++ b/core/forward/era_test.go
@@ -108,7 +108,7 @@
 	}
 	now := time.Minute
 	l := NewEndpointList()
-	l.ApplySnapshot([]EndpointChange{entry("drains", 100, 7, true), entry("left", 100, 7, false), entry("new", 500, 1, false), entry("restarted", 400, 1, false)}, now)
+	applySnapshot(l, []EndpointChange{entry("drains", 100, 7, true), entry("left", 100, 7, false), entry("new", 500, 1, false), entry("restarted", 400, 1, false)}, now)
 	l.Apply([]EndpointChange{{ID: "left"}}, now)
 	usable := func(now time.Duration) map[string]bool {
 		out := map[string]bool{}
@@ -118,7 +118,7 @@
 	require.Equal(t, map[string]bool{"new": true, "restarted": true}, usable(now))
 
 	l.LogReturned(now)
-	l.ApplySnapshot([]EndpointChange{entry("drains", 100, 3, false), entry("left", 100, 6, false), entry("restarted", 100, 90, false)}, now)
+	applySnapshot(l, []EndpointChange{entry("drains", 100, 3, false), entry("left", 100, 6, false), entry("restarted", 100, 90, false)}, now)
 	require.Equal(t, map[string]bool{"new": true, "restarted": true}, usable(now))
 	e, _ := l.Get("restarted", now)
 	require.EqualValues(t, 400, e.StartedUnixMs)
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -238,13 +238,12 @@
 		s.streamLog.incompleteUntil = now + s.catchUpTime()
 		log.Info().Str("event", "endpoint_list_regained").Msg("endpoint list is readable again; entries that expired meanwhile stay for a short time")
 	}
-	for _, c := range changes {
-		g.logEndpoint(c, now)
-	}
 	if snapshot {
-		s.endpointList.ApplySnapshot(changes, now)
-	} else {
-		s.endpointList.Apply(changes, now)
+		s.endpointList.RemoveMissing(changes, now)
+	}
+	for i, c := range changes {
+		g.logEndpoint(c, now)
+		s.endpointList.Apply(changes[i:i+1], now)
 	}
 	s.endpointListRead, s.listedCache = true, nil
 	s.listedEndpoints(now) // notices restarts, and keeps what peers report of endpoints without requests
@@ -259,6 +258,8 @@
 func (g *Gateway) logEndpoint(c forward.EndpointChange, now time.Duration) {
 	old, usable := g.state.endpointList.Get(c.ID, now)
 	switch {
+	case c.Endpoint != nil && g.state.endpointList.Outdated(c.Endpoint, now):
+		log.Info().Str("event", "endpoint_record_late").Str("endpoint", c.ID).Int64("started", c.Endpoint.StartedUnixMs).Int64("heartbeat", c.Endpoint.Heartbeat).Bool("draining", c.Endpoint.Draining).Msg("an older record than the known one has no effect")
 	case c.Err != nil:
 		log.Warn().Str("event", "endpoint_rejected").Str("endpoint", c.ID).Err(c.Err).Msg("endpoint entry is not valid")
 	case c.Endpoint == nil && usable:
