Take up unnamed streams by the log's records, not the endpoint list

Cause: a caller that names the stream gets the build of the log's record. One that doesn't got the build of all endpoints in this entry's list, which may be 3.2 s old: other entries have begun streams at a new build by then. The same happened with a list that is current, when the last endpoint of the old build had left and its streams were taken up.

Change: both are decided by a read of the records and the default build after the request has arrived. An unnamed stream belongs to the default build only if no record names another; otherwise, or if the log can't be read, it is refused as not run.

--- a/core/forward/streams.go
+++ b/core/forward/streams.go
@@ -24,6 +24,20 @@
 	own     bool // this process began the stream
 }
 
+// streamRecords are the records of a period.
+type streamRecords struct {
+	byStream map[uint64]knownStream
+	builds   map[uint64]bool // that a record names, also one that another attempt has replaced
+}
+
+func newStreamRecords() streamRecords {
+	return streamRecords{map[uint64]knownStream{}, map[uint64]bool{}}
+}
+
+func (r *streamRecords) add(stream uint64, k knownStream) {
+	r.byStream[stream], r.builds[k.build] = k, true
+}
+
 // StreamKey returns the key of a stream of a service, which its caller names by the ID of the
 // request that brought the first event.
 func StreamKey(service, requestID string) uint64 { return hashStrings(service, requestID) }
@@ -60,8 +74,8 @@
 type StreamBuilds struct {
 	lifetime  time.Duration // how long after its start callers may take up a stream
 	services  map[string]*serviceBuilds
-	recent    map[uint64]knownStream // streams older than two lifetimes are dropped
-	older     map[uint64]knownStream
+	recent    streamRecords // streams older than two lifetimes are dropped
+	older     streamRecords
 	rotatedAt time.Duration
 	listedAt  time.Duration // start of the last read of the endpoint list
 }
@@ -91,7 +105,7 @@
 
 // NewStreamBuilds returns a StreamBuilds without any records.
 func NewStreamBuilds() *StreamBuilds {
-	return &StreamBuilds{lifetime: 2 * defaultStreamTimeout, services: map[string]*serviceBuilds{}, recent: map[uint64]knownStream{}, older: map[uint64]knownStream{}}
+	return &StreamBuilds{lifetime: 2 * defaultStreamTimeout, services: map[string]*serviceBuilds{}, recent: newStreamRecords(), older: newStreamRecords()}
 }
 
 // defaultStreamTimeout applies to routes that set no timeout.
@@ -250,7 +264,7 @@
 		return r, false
 	}
 	b.rotate(now)
-	b.recent[r.Stream] = knownStream{r.Build, r.Attempt, true}
+	b.recent.add(r.Stream, knownStream{r.Build, r.Attempt, true})
 	return r, true
 }
 
@@ -259,7 +273,7 @@
 	b.rotate(now)
 	for _, r := range records {
 		if k, ok := b.lookUp(r.Stream); !ok || r.Attempt > k.attempt {
-			b.recent[r.Stream] = knownStream{build: r.Build, attempt: r.Attempt}
+			b.recent.add(r.Stream, knownStream{build: r.Build, attempt: r.Attempt})
 		}
 	}
 }
@@ -267,28 +281,31 @@
 // rotate drops streams that callers no longer take up.
 func (b *StreamBuilds) rotate(now time.Duration) {
 	if now-b.rotatedAt >= b.lifetime {
-		b.older, b.recent, b.rotatedAt = b.recent, map[uint64]knownStream{}, now
+		b.older, b.recent, b.rotatedAt = b.recent, newStreamRecords(), now
 	}
 }
 
 func (b *StreamBuilds) lookUp(stream uint64) (k knownStream, ok bool) {
-	if k, ok = b.recent[stream]; !ok {
-		k, ok = b.older[stream]
+	if k, ok = b.recent.byStream[stream]; !ok {
+		k, ok = b.older.byStream[stream]
 	}
 	return k, ok
 }
 
+// recordsOnly reports whether no record names another build.
+func (b *StreamBuilds) recordsOnly(build uint64) bool {
+	for _, r := range []streamRecords{b.recent, b.older} {
+		if len(r.builds) > 1 || len(r.builds) == 1 && !r.builds[build] {
+			return false
+		}
+	}
+	return true
+}
+
 // BuildOf returns the key of the build that began a stream, or false if it is not known. The
 // argument complete states that all records and the defaults have been read since the caller
 // sent the request.
 func (b *StreamBuilds) BuildOf(service, requestID string, complete bool, now time.Duration) (build uint64, known bool) {
-	if requestID == "" { // the caller does not name the stream
-		s := b.service(service)
-		if !s.isSole || now-b.listedAt > maxBuildListAge {
-			return 0, false
-		}
-		return BuildKey(s.sole), true
-	}
 	if k, recorded := b.lookUp(StreamKey(service, requestID)); recorded && (k.own || complete) {
 		return k.build, true
 	}
@@ -298,7 +315,11 @@
 	if !known || !complete {
 		return 0, false
 	}
-	return BuildKey(standard), true
+	build = BuildKey(standard)
+	if requestID == "" && !b.recordsOnly(build) { // the caller does not name the stream, so any of the records may be the stream's
+		return 0, false
+	}
+	return build, true
 }
 
 // KeepBuild excludes the candidates of other builds than the one with the given key.
