Don't trust a refusal without an ID on a used connection

Seen by callers (report of other operators): a faulty server wrote an earlier refusal once more on a kept connection, and callers were told that a request had not run which the server was running (REFUSED), or it ran at a second server too (TWICE).

Cause: a response without an ID counted as that of the request that waits. On a connection that has carried another request it may be a copy of an earlier refusal.

Change: there it leaves the outcome open: nothing is promised, and an unsafe request isn't sent again.

Result: TestCopyOfARefusalOnAKeptConnection; two of its six cases fail before ("the request ran twice"): the copy without an ID before the answer and in place of it. With the ID, after the answer, between chunks and inside a body there was no fault.

Conclusion: the report applies here for copies without an ID only.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -172,6 +172,11 @@
 		}
 		r.httpResp, r.info = resp, reply
 		r.identified = id != "" && reply.RequestID == id
+		if reply.NotRun && reply.RequestID == "" && id != "" && r.conn.reused {
+			// It may be the copy of a refusal of an earlier request on this connection, and the
+			// endpoint may be at work on this one.
+			return &exchangeError{sent: true, err: fmt.Errorf("a refusal with %d on a used connection doesn't state which request it refuses", resp.StatusCode)}
+		}
 		if reply.NotRun {
 			r.discardBody()
 			return &exchangeError{sent: true, notRun: true, limited: refusesForNow(resp.StatusCode, reply), misdirected: reply.Misdirected, status: resp.StatusCode, err: fmt.Errorf("the endpoint refused with %d", resp.StatusCode)}
