Let a higher heartbeat bring a draining endpoint back

Cause: the guard against late heartbeats ignored all ready records of an incarnation that drains, for 15 s. TestDeploymentVariants lets an endpoint become ready again without a new start and failed: the endpoint got no weights within 10 s.

Change: within an incarnation the endpoint's own numbers decide. A late heartbeat has a lower one than the draining that followed it.

Conclusion: the whole tests of a package belong to each fix.

--- a/core/forward/endpoints.go
+++ b/core/forward/endpoints.go
@@ -106,8 +106,7 @@
 }
 
 // writtenLate reports whether an entry that would bring back an endpoint which drains or has left is
-// from before that: the log may carry out a call that got no answer after newer ones. Within one
-// incarnation, an endpoint that drains never becomes ready again.
+// from before that: the log may carry out a call that got no answer after newer ones.
 func (e *EndpointList) writtenLate(p *Endpoint, now time.Duration) bool {
 	entry, listed := e.current[p.ID]
 	known, at := entry.Endpoint, entry.readAt
@@ -127,7 +126,7 @@
 	case p.StartedUnixMs != known.StartedUnixMs:
 		return p.StartedUnixMs < known.StartedUnixMs
 	}
-	return known.Draining || p.Heartbeat < known.Heartbeat
+	return p.Heartbeat < known.Heartbeat || known.Draining && p.Heartbeat == known.Heartbeat
 }
 
 // Outdated reports whether an entry has no effect because it is older than what is known of the
--- a/core/forward/endpoints_test.go
+++ b/core/forward/endpoints_test.go
@@ -155,6 +155,7 @@
 		"draining, from the incarnation before": {[]EndpointChange{recordOf(4, 90, false), recordOf(5, 42, true)}, recordOf(4, 91, false), false},
 		"back after its record lapsed":          {[]EndpointChange{recordOf(5, 42, false), removed}, recordOf(5, 43, false), true},
 		"back with the record that lapsed":      {[]EndpointChange{recordOf(5, 42, false), removed}, recordOf(5, 42, false), true},
+		"ready again":                           {[]EndpointChange{recordOf(5, 42, true)}, recordOf(5, 43, false), true},
 		"started again":                         {[]EndpointChange{recordOf(5, 42, true)}, recordOf(6, 1, false), true},
 		"started again after its removal":       {[]EndpointChange{recordOf(5, 42, true), removed}, recordOf(6, 1, false), true},
 		"ready all the time":                    {[]EndpointChange{recordOf(5, 42, false)}, recordOf(5, 41, false), true},
