Log the build and the best wait of refused streams

Cause: the lines of streams that are taken up and refused didn't tell whether their build had endpoints, and how long the wait was.

Change: build, of_build and best_wait_ms.

--- a/gateway/accesslog.go
+++ b/gateway/accesslog.go
@@ -68,6 +68,9 @@
 	paused         int                   // had asked for no requests for some time
 	tried          int                   // had an earlier attempt of this request
 	held           int                   // may not get the request because of a held part of its prompt
+	build          string                // of the stream that is taken up, if an endpoint of it is listed
+	ofBuild        int                   // endpoints of that build
+	bestWait       time.Duration         // expected at the endpoint that the last placement chose
 	heldParts      []forward.SuspectPart // for which the request was refused
 	status         int
 	bytes          int64
@@ -91,6 +94,17 @@
 	}
 }
 
+// countBuild records the endpoints of the build that began the stream which is taken up.
+func (l *accessLog) countBuild(cs []forward.Candidate, build uint64) {
+	l.ofBuild = 0
+	for _, c := range cs {
+		if forward.BuildKey(c.Endpoint.Build) == build {
+			l.build = c.Endpoint.Build
+			l.ofBuild++
+		}
+	}
+}
+
 type attemptLog struct {
 	placement *placement
 	err       *exchangeError
@@ -121,7 +135,7 @@
 		e = e.Int("prompt_tokens", q.call.Prompt.Tokens)
 	}
 	if q.call.LastEventID != "" {
-		e = e.Str("resumes", q.call.Resumes).Str("last_event", q.call.LastEventID)
+		e = e.Str("resumes", q.call.Resumes).Str("last_event", q.call.LastEventID).Str("build", q.accessLog.build).Int("of_build", q.accessLog.ofBuild)
 	}
 	if l := q.accessLog; l.candidates > 0 {
 		e = e.Int("endpoints", l.candidates).Int("usable", l.usable).Int("emptying", l.emptying).Int("outdated", l.outdated).Int("excluded", l.excluded).Int("over_limit", l.overLimit).Int("paused", l.paused).Int("tried", l.tried)
@@ -155,7 +169,7 @@
 		e = e.Str("aborted", q.accessLog.aborted)
 	}
 	if x := q.accessLog.err; x != nil {
-		e = e.Str("kind", string(x.Kind)).Str("ran", string(x.Ran)).Dur("retry_after_ms", x.RetryAfter).Str("reason", x.Message)
+		e = e.Str("kind", string(x.Kind)).Str("ran", string(x.Ran)).Dur("retry_after_ms", x.RetryAfter).Dur("best_wait_ms", q.accessLog.bestWait).Str("reason", x.Message)
 		if x.Kind == apierr.Cancelled { // ends without an answer
 			e = e.Str("caller", q.r.RemoteAddr).Bool("body_read", q.accessLog.bodyRead).Dur("time_left_ms", remaining(q.deadline, q.g.clock())).AnErr("cause", x.Cause)
 		}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -49,6 +49,10 @@
 	}
 	cs, c := q.choose(s, left, now)
 	q.accessLog.countCandidates(cs, q.tried)
+	if q.bound {
+		q.accessLog.countBuild(cs, q.build)
+	}
+	q.accessLog.bestWait = c.ExpectedWait
 	if c.Index < 0 && q.accessLog.held > 0 && !slices.ContainsFunc(cs, func(c forward.Candidate) bool { return !c.Excluded }) {
 		return nil, q.placementError(q.heldError(now))
 	}
