Let some streams that are taken up wait for the whole target

Cause: they were refused by the wait that a new prompt may have, 0.4 of the target for its first event, at endpoints that have more new prompts than they read; prompts of 10,000 tokens hardly ever find that.

Change: for each 32 new prompts that an entry places, it may take up one stream up to the whole target, two at once.

--- a/gateway/place.go
+++ b/gateway/place.go
@@ -73,8 +73,14 @@
 	if c.ExpectedWait > left {
 		return nil, q.noRoom(s, apierr.DeadlineUnmet, c.ExpectedWait-left, now, "the expected wait is longer than the deadline")
 	}
-	if q.call.Prompt != nil && forward.ShouldShed(c, q.route.LatencyTarget) {
-		return nil, q.noRoom(s, apierr.Overloaded, c.QueueWait, now, "the latency target can't be met")
+	if q.call.Prompt != nil {
+		takeUps := s.takeUpCredit(q.service.Name)
+		if forward.ShouldShed(c, q.route.LatencyTarget) && !(q.takesUp() && takeUps.Spend(c, q.route)) {
+			return nil, q.noRoom(s, apierr.Overloaded, c.QueueWait, now, "the latency target can't be met")
+		}
+		if !q.takesUp() {
+			takeUps.RecordPlacement()
+		}
 	}
 	s.shedder.Service(q.service.Name).RecordPlacement(false, now)
 	p := &placement{endpoint: cs[c.Index].Endpoint, work: c.Load, choice: c, placedAt: now, maxConns: s.connLimit(q.service, cs[c.Index].Endpoint.ID)}
@@ -164,6 +170,19 @@
 	return s.endpointState(endpoint).connShare.Share(endpoint, sv.MaxConns, &s.limitGroup)
 }
 
+// takesUp reports whether the caller, or this process, takes up a stream that has begun.
+func (q *request) takesUp() bool { return q.bound && (q.headerSent || q.call.LastEventID != "") }
+
+// takeUpCredit returns the credit for streams of a service that are taken up.
+func (s *state) takeUpCredit(service string) *forward.TakeUpCredit {
+	t := s.takeUps[service]
+	if t == nil {
+		t = &forward.TakeUpCredit{}
+		s.takeUps[service] = t
+	}
+	return t
+}
+
 // noRoom records and returns the refusal of a request for lack of room at the endpoints, in which
 // the caller learns to come back after the time by which the wait is too long, or after that which
 // spreads all that are refused. The caller holds the state's mutex.
--- a/gateway/takeup_test.go
+++ b/gateway/takeup_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -51,3 +52,31 @@
 	}
 	require.Zero(t, f.shed.Load())
 }
+
+// Guards against streams that are refused by the target for new prompts although a little room is left
+// for them, and against new prompts that use it.
+func TestStreamIsTakenUpBeyondTheTargetForNewPrompts(t *testing.T) {
+	f := newFixture(t, streamFrom(t, -1, 5))
+	s := f.state
+	place := func(lastEventID string) *apierr.Error {
+		q := &request{
+			g: f.Gateway, r: httptest.NewRequest("POST", "/resumable/x", nil), service: &forward.Service{Name: "s", Engine: &forward.Engine{CapacityTokens: 1 << 20}}, route: &forward.Route{Kind: forward.Stream, Resumable: true, LatencyTarget: time.Second},
+			deadline: f.clock.read() + 10*time.Second, tried: map[string]bool{}, bound: lastEventID != "", build: forward.BuildKey(""),
+			call: RequestInfo{LastEventID: lastEventID, Prompt: &forward.Prompt{Model: "m", Tokens: 1000, MaxOutput: 5, Parts: []forward.Part{{ID: "own", Tokens: 1000}}}},
+		}
+		_, err := q.place()
+		return err
+	}
+	for range 64 { // new prompts that found room earn the credit
+		s.takeUpCredit("s").RecordPlacement()
+	}
+	s.mu.Lock()
+	s.endpointState("e0").load.Add(forward.RequestLoad{PrefillTokens: 30_000})
+	s.mu.Unlock()
+	require.NotNil(t, place(""), "a new prompt")
+	require.Nil(t, place("2"))
+	s.mu.Lock()
+	s.endpointState("e0").load.Add(forward.RequestLoad{PrefillTokens: 30_000})
+	s.mu.Unlock()
+	require.NotNil(t, place("2"), "it would wait for longer than the target")
+}
