Spread callers whose streams' endpoints are all gone

Cause: only refusals for lack of room were spread. After attempts that met endpoints which were gone, callers were asked to come back after 250 ms.

Change: both kinds of refusals state the same times.

Result: TestCallersOfEndedEndpointsAreSpread fails before (250 ms always).

Conclusion: 421 from an endpoint that is back under another ID still uses up an attempt.

--- a/gateway/place.go
+++ b/gateway/place.go
@@ -188,11 +188,18 @@
 // spreads all that are refused. The caller holds the state's mutex.
 func (q *request) noRoom(s *state, kind apierr.Kind, excess, now time.Duration, message string) *apierr.Error {
 	s.shedder.Service(q.service.Name).RecordPlacement(true, now)
+	return q.placementError(apierr.NewRetryable(kind, apierr.NotRun, q.returnAfter(s, excess, now), message, "send the request again later"))
+}
+
+// returnAfter returns the time after which the caller comes back when the endpoints that could take
+// the request have no room or are gone. Callers that take up streams come at times of their own: they
+// try only a few times, and have the endpoints of one build. The caller holds the state's mutex.
+func (q *request) returnAfter(s *state, excess, now time.Duration) time.Duration {
 	after := s.retryAfter(q.service.Name, excess, now)
 	if q.bound && !q.headerSent {
 		after = max(after, forward.TakeUpRetryAfter(overloadRetryAfter, remaining(q.deadline, now), s.rng.Float64()))
 	}
-	return q.placementError(apierr.NewRetryable(kind, apierr.NotRun, after, message, "send the request again later"))
+	return after
 }
 
 // retryAfter returns the time after which a caller comes back that was refused for lack of room.
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -145,7 +145,7 @@
 	if err := q.statementError(s, cs, now); err != nil {
 		return err.WithCause(x)
 	}
-	return apierr.NewRetryable(apierr.Overloaded, apierr.NotRun, s.retryAfter(q.service.Name, 0, now), x.Error(), "send the request again").WithCause(x)
+	return apierr.NewRetryable(apierr.Overloaded, apierr.NotRun, q.returnAfter(s, 0, now), x.Error(), "send the request again").WithCause(x)
 }
 
 // endpointPollPause returns the pause between two reads of the endpoint list.
--- a/gateway/takeup_test.go
+++ b/gateway/takeup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http/httptest"
+	"syscall"
 	"testing"
 	"time"
 
@@ -53,6 +54,31 @@
 	require.Zero(t, f.shed.Load())
 }
 
+// Guards against callers that spend all their tries within a second on the endpoints of a build that
+// have just ended and are back shortly after.
+func TestCallersOfEndedEndpointsAreSpread(t *testing.T) {
+	f := newFixture(t)
+	now := f.clock.read()
+	gone := &exchangeError{err: syscall.ECONNREFUSED}
+	returnAfter := func(takesUp bool) (least, most time.Duration) {
+		least = time.Hour
+		for range 200 {
+			q := &request{g: f.Gateway, bound: takesUp, service: &forward.Service{Name: "s"}, route: &forward.Route{}, deadline: now + 9*time.Second}
+			err := q.refusalAfterAttempt(gone)
+			require.Equal(t, apierr.NotRun, err.Ran)
+			least, most = min(least, err.RetryAfter), max(most, err.RetryAfter)
+		}
+		return least, most
+	}
+	least, most := returnAfter(false)
+	require.Equal(t, overloadRetryAfter, least)
+	require.Equal(t, overloadRetryAfter, most)
+	least, most = returnAfter(true)
+	require.Less(t, least, 500*time.Millisecond)
+	require.Greater(t, most, 2500*time.Millisecond)
+	require.LessOrEqual(t, most, 3*time.Second, "a third of the time left")
+}
+
 // Guards against streams that are refused by the target for new prompts although a little room is left
 // for them, and against new prompts that use it.
 func TestStreamIsTakenUpBeyondTheTargetForNewPrompts(t *testing.T) {
