Don't take one answer for the agreement of all peers

With the log away, an agent was ready with version 1 while a peer held 2.

Cause: a peer that was late in one round counted as unreachable, and the answer of the other one as the agreement of all.

Change: PeerAgreement, a state machine in core/config: a peer is left out only after three rounds in a row without an answer.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -61,6 +61,7 @@
 	mu              sync.Mutex
 	machine         *membership.Machine
 	configStream    *config.Stream
+	agreement       config.PeerAgreement // of the peers, while the log is unusable
 	rand            *rand.Rand
 	configChanged   chan struct{}
 	fetchingConfig  bool
--- a/peer/start.go
+++ b/peer/start.go
@@ -7,6 +7,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/galenaweir/galenaweir/core/config"
 	"github.com/galenaweir/galenaweir/rpc"
 	"github.com/galenaweir/galenaweir/wait"
 )
@@ -36,8 +37,7 @@
 }
 
 // syncConfigFromPeers adopts the highest version held by up to three peers. It
-// reports whether at least one peer answered and all that answered hold the same
-// version.
+// reports whether they agree with the version that this process then holds.
 func (p *Peer) syncConfigFromPeers() bool {
 	addresses := p.samplePeerAddresses(maxSyncPeers)
 	answers := make([]*rpc.ConfigState, len(addresses))
@@ -57,17 +57,12 @@
 	wg.Wait()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	st, reached := p.configStream.State(), 0
-	for _, s := range answers {
-		if s == nil {
-			continue
-		}
-		if st == nil || s.Version != st.Version || !bytes.Equal(s.Hash, st.Hash[:]) {
-			return false
-		}
-		reached++
+	st := p.configStream.State()
+	round := make([]config.PeerAnswer, len(addresses))
+	for i, s := range answers {
+		round[i] = config.PeerAnswer{Peer: addresses[i], Answered: s != nil, Same: s != nil && st != nil && s.Version == st.Version && bytes.Equal(s.Hash, st.Hash[:])}
 	}
-	return reached > 0
+	return p.agreement.Agree(round)
 }
 
 // samplePeerAddresses returns up to n random addresses from the other members and the
