Test copies of refusals within streams

Cause: the report of copied refusals had not been tried with streams.

Change: TestCopyOfARefusalWithinAStream: a copy before the head, before the first event and between two events, of streams that can go on and that can't.

No event is lost, repeated or merged, and no caller is told that its stream has not run.

Conclusion: the report doesn't apply to streams here.

--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -99,3 +99,65 @@
 		}
 	}
 }
+
+// Guards against events that are lost, duplicated or merged, and against a stream that is begun twice,
+// when a copy of an earlier refusal arrives on a kept connection before the stream or within it.
+func TestCopyOfARefusalWithinAStream(t *testing.T) {
+	const events = 5
+	refusal := "HTTP/1.1 503 Busy\r\nTest-Not-Run: 1\r\nTest-Id: refused\r\nContent-Length: 0\r\n\r\n"
+	for name, c := range map[string]struct {
+		copyBefore int // the event before which the copy arrives, 0 before the head
+		path       string
+		resumes    bool // the rest comes from the other endpoint
+		complete   bool
+	}{
+		"before the head":                       {0, "/stream/x", false, true},
+		"between two events":                    {3, "/resumable/x", true, true},
+		"between two events, can't be resumed":  {3, "/stream/x", false, false},
+		"before the first event, can't be sent": {1, "/stream/x", false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := serveRaw(t, func(r *http.Request, conn net.Conn) bool {
+				id := r.Header.Get("Test-Id")
+				if id == "first" {
+					_, err := io.WriteString(conn, okResponse(r, "ok"))
+					return err == nil
+				}
+				if c.copyBefore == 0 {
+					_, _ = io.WriteString(conn, refusal)
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTest-Id: "+id+"\r\nTest-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n")
+				cw := httputil.NewChunkedWriter(conn)
+				for i := 1; i <= events; i++ {
+					if i == c.copyBefore {
+						_, _ = io.WriteString(conn, refusal)
+					}
+					_, _ = io.WriteString(cw, sseEvent(i))
+				}
+				_ = cw.Close()
+				_, err := io.WriteString(conn, "\r\n")
+				return err == nil
+			})
+			other := streamFrom(t, -1, events)
+			f := newFixture(t, e, other)
+			first := f.request(t, "POST", "/unsafe/x", "pay")
+			first.Header.Set("Test-Id", "first")
+			status, _, err := f.do(t, first)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, status)
+			status, body, err := f.do(t, f.request(t, "POST", c.path, "prompt"))
+			require.EqualValues(t, boolInt(c.resumes), other.requests.Load())
+			require.NotContains(t, []int{408, 421, 429, 503}, status, "the caller is told that its request has not run")
+			if !c.complete {
+				require.True(t, err != nil || status == http.StatusBadGateway, "the stream must not look complete")
+				return
+			}
+			require.NoError(t, err)
+			want := ""
+			for i := 1; i <= events; i++ {
+				want += sseEvent(i)
+			}
+			require.Equal(t, want, body)
+		})
+	}
+}
