--- a/gateway/unknownheaders_test.go
+++ b/gateway/unknownheaders_test.go
@@ -9,7 +9,6 @@
 	"github.com/stretchr/testify/require"
 )
 
-
 // Guards against a header whose rule is not known and that leaves no trace, and against names
 // without end that fill the memory or the log.
 func TestUnknownHeadersAreCountedAndBounded(t *testing.T) {
