Don't report a complete shutdown as an error

An agent whose shutdown is complete reports an error of its drain likewise.

Cause: Server.Shutdown closes the listener first and http.Server.Shutdown closes it once more, unless the accepting goroutine has noticed the first close. If that goroutine runs late, the second close fails, and http.Server returns this error although all connections have ended.

Change: net.ErrClosed, which only the listener gives there, is no error of the shutdown.

--- a/process/process.go
+++ b/process/process.go
@@ -136,6 +136,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w; free the port or change the address in the settings", address, err)
 	}
+	return serveOn(l, h, conf), nil
+}
+
+// serveOn serves requests from a listener until the returned server is shut down or closed.
+func serveOn(l net.Listener, h http.Handler, conf *tls.Config) *Server {
 	conns := callerconn.New()
 	conns.SetTimeouts(idleTimeout, headerTimeout)
 	s := &http.Server{
@@ -150,10 +155,10 @@
 	}
 	go func() {
 		if err := serve(); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-			log.Error().Str("address", address).Err(err).Msg("HTTP server ended")
+			log.Error().Str("address", l.Addr().String()).Err(err).Msg("HTTP server ended")
 		}
 	}()
-	return &Server{s, l, conns}, nil
+	return &Server{s, l, conns}
 }
 
 // Shutdown stops accepting connections and waits until all responses have been sent
@@ -164,7 +169,11 @@
 	if err := s.conns.Drain(ctx); err != nil {
 		return err
 	}
-	return s.srv.Shutdown(ctx) // HTTP/2 connections
+	err := s.srv.Shutdown(ctx) // HTTP/2 connections
+	if errors.Is(err, net.ErrClosed) {
+		return nil // of the listener: the server hadn't noticed yet that it is closed
+	}
+	return err
 }
 
 // Close closes all connections at once.
--- a/process/process_test.go
+++ b/process/process_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"syscall"
 	"testing"
 
@@ -123,6 +124,52 @@
 	}
 }
 
+// slowListener tells its server that it is closed only after the second call of Close.
+type slowListener struct {
+	net.Listener
+	closes   atomic.Int32
+	reported chan struct{}
+}
+
+func (l *slowListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		<-l.reported
+	}
+	return c, err
+}
+
+func (l *slowListener) Close() error {
+	if l.closes.Add(1) == 2 {
+		close(l.reported)
+	}
+	return l.Listener.Close()
+}
+
+// Guards against a complete shutdown that returns an error because the accepting goroutine runs late.
+func TestShutdownBeforeTheServerNoticesIt(t *testing.T) {
+	for _, usesTLS := range []bool{false, true} {
+		t.Run(fmt.Sprintf("TLS %v", usesTLS), func(t *testing.T) {
+			var serverTLS *tls.Config
+			transport, scheme := &http.Transport{}, "http://"
+			if usesTLS {
+				serverTLS, transport.TLSClientConfig = testTLS(t)
+				scheme = "https://"
+			}
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			s := serveOn(&slowListener{Listener: l, reported: make(chan struct{})}, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }), serverTLS)
+			defer s.Close()
+			client := http.Client{Transport: transport}
+			resp, err := client.Get(scheme + s.Address()) // an answer shows that the server has begun to accept
+			require.NoError(t, err)
+			require.NoError(t, resp.Body.Close())
+			client.CloseIdleConnections()
+			require.NoError(t, s.Shutdown(t.Context()))
+		})
+	}
+}
+
 // Guards against HTTP/2 connections that are cut by the timeouts for HTTP/1, or that a shutdown waits for
 // although no request runs on them.
 func TestShutdownEndsHTTP2Connections(t *testing.T) {
