Don't take copies of earlier answers for those of control calls

Cause: control calls have no ID, so an answer was matched with a call by its place on the connection; after one copy a connection stayed one answer behind for as long as it was used.

Events of stores keep theirs, as they are read all the time; they state the store's clock, and an answer from before the read is rejected, its connection closed. The stand-in of a store in the gateway's tests states a clock that goes on; it stood still before. Assertions are as they were.

--- a/core/forward/clock.go
+++ b/core/forward/clock.go
@@ -41,6 +41,10 @@
 // timeouts of calls, so that only an answer that waited during a suspension is left out.
 const maxClockError = 2 * time.Second
 
+// maxClockDrift is how far the endpoints' clock and the process's one drift apart between two answers
+// of a store, which is read every second or so.
+const maxClockDrift = 20 * time.Millisecond
+
 // Bounds returns bounds of the clock in ms at the given time, and false if the clock is not
 // known, or not well enough.
 func (c *EndpointClock) Bounds(at time.Duration) (earliest, latest float64, known bool) {
--- a/core/forward/stores_test.go
+++ b/core/forward/stores_test.go
@@ -153,3 +153,33 @@
 	_, _, ok = ParseSalt("foreign")
 	require.False(t, ok)
 }
+
+// Guards against a view of a store that passes for current on the word of an earlier answer, which a
+// faulty store has sent once more.
+func TestEventsThatStateATimeBeforeTheirReadAreCopies(t *testing.T) {
+	const start = 1e9 // ms of the store's clock at the process's time 0
+	at := func(d time.Duration) float64 { return start + milliseconds(d) }
+	for name, c := range map[string]struct {
+		known   bool // the clock is known from an answer at 10 s whose read took 40 ms
+		epoch   int64
+		clockMs float64
+		copy    bool
+	}{
+		"sent during the read":             {true, 1, at(11 * time.Second), false},
+		"sent as the read begins":          {true, 1, at(11*time.Second - 40*time.Millisecond - maxClockDrift), false},
+		"sent before the read":             {true, 1, at(11*time.Second - 61*time.Millisecond), true},
+		"of the answer that was read last": {true, 1, at(10 * time.Second), true},
+		"of a store that has restarted":    {true, 2, at(10 * time.Second), false},
+		"the clock is not known":           {false, 1, at(10 * time.Second), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := NewStoreView(Service{Name: "s", StoreAddress: "10.0.0.9:1", CapacityTokens: 1000})
+			if c.known {
+				v.ApplyList(StoreList{Epoch: 1, ClockMs: at(10*time.Second - 40*time.Millisecond)}, 10*time.Second-40*time.Millisecond, 10*time.Second)
+			}
+			e := StoreEvents{Epoch: c.epoch, ClockMs: c.clockMs}
+			require.Equal(t, c.copy, v.IsCopy(e, 11*time.Second))
+			require.False(t, v.IsCopy(e, 11*time.Second), "a store whose clock was set back is rejected once")
+		})
+	}
+}
--- a/gateway/dial.go
+++ b/gateway/dial.go
@@ -45,7 +45,20 @@
 // NewControlClient returns an HTTP client for control calls, that is, calls other than
 // forwarded requests. It sets no overall timeout: each call needs a context with a deadline.
 func NewControlClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: newControlTransport()}
+}
+
+// NewSingleCallClient returns a control client that opens a connection for each call. Control calls
+// have no ID, so on a kept connection the answer of an earlier call that a faulty endpoint or store
+// sends once more would pass for that of the next call.
+func NewSingleCallClient() *http.Client {
+	t := newControlTransport()
+	t.DisableKeepAlives = true
+	return &http.Client{Transport: t}
+}
+
+func newControlTransport() *http.Transport {
+	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, network, address)
 		},
@@ -53,5 +66,5 @@
 		MaxResponseHeaderBytes: maxControlHeadBytes,
 		IdleConnTimeout:        controlIdleTimeout,
 		MaxIdleConnsPerHost:    2,
-	}}
+	}
 }
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -116,6 +116,8 @@
 	// DeleteParts deletes parts, provided that the store still has the given epoch and its clock
 	// is before untilMs.
 	DeleteParts(ctx context.Context, address string, parts []forward.StoredPart, epoch, untilMs int64) error
+	// CloseIdleConnections closes the connections on which events were read, except those in use.
+	CloseIdleConnections()
 }
 
 // LoadOrder is an order to an endpoint to load a weight version.
--- a/gateway/stores.go
+++ b/gateway/stores.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -202,6 +203,10 @@
 	if current, known := v.Cursor(); !known || current != since {
 		return a, nil
 	}
+	if v.IsCopy(e, started) {
+		g.storeClient.CloseIdleConnections()
+		return storeAnswer{}, fmt.Errorf("the answer states the time %.0f ms, before the call: it is a copy of an earlier one", e.ClockMs)
+	}
 	if list, restarted := v.ApplyEvents(e, started, g.clock()); restarted {
 		log.Warn().Str("event", "store_restarted").Str("store", v.Name).Int64("epoch", e.Epoch).Msg("cache store restarted and lost all parts; saving resumes after a pause")
 	} else if list {
--- a/gateway/stores_test.go
+++ b/gateway/stores_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -14,11 +15,14 @@
 
 // fakeStore is a StoreClient of stores that hold one part. Lists don't state the clock.
 type fakeStore struct {
-	mu     sync.Mutex
-	down   bool
-	waits  []time.Duration // of the reads of events
-	events []forward.StoreEvent
-	next   int64
+	mu      sync.Mutex
+	down    bool
+	waits   []time.Duration // of the reads of events
+	events  []forward.StoreEvent
+	next    int64
+	clock   Clock   // of the endpoints, which is 1e12 ms ahead
+	clockMs float64 // stated in place of the clock, if not 0
+	closed  int     // calls of CloseIdleConnections
 }
 
 var errStoreDown = errors.New("the store is down")
@@ -39,9 +43,15 @@
 	if s.down {
 		return forward.StoreEvents{}, errStoreDown
 	}
-	return forward.StoreEvents{Epoch: 1, Next: s.next, ClockMs: 1e12, Events: s.events}, ctx.Err()
+	clockMs := 1e12
+	if s.clock != nil {
+		clockMs += float64(s.clock().Milliseconds())
+	}
+	return forward.StoreEvents{Epoch: 1, Next: s.next, ClockMs: cmp.Or(s.clockMs, clockMs), Events: s.events}, ctx.Err()
 }
 
+func (s *fakeStore) CloseIdleConnections() { s.closed++ }
+
 func (s *fakeStore) DeleteParts(context.Context, string, []forward.StoredPart, int64, int64) error {
 	return nil
 }
@@ -51,7 +61,7 @@
 func newStoreGateway(t *testing.T, store *fakeStore) (*Gateway, *testClock) {
 	t.Helper()
 	g, clock := newGateway(t)
-	g.storeClient = store
+	g.storeClient, store.clock = store, clock.read
 	g.applyOperators([]forward.OperatorChange{{Config: &forward.Config{Version: 1, Services: []forward.Service{{Name: "s", StoreAddress: "10.0.0.9:1", CapacityTokens: 100_000, NoAutoEviction: true}}}}}, clock.read(), true)
 	return g, clock
 }
@@ -194,3 +204,30 @@
 		}
 	}
 }
+
+// Guards against fetches from a store by a view that only a copy of an earlier answer confirms, and
+// against a connection that stays one answer behind.
+func TestCopyOfAnEarlierAnswerDoesNotRenewTheViewOfAStore(t *testing.T) {
+	store := &fakeStore{}
+	g, clock := newStoreGateway(t, store)
+	v := forward.NewStoreView(g.state.table.Config.Services[0])
+	require.NoError(t, g.listStore(t.Context(), v))
+	since, known := v.Cursor()
+	require.True(t, known)
+	listedAt := clock.read()
+
+	clock.advance(time.Second)
+	store.clockMs = 1e12 + float64(listedAt.Milliseconds())
+	_, err := g.readEvents(t.Context(), v, since, 0)
+	require.Error(t, err)
+	require.Equal(t, 1, store.closed, "the connections must be closed")
+	require.False(t, v.ReadSince(listedAt+1), "the view must be as old as it was")
+	_, clockKnown := v.ClockMs(clock.read())
+	require.False(t, clockKnown, "nothing is fetched until the store has been read")
+
+	store.clockMs = 0
+	_, err = g.readEvents(t.Context(), v, since, 0)
+	require.NoError(t, err)
+	require.True(t, v.ReadSince(listedAt+1))
+	require.Equal(t, 1, store.closed)
+}
