Spread callers whose build the list has lost

Change: that refusal states a time between a second and a third of the time left, like the two others.

Result: TestCallersOfUnlistedBuildsAreSpread fails before (1 s always).

Conclusion: a refusal of a stream that is taken up now spreads its caller whatever the reason, but for an unknown build (200 ms: another entry may know it).

--- a/gateway/place.go
+++ b/gateway/place.go
@@ -65,7 +65,8 @@
 		return nil, q.placementError(q.limitError(s, now))
 	}
 	if c.Index < 0 && q.bound {
-		return nil, q.placementError(apierr.NewRetryable(apierr.NoEndpoint, apierr.NotRun, buildGoneRetry, "no endpoint of the build that began the stream can take the request", "send the request again later"))
+		after := forward.TakeUpRetryAfter(buildGoneRetry, left, s.rng.Float64())
+		return nil, q.placementError(apierr.NewRetryable(apierr.NoEndpoint, apierr.NotRun, after, "no endpoint of the build that began the stream can take the request", "send the request again later"))
 	}
 	if c.Index < 0 {
 		return nil, q.noRoom(s, apierr.NoEndpoint, 0, now, "no endpoint of the service can take the request")
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -17,7 +17,7 @@
 	maxRecordWait     = 90 * time.Millisecond  // limit for holding back the first event until its stream is recorded: one that is held for longer than 120 ms counts as late
 	slowLogPause      = 2 * time.Second        // no stream that needs a record begins for this long after an append was too slow
 	unknownBuildRetry = 200 * time.Millisecond // Retry-After if the records can't be read
-	buildGoneRetry    = time.Second            // Retry-After if no endpoint of the build is left; one may come back
+	buildGoneRetry    = time.Second            // least Retry-After if no endpoint of the build is left; one may come back
 )
 
 // buildWithoutRecord returns the key of the build whose streams need no record, if a record would
--- a/gateway/takeup_test.go
+++ b/gateway/takeup_test.go
@@ -79,6 +79,28 @@
 	require.LessOrEqual(t, most, 3*time.Second, "a third of the time left")
 }
 
+// Guards against callers that spend all their tries within three seconds while the list lacks all
+// endpoints of a build, which have crashed and are starting again.
+func TestCallersOfUnlistedBuildsAreSpread(t *testing.T) {
+	f := newFixture(t, streamFrom(t, -1, 5))
+	least, most := time.Hour, time.Duration(0)
+	for range 200 {
+		q := &request{
+			g: f.Gateway, r: httptest.NewRequest("POST", "/resumable/x", nil), service: &forward.Service{Name: "s"}, route: &forward.Route{Kind: forward.Stream, Resumable: true},
+			deadline: f.clock.read() + 9*time.Second, tried: map[string]bool{}, bound: true, build: forward.BuildKey("gone"), call: RequestInfo{LastEventID: "2"},
+		}
+		_, err := q.place()
+		require.NotNil(t, err)
+		require.Equal(t, apierr.NoEndpoint, err.Kind)
+		require.Equal(t, apierr.NotRun, err.Ran)
+		least, most = min(least, err.RetryAfter), max(most, err.RetryAfter)
+	}
+	require.GreaterOrEqual(t, least, buildGoneRetry)
+	require.Less(t, least, buildGoneRetry+250*time.Millisecond)
+	require.Greater(t, most, 2500*time.Millisecond)
+	require.LessOrEqual(t, most, 3*time.Second, "a third of the time left")
+}
+
 // Guards against streams that are refused by the target for new prompts although a little room is left
 // for them, and against new prompts that use it.
 func TestStreamIsTakenUpBeyondTheTargetForNewPrompts(t *testing.T) {
