Separate the check for copies from forgetting the clock

Cause: StoreView.IsCopy read like a question and changed the view.

Change: ForgetClock is a method of its own, which the gateway calls when it rejects a copy.

--- a/core/forward/stores.go
+++ b/core/forward/stores.go
@@ -201,17 +201,16 @@
 }
 
 // IsCopy reports whether events whose read began at the time started are a copy of an earlier answer,
-// which a faulty store has sent once more: they state a time before the read. What was known of the
-// clock is then forgotten, so that a store whose clock was set back is rejected once.
+// which a faulty store has sent once more: they state a time before the read.
 func (v *StoreView) IsCopy(e StoreEvents, started time.Duration) bool {
 	earliest, _, known := v.clock.Bounds(started)
-	if !known || e.Epoch != v.epoch || e.ClockMs >= earliest-milliseconds(maxClockDrift) {
-		return false
-	}
-	v.clock = EndpointClock{}
-	return true
+	return known && e.Epoch == v.epoch && e.ClockMs < earliest-milliseconds(maxClockDrift)
 }
 
+// ForgetClock forgets what is known of the store's clock until the next answer. It follows a copy, so
+// that a store whose clock was set back is rejected only once.
+func (v *StoreView) ForgetClock() { v.clock = EndpointClock{} }
+
 // ApplyEvents applies events whose read began at the time started. It reports whether the
 // store must be listed, and whether its previous state is invalid because it
 // restarted or was never listed.
--- a/core/forward/stores_test.go
+++ b/core/forward/stores_test.go
@@ -179,6 +179,7 @@
 			}
 			e := StoreEvents{Epoch: c.epoch, ClockMs: c.clockMs}
 			require.Equal(t, c.copy, v.IsCopy(e, 11*time.Second))
+			v.ForgetClock()
 			require.False(t, v.IsCopy(e, 11*time.Second), "a store whose clock was set back is rejected once")
 		})
 	}
--- a/gateway/stores.go
+++ b/gateway/stores.go
@@ -204,6 +204,7 @@
 		return a, nil
 	}
 	if v.IsCopy(e, started) {
+		v.ForgetClock()
 		g.storeClient.CloseIdleConnections()
 		return storeAnswer{}, fmt.Errorf("the answer states the time %.0f ms, before the call: it is a copy of an earlier one", e.ClockMs)
 	}
