Give the publisher of the peers' tests time for its calls

Cause: the fixture's publisher gave each call to the log one second, beside 20 peers with the race detector. With a millisecond the test fails in the same words on this machine at rest. The publisher answered truly; the test asks whether a version reaches all processes, not how fast the log answers.

Change: waitLimit, the bound of the tests' other waits. No assertion is changed; tests in which the log is away get its refusals, not time-outs.

Result: the tests of peer pass with the race detector.

--- a/peer/cluster_test.go
+++ b/peer/cluster_test.go
@@ -148,7 +148,7 @@
 }
 
 func (c *cluster) publish(name, publisher string, base *int64) (operator.PublishResult, error) {
-	return operator.Publish(context.Background(), operator.PublishOptions{Log: logsvc.New(c.logAddress, time.Second), Pool: c.pool,
+	return operator.Publish(context.Background(), operator.PublishOptions{Log: logsvc.New(c.logAddress, waitLimit), Pool: c.pool,
 		Document: testDocument(c.t, name), BaseVersion: base, Publisher: publisher, RetryInterval: time.Millisecond})
 }
 
