Bound requests to warming endpoints and evacuate failure domains

Cause: nothing read how many requests a warming endpoint takes, nor the operators' evacuation records. Change: each warming endpoint is shared by few entries with a bucket each; an entry uses its share only with a member list that is proved current, and a member that leaves keeps its share as long. Peers are told of warm-ups. Evacuated domains get nothing; afterwards their endpoints count as warming up until a newer record. A placed request is checked again before it is sent.

--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -62,7 +62,9 @@
 	StoreAddress   string
 	FailureDomain  string
 	CapacityTokens int
-	NoAutoEviction bool // the store never evicts parts by itself
+	NoAutoEviction bool          // the store never evicts parts by itself
+	WarmUpPerS     float64       // requests a second that a warming endpoint takes from all entries together, 0 for no bound
+	WarmUpLength   time.Duration // how long an endpoint warms up after its start
 }
 
 // Customer is an owner of API keys. A dedicated customer shares no cached prompts
@@ -101,9 +103,10 @@
 // OperatorChange is one record written by the operators. Exactly one field is set;
 // Err is set if the record can't be decoded.
 type OperatorChange struct {
-	Config  *Config
-	Weights *WeightVersion
-	Err     error
+	Config     *Config
+	Weights    *WeightVersion
+	Evacuation *EvacuationChange
+	Err        error
 }
 
 // ModelState is the weight version of a model on an endpoint.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -93,6 +93,9 @@
 	if err := s.checkStatements(p); err != nil {
 		return err
 	}
+	if err := s.checkWarmUp(p, q.service); err != nil {
+		return err
+	}
 	if p.probe == nil && !q.checkHeld(s, s.clock()).SoundAt(placeOf(&p.endpoint, p.choice.Version)) {
 		return errHeld
 	}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -175,15 +175,21 @@
 	return k
 }
 
-// applyOperators applies the operators' records: configurations and named weight versions.
-func (g *Gateway) applyOperators(records []forward.OperatorChange, started time.Duration, _ bool) {
+// applyOperators applies the operators' records: configurations, named weight versions and
+// evacuations.
+func (g *Gateway) applyOperators(records []forward.OperatorChange, started time.Duration, snapshot bool) {
 	s := g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
 	namedAt := s.namingProof(now) // the arrival of the record proves nothing, as its delay is not known
+	if snapshot {
+		s.snapshotEvacuations(records, now)
+	}
 	for _, r := range records {
 		switch {
+		case r.Evacuation != nil && !snapshot:
+			s.applyEvacuation(*r.Evacuation, now)
 		case r.Err != nil:
 			log.Error().Str("event", "operator_record_rejected").Err(r.Err).Msg("cannot parse an operators' record; the previous one stays in force")
 		case r.Config != nil:
@@ -206,6 +212,7 @@
 		log.Warn().Str("event", "log_not_rewritten").Int64("era", int64(s.eras.Newest())).Int64("config", known.ConfigVersion).Msg("the log still lacks records that were known before its return; its reads count as complete again")
 	}
 	if !s.catchUp.Pending() {
+		s.settleEvacuations(now)
 		s.confirmRead(started)
 	}
 }
@@ -243,7 +250,11 @@
 	}
 	for i, c := range changes {
 		g.logEndpoint(c, now)
+		outdated := c.Endpoint != nil && s.endpointList.Outdated(c.Endpoint, now)
 		s.endpointList.Apply(changes[i:i+1], now)
+		if !outdated {
+			s.observeWarmUpRecord(c, now)
+		}
 	}
 	s.endpointListRead, s.listedCache = true, nil
 	s.listedEndpoints(now) // notices restarts, and keeps what peers report of endpoints without requests
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -52,6 +52,7 @@
 	Limit         NamedLimit
 	Endpoint      string        // ID of the endpoint that responds, "" if not stated
 	Leaving       bool          // the endpoint leaves
+	WarmUp        time.Duration // how much longer the endpoint is warming up, 0 if not stated
 	RetryAfter    time.Duration // the endpoint turned the request away and wants nothing from this process for so long, 0 if it states no time
 	Unreadable    []string      // headers of which a value says nothing, as "NAME: VALUE"
 	Unknown       []string      // headers that begin like those of the platform and aren't known
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -159,12 +159,18 @@
 func (q *request) limitError(s *state, now time.Duration) *apierr.Error {
 	var limits []float64
 	for _, e := range s.listedEndpoints(now) {
-		if l := s.endpointState(e.ID).limit.PerSecond(); e.Service == q.service.Name && !math.IsInf(l, 1) {
+		if e.Service != q.service.Name {
+			continue
+		}
+		st := s.endpointState(e.ID)
+		if l := st.limit.PerSecond(); !math.IsInf(l, 1) {
 			limits = append(limits, l)
+		} else if b := s.warmUpBounds(q.service); st.warmUp.Bounded(b, now) {
+			limits = append(limits, b.PerSecond)
 		}
 	}
 	after := s.limitQueue(q.service.Name).Refuse(q.priority(), forward.LimitedRate(limits, s.limitGroup.Size()), now, s.rng)
-	return apierr.NewRetryable(apierr.Overloaded, apierr.NotRun, after, "the endpoints that could take the request have named limits that are used up", "send the request again at the stated time")
+	return apierr.NewRetryable(apierr.Overloaded, apierr.NotRun, after, "the limits of the endpoints that could take the request are used up", "send the request again at the stated time")
 }
 
 // mayReadState reports whether an endpoint's state may be read for a rollout, and counts the read.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -65,6 +65,7 @@
 	Loaded   boundedList[reportVersion]
 	Limits   boundedList[reportLimit]
 	Parts    boundedList[reportPart]
+	WarmUps  boundedList[reportWarmUp]
 }
 
 // boundedList is a slice whose encoded length is checked before memory is allocated: the decoder
@@ -259,6 +260,7 @@
 	g.updateLimitGroup()
 	r.Limits = s.limitsToReport(s.clock())
 	r.Parts = g.partsToReport(s.clock())
+	r.WarmUps = s.warmUpsToReport(s.clock())
 	for h, l := range s.peerLoads.loaded {
 		if s.clock() >= l.expiresAt {
 			delete(s.peerLoads.loaded, h)
@@ -377,6 +379,7 @@
 			s.recordLimit(id, st, false)
 		}
 	}
+	s.applyWarmUps(r.WarmUps, now)
 	for _, u := range r.Uses {
 		if id, ok := s.endpointsByHash[u.Endpoint]; ok {
 			s.endpointState(id).residency.RecordUse(u.Part, u.Tokens, s.cacheCapacity(id, now), now+peerPrefillTime)
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -32,6 +32,7 @@
 	headArrived     bool                 // the head of the response has arrived
 	events          int                  // complete events that have arrived
 	probe           *forward.HeldRequest // set if the request is sent to find out whether a held part is sound
+	warmUp          bool                 // counted against the bound of a warming endpoint
 }
 
 // place chooses an endpoint and adds the request to its load.
@@ -97,6 +98,7 @@
 	st := s.endpointState(p.endpoint.ID)
 	p.limit = st.limit.PerSecond()
 	st.limit.Spend(p.endpoint.ID, &s.limitGroup, now)
+	p.warmUp = s.spendWarmUp(st, p.endpoint.ID, q.service, now)
 	st.health.Allow(now)
 	st.load.Add(p.work)
 	if pr := q.call.Prompt; pr != nil {
@@ -235,6 +237,7 @@
 		st.health.RecordRefusal(now + refusalPause)
 	case !x.sent && !withheld(x.err):
 		st.health.RecordRefusal(now + unreachablePause)
+		s.presumeWarmUp(&p.endpoint, "unreachable", now+unreachablePause)
 		st.health.RecordFailure(now, s.rng)
 	case x.sent && x.err != errUnrecorded && remaining(q.deadline, now) > 0:
 		st.health.RecordFailure(now, s.rng)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -33,6 +33,8 @@
 	OrderHandoverMs int64   `json:"orderHandoverMs"` // minimum time between the load orders of two owners of an endpoint
 	LogWritesPerS   float64 `json:"logWritesPerS"`   // write calls a second that the log accepts from all entries together, 400 if absent
 	MemoryMb        int64   `json:"memoryMb"`        // memory of this host, 0 for no memory limit in the Go runtime
+	WarmUpRatio     float64 `json:"warmUpRatio"`     // a warming endpoint gets at most the rate that it takes x warmUpRatio + warmUpRequests requests in any one second; no bound if both are 0
+	WarmUpRequests  float64 `json:"warmUpRequests"`  //
 }
 
 // defaultLogWritesPerS applies if the settings give no rate.
@@ -94,6 +96,13 @@
 	positive("budgetWindowS", s.BudgetWindowS)
 	positive("versionMs", float64(s.VersionMs))
 	positive("orderHandoverMs", float64(s.OrderHandoverMs))
+	notNegative := func(name string, v float64) {
+		if !(v >= 0) { // NaN too
+			errs = append(errs, fmt.Errorf("%s is %v; want a number of at least 0, or leave it out", name, v))
+		}
+	}
+	notNegative("warmUpRatio", s.WarmUpRatio)
+	notNegative("warmUpRequests", s.WarmUpRequests)
 	if s.LogWritesPerS < 0 {
 		errs = append(errs, fmt.Errorf("logWritesPerS is %v; want a number above 0, or leave it out", s.LogWritesPerS))
 	}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -35,6 +35,7 @@
 	load             forward.EndpointLoad
 	health           forward.Health
 	limit            forward.EndpointLimit
+	warmUp           forward.WarmUp
 	connShare        forward.ConnShareCache
 	nextStateRead    time.Duration // when its state may be read again, if it names a limit
 	residency        forward.Residency
@@ -85,6 +86,8 @@
 	peerUpdates       *forward.PeerUpdates // of endpoints, listed or not
 	promptRate        forward.Rate         // of the prompts that this process places
 	limitGroup        forward.LimitGroup
+	warmUpGroup       forward.WarmUpGroup
+	evacuations       forward.Evacuations
 	shedder           forward.Shedder
 	takeUps           map[string]*forward.TakeUpCredit // by service
 	processorShort    bool                             // tasks that could run wait for the processor
@@ -208,15 +211,20 @@
 	if e.StartedUnixMs == st.started {
 		return
 	}
-	if st.started != 0 {
+	restarted := st.started != 0
+	if restarted {
 		st.residency.Clear()
 		st.health = forward.Health{}
 		st.limit.Restart(s.clock())
+		st.warmUp = forward.WarmUp{}
 		st.nextStateRead = 0
 		clear(st.observedVersions)
 		st.orderCount = 0
 	}
 	st.started = e.StartedUnixMs
+	if restarted {
+		s.presumeWarmUp(&e, "restarted", s.clock())
+	}
 }
 
 // withObservedVersions returns the models with the newer of the listed and the observed versions.
@@ -252,7 +260,10 @@
 		}
 		all, long := s.rollout.Blocked(e.ID, now)
 		c.Usable = c.Usable && !all
-		c.OverLimit = s.overLimit(st, &e, priority, now)
+		c.OverLimit = s.overLimit(st, &e, priority, now) || s.overWarmUpBound(st, &e, sv, priority, now)
+		if s.evacuations.Active(e.FailureDomain) {
+			c.Excluded, c.Usable = true, false // nothing is fetched from it either
+		}
 		c.PausedUntil = s.statements.PausedUntil(&e, now)
 		c.Usable = c.Usable && !c.Paused(now)
 		c.AvoidLongRunning = long || now < st.emptyingUntil
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -28,7 +28,7 @@
 // about the endpoint's health.
 func withheld(err error) bool {
 	switch err {
-	case errConnLimit, errKeyStale, errWeightsOutdated, errHeld, errLeaving, errPaused, errCallerLeft:
+	case errConnLimit, errEvacuated, errWarmingUp, errKeyStale, errWeightsOutdated, errHeld, errLeaving, errPaused, errCallerLeft:
 		return true
 	}
 	return false
@@ -47,6 +47,7 @@
 	if r.Misdirected && r.Endpoint != e.ID {
 		return
 	}
+	g.observeWarmUp(e, r)
 	for _, header := range r.Unreadable {
 		log.Warn().Str("event", "endpoint_header_unreadable").Str("endpoint", e.ID).Str("header", header).Msg("a header of an endpoint's answer can't be read and is ignored")
 	}
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -38,6 +38,8 @@
 	DelayMs        float64           `json:"scheduling_delay_ms"` // for which tasks that could run waited for the processor
 	HeldParts      []HeldPart        `json:"held_parts"`          // parts of prompts that are held
 	HeldRequests   []HeldPart        `json:"held_requests"`       // requests that are held as a whole
+	WarmingUp      []WarmingEndpoint `json:"warming_up"`
+	Evacuated      []EvacuatedDomain `json:"evacuated"`
 }
 
 // HeldPart is a part of prompts, or a whole request, that is held because endpoints ended under it.
@@ -114,6 +116,7 @@
 	if s.table != nil {
 		st.ConfigVersion = s.table.Config.Version
 	}
+	st.WarmingUp, st.Evacuated = s.warmingUp(now), s.evacuated(now)
 	for _, e := range s.listedEndpoints(now) {
 		es := s.endpointState(e.ID)
 		st.Endpoints++
