--- a/core/forward/ownership.go
+++ b/core/forward/ownership.go
@@ -218,15 +218,15 @@
 	return o.confirmed[len(o.confirmed)-1].members
 }
 
-// ConfirmedMembers returns the newest confirmed member list, with owners and standbys, when it was
-// last proved to be current, and since when this process has been a member without interruption.
-// It reports false if there is none.
-func (o *Ownership) ConfirmedMembers() (members []string, provedAt, memberSince time.Duration, ok bool) {
+// ConfirmedMembers returns the newest confirmed member list, with owners and standbys, its
+// generation, and when it was last proved to be current. It reports false if there is none.
+func (o *Ownership) ConfirmedMembers() (members []string, generation Generation, provedAt time.Duration, ok bool) {
 	n := len(o.confirmed)
 	if n == 0 {
-		return nil, 0, 0, false
+		return nil, Generation{}, 0, false
 	}
-	return o.confirmed[n-1].members, o.renewedAt, o.memberSince, true
+	last := &o.confirmed[n-1]
+	return last.members, last.generation, o.renewedAt, true
 }
 
 // Generation returns the newest generation.
--- a/core/forward/warmup.go
+++ b/core/forward/warmup.go
@@ -60,13 +60,20 @@
 	members    []string                 // listed and missing, sorted
 	generation uint64                   // changes with members
 	nextExpiry time.Duration            // when a missing member no longer counts
-	provedAt   time.Duration
-	waitUntil  time.Duration
+	proof      Generation               // of the newest list
+	provedAt   time.Duration            // when the list was last proved to be current
+	waitUntil  time.Duration            // this process uses no share before
 }
 
-// RecordMembers records the listed members. The list was proved to be current at provedAt, and self
-// has been listed without interruption since memberSince.
-func (g *WarmUpGroup) RecordMembers(self string, listed []string, provedAt, memberSince, now time.Duration) {
+// RecordMembers records the members of a generation, which was proved to be current at provedAt. The
+// log removes a member for which nothing has arrived for memberTTL. If self may have been removed and
+// listed again since the last proof, others may have read a list without it, so it waits like a new
+// member.
+func (g *WarmUpGroup) RecordMembers(self string, listed []string, generation Generation, provedAt, memberTTL, now time.Duration) {
+	removed := generation != g.proof && now >= g.provedAt+memberTTL
+	if !slices.Contains(g.listed, self) || removed {
+		g.waitUntil = now + WarmUpLease
+	}
 	if g.missing == nil {
 		g.missing = map[string]time.Duration{}
 	}
@@ -78,7 +85,7 @@
 	for _, m := range listed {
 		delete(g.missing, m)
 	}
-	g.self, g.provedAt, g.waitUntil = self, provedAt, memberSince+WarmUpLease
+	g.self, g.proof, g.provedAt = self, generation, provedAt
 	if !slices.Equal(g.listed, listed) {
 		g.listed = slices.Clone(listed)
 		g.rebuild(now)
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -100,8 +100,8 @@
 		g.updateLimitGroup()
 		log.Info().Str("event", "members").Int64("era", int64(m.Era)).Int64("generation", m.Number).Int("count", len(s.peerLoads.members)).Msg("group of entries changed")
 	}
-	if listed, provedAt, since, ok := g.ownership.ConfirmedMembers(); ok {
-		s.warmUpGroup.RecordMembers(g.memberID, listed, provedAt, since, s.clock())
+	if listed, generation, provedAt, ok := g.ownership.ConfirmedMembers(); ok {
+		s.warmUpGroup.RecordMembers(g.memberID, listed, generation, provedAt, memberLease, s.clock())
 	}
 	return !g.ownership.KnowsMembers(m)
 }
