Count an empty long poll as proof of its wait

Cause: a read of the operators' records proved only its start, so the configuration age reached two waits, and a longer wait than 1 s, with fewer calls, would have ended readiness at 3.2 s.

Change: LongPoll.Proof is the start plus the wait for an empty, complete answer that took at least the wait in a process that was not suspended. A wait that follows a read which proved only its start is shorter, so that the age stays within one wait and the transfer. A long poll under way is interrupted when the process resumes.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -15,7 +15,7 @@
 // Reading the log. Each call is billed and counts against the platform's rate limit, so
 // that reads either wait at the log for records or pause in between.
 const (
-	operatorPollWait  = time.Second            // a long poll that returns nothing proves that nothing is newer; the configuration age reaches twice this value
+	operatorPollWait  = time.Second            // wait of a long poll for the operators' records if the settings state none; the configuration age reaches the wait and the time of the transfer
 	endpointPollShare = 0.4                    // pause between two reads, as a share of the time within which a draining endpoint must be noticed
 	readTimeoutMargin = 800 * time.Millisecond // added to the long-poll wait to get the timeout of a read
 	maxReadFailures   = 2                      // consecutive failed reads after which the log counts as unavailable
@@ -28,15 +28,23 @@
 	clock     Clock
 	pollWait  time.Duration // long-poll wait of a read
 	pollPause time.Duration // pause between reads
-	// apply is called with the records of a read and the start of the last complete read, before
-	// which nothing is missing.
-	apply      func(records []T, started time.Duration, snapshot bool)
+	// nextWait returns the wait of the next read, at most the given one. It may be nil.
+	nextWait func(wait, now time.Duration) time.Duration
+	// suspendedSince reports whether the process was suspended after a time. If it is nil, an empty
+	// long poll proves only its start.
+	suspendedSince func(t, now time.Duration) bool
+	// interruptOnResume has a read cancelled when the process resumes after a suspension, until the
+	// returned function is called. It may be nil.
+	interruptOnResume func(cancel context.CancelFunc) (release func())
+	// apply is called with the records of a read and the time before which nothing is missing: the
+	// start of the last complete read, or the end of its wait; see forward.LongPoll.
+	apply      func(records []T, proof time.Duration, snapshot bool)
 	onFailure  func(now time.Duration)
 	observeEra func(feed string, e forward.Era) forward.EraOrder
 	nextOffset int64
 	hasOffset  bool
 	era        forward.Era   // era of the log that nextOffset belongs to
-	completeAt time.Duration // start of the last read that returned all records
+	completeAt time.Duration // proof of the last read that returned all records
 }
 
 // Errors of reads whose answer belongs to another era of the log than the reader's offset.
@@ -51,6 +59,9 @@
 	for ctx.Err() == nil {
 		started := r.clock()
 		pollWait := r.pollWait
+		if r.nextWait != nil {
+			pollWait = r.nextWait(pollWait, started)
+		}
 		if failures > 0 || s.awaitsReadAfterResume() {
 			pollWait = 0 // an immediate response shows that the log is available again, or what was missed while suspended
 		}
@@ -63,6 +74,9 @@
 			wait.For(ctx, r.pollPause)
 			continue
 		}
+		if errors.Is(err, context.Canceled) && r.suspendedSince != nil && r.suspendedSince(started, r.clock()) {
+			continue // interrupted, to read without waiting
+		}
 		if errors.Is(err, errLogReturned) {
 			r.hasOffset = false // offsets were given out again
 			log.Warn().Str("event", "feed_reread").Str("feed", r.name).Int64("era", int64(r.era)).Int64("offset", r.nextOffset).Msg("the log has returned from an older copy; reading the newest record of each key")
@@ -118,7 +132,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, pollWait+readTimeoutMargin)
 	defer cancel()
+	if pollWait > 0 && r.interruptOnResume != nil {
+		defer r.interruptOnResume(cancel)()
+	}
 	batch, err := r.feed.Read(ctx, r.nextOffset, pollWait)
+	ended := r.clock()
 	if err != nil {
 		return err
 	}
@@ -128,9 +146,14 @@
 	if batch.Era != r.era {
 		return errLogReturned
 	}
+	poll := forward.LongPoll{
+		Started: started, Ended: ended, Wait: pollWait.Truncate(time.Millisecond), Partial: batch.Partial,
+		Empty:     len(batch.Records) == 0 && batch.Next == r.nextOffset,
+		Suspended: r.suspendedSince == nil || r.suspendedSince(started, ended),
+	}
 	r.nextOffset = batch.Next
 	if !batch.Partial {
-		r.completeAt = started
+		r.completeAt = poll.Proof()
 	}
 	r.apply(batch.Records, r.completeAt, false)
 	return nil
@@ -175,8 +198,9 @@
 	return k
 }
 
-// applyOperators applies the operators' records: configurations and named weight versions.
-func (g *Gateway) applyOperators(records []forward.OperatorChange, started time.Duration, _ bool) {
+// applyOperators applies the operators' records: configurations and named weight versions. Nothing
+// that was written before the time proof is missing.
+func (g *Gateway) applyOperators(records []forward.OperatorChange, proof time.Duration, _ bool) {
 	s := g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -188,11 +212,11 @@
 			log.Error().Str("event", "operator_record_rejected").Err(r.Err).Msg("cannot parse an operators' record; the previous one stays in force")
 		case r.Config != nil:
 			s.catchUp.RecordConfig(r.Config.Version)
-			g.applyConfig(r.Config, now-started)
+			g.applyConfig(r.Config, now-proof)
 		case r.Weights != nil:
 			s.catchUp.RecordWeights(*r.Weights)
 			if s.rollout.AddTarget(*r.Weights, namedAt, now) {
-				g.logNaming(log.Info().Str("event", "weights_named"), *r.Weights, now).Dur("read_ms", now-started).Msg("a weight version was named")
+				g.logNaming(log.Info().Str("event", "weights_named"), *r.Weights, now).Dur("read_ms", now-proof).Msg("a weight version was named")
 				g.announceNamings(namedAt)
 			}
 		}
@@ -206,7 +230,7 @@
 		log.Warn().Str("event", "log_not_rewritten").Int64("era", int64(s.eras.Newest())).Int64("config", known.ConfigVersion).Msg("the log still lacks records that were known before its return; its reads count as complete again")
 	}
 	if !s.catchUp.Pending() {
-		s.confirmRead(started)
+		s.confirmRead(proof)
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -263,11 +263,6 @@
 	return &callerServer{srv, l, conns}
 }
 
-func (g *Gateway) followOperators(ctx context.Context) {
-	r := feedReader[forward.OperatorChange]{name: "operators", feed: g.operators, clock: g.clock, observeEra: g.observeEra, pollWait: operatorPollWait, apply: g.applyOperators}
-	r.run(ctx, g.state)
-}
-
 func (g *Gateway) followEndpoints(ctx context.Context) {
 	r := feedReader[forward.EndpointChange]{name: "endpoints", feed: g.endpoints, clock: g.clock, observeEra: g.observeEra, pollPause: endpointPollPause(g.settings), apply: g.applyEndpoints, onFailure: func(now time.Duration) {
 		g.state.mu.Lock()
--- a/gateway/proofs.go
+++ b/gateway/proofs.go
@@ -15,11 +15,12 @@
 // Saving until when no newer weight version was named.
 const (
 	proofSaverKey = "namings" // rendezvous key of the one member that saves proofs
-	// proofPause is the pause after a proof was saved. With reads every operatorPollWait, it
-	// makes one billed write a second, and the last proof is two seconds old at most when all
+	// proofPause is the pause after a proof was saved. With reads of up to two seconds, it makes at
+	// most one billed write a second, and the last proof is two seconds old at most when all
 	// processes are lost. Older weights may be used for ten seconds after a naming, and the
 	// endpoints get newer ones only four seconds after the restart, so that at one write in two
-	// seconds an outage of three seconds already left none for some time.
+	// seconds, of proofs that were two seconds old, an outage of three seconds already left none
+	// for some time.
 	proofPause = 500 * time.Millisecond
 )
 
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -33,6 +33,7 @@
 	OrderHandoverMs int64   `json:"orderHandoverMs"` // minimum time between the load orders of two owners of an endpoint
 	LogWritesPerS   float64 `json:"logWritesPerS"`   // write calls a second that the log accepts from all entries together, 400 if absent
 	MemoryMb        int64   `json:"memoryMb"`        // memory of this host, 0 for no memory limit in the Go runtime
+	OperatorPollMs  int64   `json:"operatorPollMs"`  // how long a read waits at the log for operators' records, 1000 if absent
 }
 
 // defaultLogWritesPerS applies if the settings give no rate.
@@ -97,6 +98,9 @@
 	if s.LogWritesPerS < 0 {
 		errs = append(errs, fmt.Errorf("logWritesPerS is %v; want a number above 0, or leave it out", s.LogWritesPerS))
 	}
+	if s.OperatorPollMs != 0 && (s.OperatorPollMs < minOperatorPollMs || s.OperatorPollMs > maxOperatorPollMs) {
+		errs = append(errs, fmt.Errorf("operatorPollMs is %d; want %d to %d, or leave it out", s.OperatorPollMs, minOperatorPollMs, maxOperatorPollMs))
+	}
 	return errors.Join(errs...)
 }
 
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -34,11 +34,13 @@
 	require.NoError(t, err, "unknown fields are ignored")
 
 	for name, text := range map[string]string{
-		"host":          strings.Replace(good, `"host": "10.1.0.19"`, `"host": "front"`, 1),
-		"callerAddress": strings.Replace(good, `"10.1.0.19:8749"`, `"10.1.0.19"`, 1),
-		"peerPorts":     strings.Replace(good, `[7580,7595]`, `[7595,7580]`, 1),
-		"revokeMs":      strings.Replace(good, `"revokeMs": 5000`, `"revokeMs": 0`, 1),
-		"id":            strings.Replace(good, `"id": "entry-1",`, "", 1),
+		"host":           strings.Replace(good, `"host": "10.1.0.19"`, `"host": "front"`, 1),
+		"callerAddress":  strings.Replace(good, `"10.1.0.19:8749"`, `"10.1.0.19"`, 1),
+		"peerPorts":      strings.Replace(good, `[7580,7595]`, `[7595,7580]`, 1),
+		"revokeMs":       strings.Replace(good, `"revokeMs": 5000`, `"revokeMs": 0`, 1),
+		"operatorPollMs": strings.Replace(good, "{", `{"operatorPollMs": 499,`, 1),
+		"500 to 2500":    strings.Replace(good, "{", `{"operatorPollMs": 2501,`, 1),
+		"id":             strings.Replace(good, `"id": "entry-1",`, "", 1),
 	} {
 		require.NotEqual(t, good, text, name)
 		_, err := loadSettingsText(t, text)
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -69,6 +69,7 @@
 	endpointListRead  bool
 	lastActive        time.Duration      // last time at which the process was active
 	resumedAt         time.Duration      // end of the last suspension, 0 if none
+	interruptRead     context.CancelFunc // cancels the long poll of the operators' records that is under way, nil if none
 	listedCache       []forward.Endpoint // cached result of listedEndpoints, nil if invalid
 	listedCacheUntil  time.Duration
 	endpoints         map[string]*endpointState
@@ -117,15 +118,18 @@
 		case s.resumes <- struct{}{}:
 		default: // the last one has not been handled yet
 		}
+		if s.interruptRead != nil {
+			s.interruptRead()
+		}
 		log.Warn().Str("event", "resumed").Dur("gap_ms", now-s.lastActive).Msg("process was suspended; unknown keys and routes are refused with 503 until the log has been read again")
 	}
 	s.lastActive = now
 }
 
-// confirmRead records that a read of the operators' records, started at the given time, has
-// completed.
-func (s *state) confirmRead(started time.Duration) {
-	s.freshness.RecordRead(started)
+// confirmRead records that a completed read of the operators' records proves that none written
+// before the given time is missing.
+func (s *state) confirmRead(proof time.Duration) {
+	s.freshness.RecordRead(proof)
 	if s.firstReadAt == 0 {
 		s.firstReadAt = s.clock()
 	}
@@ -290,7 +294,7 @@
 }
 
 // namingProof returns a time at which no version was named that is newer than the known ones:
-// the start of the last read that showed none. Reads of a log that has returned from an older
+// the proof of the last read that showed none. Reads of a log that has returned from an older
 // copy may lack versions that were named before, so for the version bound they prove nothing.
 func (s *state) namingProof(now time.Duration) time.Duration {
 	age, known := s.freshness.Age(now)
