--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -35,6 +35,7 @@
 	MemoryMb        int64   `json:"memoryMb"`        // memory of this host, 0 for no memory limit in the Go runtime
 	WarmUpRatio     float64 `json:"warmUpRatio"`     // a warming endpoint gets at most the rate that it takes x warmUpRatio + warmUpRequests requests in any one second; no bound if both are 0
 	WarmUpRequests  float64 `json:"warmUpRequests"`  //
+	OperatorPollMs  int64   `json:"operatorPollMs"`  // how long a read waits at the log for operators' records, 1000 if absent
 }
 
 // defaultLogWritesPerS applies if the settings give no rate.
@@ -106,6 +107,9 @@
 	if s.LogWritesPerS < 0 {
 		errs = append(errs, fmt.Errorf("logWritesPerS is %v; want a number above 0, or leave it out", s.LogWritesPerS))
 	}
+	if s.OperatorPollMs != 0 && (s.OperatorPollMs < minOperatorPollMs || s.OperatorPollMs > maxOperatorPollMs) {
+		errs = append(errs, fmt.Errorf("operatorPollMs is %d; want %d to %d, or leave it out", s.OperatorPollMs, minOperatorPollMs, maxOperatorPollMs))
+	}
 	return errors.Join(errs...)
 }
 
