Pause endpoints whose address another one has

Cause: endpoints that crash and come back under another ID at their address reject all prompts placed on the old entry.

The endpoint is paused for 2 s, and peers learn of it in an extension of the load report: the previous release rejects a report with another number of fields, but ignores what follows it in the datagram. scheduling.retryRefused (0 to 2) exempts rejected attempts from maxAttempts.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -35,6 +35,7 @@
 	resp, xerr := q.g.exchange(ctx, &m, q.call.ID, p.endpoint, p.maxConns, func() error { return q.checkSend(ctx, p) })
 	if xerr == nil || xerr.sent {
 		q.sentAttempts++
+		q.notRunAttempts += boolInt(xerr != nil && xerr.notRun)
 		q.allRefused = xerr != nil && xerr.notRun && (q.sentAttempts == 1 || q.allRefused)
 	}
 	if xerr != nil {
@@ -147,7 +148,7 @@
 	if resp.httpResp.StatusCode < http.StatusInternalServerError || resp.httpResp.StatusCode == http.StatusGatewayTimeout || q.headerSent {
 		return false
 	}
-	if !q.route.Repeatable() || q.sentAttempts >= max(q.route.MaxAttempts, 1) || remaining(q.deadline, q.g.clock()) < q.route.LatencyTarget/4 {
+	if !q.route.Repeatable() || q.countedAttempts() >= max(q.route.MaxAttempts, 1) || remaining(q.deadline, q.g.clock()) < q.route.LatencyTarget/4 {
 		return false
 	}
 	s := q.g.state
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -45,6 +45,9 @@
 	misdirected bool // the address belongs to another endpoint, or the endpoint does not meet the request's expectations
 	status      int
 	err         error
+
+	statedEndpoint string // ID of the endpoint in a misdirected answer, "" if it states none
+	statedVersion  int64  // weight version in a misdirected answer, 0 if it states none
 }
 
 func (e *exchangeError) Error() string { return e.err.Error() }
@@ -179,7 +182,7 @@
 		}
 		if reply.NotRun {
 			r.discardBody()
-			return &exchangeError{sent: true, notRun: true, limited: refusesForNow(resp.StatusCode, reply), misdirected: reply.Misdirected, status: resp.StatusCode, err: fmt.Errorf("the endpoint refused with %d", resp.StatusCode)}
+			return &exchangeError{sent: true, notRun: true, limited: refusesForNow(resp.StatusCode, reply), misdirected: reply.Misdirected, status: resp.StatusCode, err: fmt.Errorf("the endpoint refused with %d", resp.StatusCode), statedEndpoint: reply.Endpoint, statedVersion: reply.WeightVersion}
 		}
 		if resp.StatusCode < http.StatusMultipleChoices && (!reply.HasReceipt || reply.RequestID == "" && id != "") {
 			return &exchangeError{sent: true, err: errors.New("the answer has no receipt")}
--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/galenaweir/galenaweir/core/forward"
 )
@@ -58,16 +57,25 @@
 	require.NoError(f, err)
 	f.Add(data)
 	f.Add(data[:len(data)/2])
+	r.Extension.Reuses = []reportReuse{{endpointHash("e0"), 1, 1 << 62}}
+	extended, err := encodeReport(r)
+	require.NoError(f, err)
+	f.Add(extended)
+	f.Add(extended[:len(extended)-3])
+	f.Add(append(data, "\xdf\xff\xff\xff\xff"...))
 	f.Add([]byte("\x9f\xff\xff\xff\xff"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		clock := &testClock{}
 		g := New(Options{Settings: testSettings(), Clock: clock.start(time.Hour), Seed: 1, HeaderCodec: testHeaderCodec{}})
 		g.state.endpointState("e0")
-		var r loadReport
-		if len(data) > maxDatagram || msgpack.Unmarshal(data, &r) != nil {
+		if len(data) > maxDatagram {
+			return
+		}
+		r, err := decodeReport(data)
+		if err != nil {
 			return
 		}
-		g.applyReport(&r)
+		g.applyReport(r)
 		clock.advance(time.Minute)
 		g.state.peerLoads.expire(clock.read())
 		require.Empty(t, g.state.peerLoads.totals)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,6 +92,7 @@
 	refusals           *expvar.Map
 	unknownHeaders     unknownHeaders
 	rejectedReports    *expvar.Int
+	addressesReused    *expvar.Int
 	durations          *metrics.DurationHistograms
 	firstByteDurations *metrics.DurationHistograms
 }
@@ -117,6 +118,7 @@
 		refusals:           metrics.Default.LabeledCounter("forward_refusals"),
 		unknownHeaders:     unknownHeaders{count: metrics.Default.LabeledCounter("forward_unknown_headers")},
 		rejectedReports:    metrics.Default.Counter("stray_load_reports"),
+		addressesReused:    metrics.Default.Counter("forward_addresses_reused"),
 		durations:          metrics.Default.DurationHistograms("forward_ms"),
 		firstByteDurations: metrics.Default.DurationHistograms("forward_first_byte_ms"),
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -53,6 +53,7 @@
 func (testHeaderCodec) ParseResponse(status int, h http.Header) ResponseInfo {
 	limit, err := strconv.ParseFloat(h.Get("Test-Limit"), 64)
 	r := ResponseInfo{Limit: NamedLimit{Stated: h.Get("Test-Limit") != "", Valid: err == nil, PerSecond: limit}, RequestID: h.Get("Test-Id"), HasReceipt: h.Get("Test-Seal") != "", NotRun: h.Get("Test-Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest}
+	r.WeightVersion, _ = strconv.ParseInt(h.Get("Test-Version"), 10, 64) // 0 if absent
 	r.Leaving, r.Endpoint = h.Get("Test-Leaving") == "1", h.Get("Test-Instance")
 	if seconds, err := strconv.ParseFloat(h.Get("Test-Retry"), 64); err == nil && status == http.StatusServiceUnavailable {
 		r.RetryAfter = time.Duration(seconds * float64(time.Second))
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -65,6 +65,8 @@
 	Loaded   boundedList[reportVersion]
 	Limits   boundedList[reportLimit]
 	Parts    boundedList[reportPart]
+
+	Extension reportExtension `msgpack:"-"` // follows the report; another number of fields can't be read by other releases
 }
 
 // boundedList is a slice whose encoded length is checked before memory is allocated: the decoder
@@ -206,8 +208,6 @@
 	}
 }
 
-func encodeReport(r *loadReport) ([]byte, error) { return encodeMessage(r) }
-
 // awaitReportDue waits until a report is due and returns false when ctx is done. The placement
 // of a long prompt is reported immediately; otherwise peers would send theirs to the same
 // endpoint.
@@ -259,6 +259,7 @@
 	g.updateLimitGroup()
 	r.Limits = s.limitsToReport(s.clock())
 	r.Parts = g.partsToReport(s.clock())
+	r.Extension.Reuses = s.reusesToReport(s.clock())
 	for h, l := range s.peerLoads.loaded {
 		if s.clock() >= l.expiresAt {
 			delete(s.peerLoads.loaded, h)
@@ -313,12 +314,12 @@
 			}
 			continue
 		}
-		var r loadReport
-		if msgpack.Unmarshal(data, &r) != nil || r.Protocol != reportProtocol || r.Member == g.memberID {
+		r, err := decodeReport(data)
+		if err != nil || r.Protocol != reportProtocol || r.Member == g.memberID {
 			g.rejectedReports.Add(1)
 			continue
 		}
-		g.applyReport(&r)
+		g.applyReport(r)
 	}
 }
 
@@ -351,6 +352,7 @@
 		}
 	}
 	g.applyParts(r.Parts, now)
+	s.applyReuses(r.Extension.Reuses, now)
 	for _, h := range r.Loading {
 		if st := g.recordPeerUpdate(h, r.Member, now); st != nil {
 			if now >= st.loadingUntil {
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -40,6 +40,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
+	q.scheduling = s.scheduling()
 	if q.keyExpired(s, now) {
 		return nil, q.placementError(s.staleConfigError("a key may have been taken away since the configuration was read"))
 	}
@@ -228,8 +229,8 @@
 		return
 	}
 	switch {
-	case x.misdirected && p.choice.Version == 0:
-		st.health.RecordRefusal(now + misdirectedPause) // with a version in the request, the endpoint may just have other weights
+	case x.misdirected && q.addressReused(s, p, x, now):
+		q.g.pauseReusedAddress(s, &p.endpoint, now)
 	case x.limited: // what it named decides when it gets further requests
 	case x.notRun:
 		st.health.RecordRefusal(now + refusalPause)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -45,6 +45,7 @@
 	tried          map[string]bool
 	sentAttempts   int  // attempts in which the request was sent
 	unsentAttempts int  // attempts that ended before anything was sent
+	notRunAttempts int  // attempts that the endpoint stated that it did not run
 	bodyBegun      bool // the body has been read, at least in part
 	headerSent     bool // the response header has been sent to the caller
 	lastEventID    string
@@ -55,6 +56,7 @@
 	partKeys       []uint64             // of the prompt's shared parts, once they are needed
 	held           *forward.HeldRequest // why it is held, nil if it isn't
 	shed           bool                 // it was refused as this entry is short of processor time
+	scheduling     Scheduling           // settings of the last placement
 	accessLog      accessLog
 }
 
@@ -374,7 +376,7 @@
 	if q.headerSent && q.route.Kind != forward.Stream {
 		return false // only a stream can go on elsewhere
 	}
-	if !notRun && !q.route.Repeatable() || q.sentAttempts >= max(q.route.MaxAttempts, 1) {
+	if !notRun && !q.route.Repeatable() || q.countedAttempts() >= max(q.route.MaxAttempts, 1) {
 		return false
 	}
 	s := q.g.state
@@ -383,6 +385,11 @@
 	return s.retryBudget(q.service.Name).TrySpend(s.clock())
 }
 
+// countedAttempts returns how many attempts count towards the route's maximum.
+func (q *request) countedAttempts() int {
+	return forward.CountedAttempts(q.sentAttempts, q.notRunAttempts, q.scheduling.RetryRefused)
+}
+
 func boolInt(b bool) int {
 	if b {
 		return 1
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -33,6 +33,8 @@
 	OrderHandoverMs int64   `json:"orderHandoverMs"` // minimum time between the load orders of two owners of an endpoint
 	LogWritesPerS   float64 `json:"logWritesPerS"`   // write calls a second that the log accepts from all entries together, 400 if absent
 	MemoryMb        int64   `json:"memoryMb"`        // memory of this host, 0 for no memory limit in the Go runtime
+
+	Scheduling *Scheduling `json:"scheduling"` // nil turns all of it off
 }
 
 // defaultLogWritesPerS applies if the settings give no rate.
@@ -51,7 +53,7 @@
 	}
 	d := json.NewDecoder(bytes.NewReader(plain))
 	if err := d.Decode(&s); err != nil {
-		return s, fmt.Errorf("settings %s: %w", path, err)
+		return s, fmt.Errorf("settings %s: %w", path, withRemedy(err))
 	}
 	if err := s.validate(); err != nil {
 		return s, fmt.Errorf("settings %s: %w", path, err)
@@ -97,9 +99,19 @@
 	if s.LogWritesPerS < 0 {
 		errs = append(errs, fmt.Errorf("logWritesPerS is %v; want a number above 0, or leave it out", s.LogWritesPerS))
 	}
+	errs = append(errs, s.Scheduling.validate()...)
 	return errors.Join(errs...)
 }
 
+// withRemedy adds to the error for a value of a wrong type which type its field has.
+func withRemedy(err error) error {
+	var wrong *json.UnmarshalTypeError
+	if !errors.As(err, &wrong) || wrong.Field == "" {
+		return err
+	}
+	return fmt.Errorf("%s is a %s; want a value of type %v: %w", wrong.Field, wrong.Value, wrong.Type, err)
+}
+
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -23,6 +23,11 @@
 	return LoadSettings(path)
 }
 
+// withScheduling returns the sample with an object scheduling that has the given fields.
+func withScheduling(fields string) string {
+	return strings.Replace(sampleSettings, "{", `{"scheduling": {`+fields+`},`, 1)
+}
+
 // Guards against invalid settings that are accepted, or rejected without naming the setting.
 func TestLoadSettings(t *testing.T) {
 	good := sampleSettings
@@ -39,6 +44,10 @@
 		"peerPorts":     strings.Replace(good, `[7580,7595]`, `[7595,7580]`, 1),
 		"revokeMs":      strings.Replace(good, `"revokeMs": 5000`, `"revokeMs": 0`, 1),
 		"id":            strings.Replace(good, `"id": "entry-1",`, "", 1),
+		"scheduling.retryRefused is 3; want 0 to 2":                         withScheduling(`"retryRefused": 3`),
+		"scheduling.retryRefused is -1; want":                               withScheduling(`"retryRefused": -1`),
+		"scheduling.retryRefused is a string; want a value of type int":     withScheduling(`"retryRefused": "1"`),
+		"scheduling.retryRefused is a number 0.5; want a value of type int": withScheduling(`"retryRefused": 0.5`),
 	} {
 		require.NotEqual(t, good, text, name)
 		_, err := loadSettingsText(t, text)
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -44,6 +44,7 @@
 	loadingSince     time.Duration    // when a peer first reported that
 	emptyingUntil    time.Duration    // emptied by a peer before loading weights: gets no long prompts until then
 	orderCount       int64            // number of orders that the endpoint has accepted, as far as known
+	reusedUntil      time.Duration    // another endpoint had its address; the peers are told until then
 }
 
 // state holds everything that decisions about requests depend on. It is guarded by mu.
@@ -215,6 +216,7 @@
 		st.nextStateRead = 0
 		clear(st.observedVersions)
 		st.orderCount = 0
+		st.reusedUntil = 0
 	}
 	st.started = e.StartedUnixMs
 }
