Send ranks as priorities and expect waits by rank

Cause: the expected wait adds up all waiting prefill, so that a burst of long prompts has the short urgent ones refused, which an engine would take first. A customer's priority hides that of the route.

Change: with scheduling.rankedQueues, a prompt gets the place of its pair of priorities (of the customer, of the route) as its priority. The table of the configuration holds the pairs. Loads state the waiting prefill by rank, between entries in the extension of the report; prefill without a rank counts for all. A prompt waits for its own and more urgent ranks and one chunk of 2,048 tokens of the others. The access log line has the rank.

--- a/core/forward/choose.go
+++ b/core/forward/choose.go
@@ -81,6 +81,8 @@
 	StartIndex    int          // index of the candidate to evaluate first, which wins ties
 	Unseen        float64      // prompts that peers have placed and that this process doesn't know of yet, on average
 	Now           time.Duration
+	Ranked        bool // the request is sent with a rank
+	Rank          int
 	Fetchable     func(model string, version int64) bool // see Rollout.Fetchable
 }
 
@@ -187,7 +189,7 @@
 	recomputed := t.estimatePrefix(c, vp, &ch)
 	ch.RecomputedTokens = recomputed
 	prefillTokens := max(t.Prompt.Tokens-ch.CachedTokens-ch.FetchedTokens, 0)
-	ch.Load = RequestLoad{PrefillTokens: prefillTokens, MemoryTokens: t.Prompt.Tokens + outputEstimate(t.Prompt), LongRunning: t.Prompt.LongRunning()}
+	ch.Load = RequestLoad{PrefillTokens: prefillTokens, MemoryTokens: t.Prompt.Tokens + outputEstimate(t.Prompt), LongRunning: t.Prompt.LongRunning(), Ranked: t.Ranked, Rank: t.Rank}
 	ownWait := ch.FetchMs + float64(prefillTokens)/prefillTokensPerMs
 	queueWait := t.queueMs(c.Load, ch.Load)
 	ch.QueueWait = time.Duration(queueWait * float64(time.Millisecond))
@@ -208,7 +210,11 @@
 
 // queueMs returns the expected time in ms that a request waits for a load on its endpoint.
 func (t *PlacementRequest) queueMs(l EndpointLoad, own RequestLoad) float64 {
-	wait := float64(l.PrefillTokens)/prefillTokensPerMs + stepMsPerRequest*stepsPerPrompt*float64(l.Active)
+	prefillTokens := l.PrefillTokens
+	if own.Ranked {
+		prefillTokens = l.PrefillAhead(own.Rank)
+	}
+	wait := float64(prefillTokens)/prefillTokensPerMs + stepMsPerRequest*stepsPerPrompt*float64(l.Active)
 	if overcommit := l.MemoryTokens + own.MemoryTokens - t.Engine.CapacityTokens; overcommit > 0 {
 		wait += float64(overcommit) / float64(t.Engine.CapacityTokens) * float64(memoryOvercommitWait/time.Millisecond)
 	}
--- a/core/forward/load.go
+++ b/core/forward/load.go
@@ -13,6 +13,8 @@
 	MemoryTokens  int  // tokens of KV cache memory held until the request ends
 	LongRunning   bool // the request is long-running
 	Started       bool // the first event has arrived
+	Ranked        bool // the endpoint got the request with a rank
+	Rank          int
 }
 
 // EndpointLoad is the sum of the unfinished requests on one endpoint.
@@ -22,6 +24,8 @@
 	PrefillTokens int // tokens to be prefilled for the waiting requests
 	MemoryTokens  int // tokens of KV cache memory held by the active requests
 	LongRunning   int // active requests that are long-running
+
+	PrefillByRank RankedTokens // part of PrefillTokens of requests whose rank is known
 }
 
 // Add adds a request that was sent to the endpoint.
@@ -31,7 +35,14 @@
 	l.LongRunning += boolInt(w.LongRunning)
 	if !w.Started {
 		l.Waiting++
-		l.PrefillTokens += w.PrefillTokens
+		l.addPrefill(w, w.PrefillTokens)
+	}
+}
+
+func (l *EndpointLoad) addPrefill(w RequestLoad, tokens int) {
+	l.PrefillTokens += tokens
+	if w.Ranked {
+		l.PrefillByRank[w.Rank] += tokens
 	}
 }
 
@@ -40,7 +51,7 @@
 	if !w.Started {
 		w.Started = true
 		l.Waiting--
-		l.PrefillTokens -= w.PrefillTokens
+		l.addPrefill(*w, -w.PrefillTokens)
 	}
 }
 
@@ -54,12 +65,12 @@
 
 // Plus returns the sum of two loads.
 func (l EndpointLoad) Plus(o EndpointLoad) EndpointLoad {
-	return EndpointLoad{l.Active + o.Active, l.Waiting + o.Waiting, l.PrefillTokens + o.PrefillTokens, l.MemoryTokens + o.MemoryTokens, l.LongRunning + o.LongRunning}
+	return EndpointLoad{l.Active + o.Active, l.Waiting + o.Waiting, l.PrefillTokens + o.PrefillTokens, l.MemoryTokens + o.MemoryTokens, l.LongRunning + o.LongRunning, l.PrefillByRank.plus(o.PrefillByRank, 1)}
 }
 
 // Minus returns the difference of two loads.
 func (l EndpointLoad) Minus(o EndpointLoad) EndpointLoad {
-	return EndpointLoad{l.Active - o.Active, l.Waiting - o.Waiting, l.PrefillTokens - o.PrefillTokens, l.MemoryTokens - o.MemoryTokens, l.LongRunning - o.LongRunning}
+	return EndpointLoad{l.Active - o.Active, l.Waiting - o.Waiting, l.PrefillTokens - o.PrefillTokens, l.MemoryTokens - o.MemoryTokens, l.LongRunning - o.LongRunning, l.PrefillByRank.plus(o.PrefillByRank, -1)}
 }
 
 // Aged returns what is left of a load of short requests in a report that came with the given interval
@@ -73,7 +84,7 @@
 	}
 	share := float64(fresh) / float64(interval)
 	aged := func(n int) int { return int(math.Round(float64(n) * share)) }
-	return EndpointLoad{aged(l.Active), aged(l.Waiting), aged(l.PrefillTokens), aged(l.MemoryTokens), aged(l.LongRunning)}
+	return EndpointLoad{Active: aged(l.Active), Waiting: aged(l.Waiting), PrefillTokens: aged(l.PrefillTokens), MemoryTokens: aged(l.MemoryTokens), LongRunning: aged(l.LongRunning)}
 }
 
 func boolInt(b bool) int {
--- a/core/forward/routes.go
+++ b/core/forward/routes.go
@@ -12,11 +12,12 @@
 	byHost   map[string][]*Route // sorted by descending length of the path prefix
 	byKey    map[string]*Customer
 	services map[string]*Service
+	ranks    []priorityPair
 }
 
 // NewTable returns a Table for c, which must not be modified afterwards.
 func NewTable(c *Config) *Table {
-	t := &Table{Config: c, byHost: map[string][]*Route{}, byKey: map[string]*Customer{}, services: map[string]*Service{}}
+	t := &Table{Config: c, byHost: map[string][]*Route{}, byKey: map[string]*Customer{}, services: map[string]*Service{}, ranks: rankedPairs(c)}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
--- a/gateway/accesslog.go
+++ b/gateway/accesslog.go
@@ -133,6 +133,9 @@
 	}
 	if q.call.Prompt != nil {
 		e = e.Int("prompt_tokens", q.call.Prompt.Tokens)
+		if q.scheduling.RankedQueues {
+			e = e.Int("rank", q.rank)
+		}
 	}
 	if q.call.LastEventID != "" {
 		e = e.Str("resumes", q.call.Resumes).Str("last_event", q.call.LastEventID).Str("build", q.accessLog.build).Int("of_build", q.accessLog.ofBuild)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -19,7 +19,7 @@
 	m := q.msg
 	m.header = q.msg.header.Clone()
 	o := ForwardInfo{
-		Endpoint: p.endpoint.ID, HasPrompt: q.call.Prompt != nil, Priority: q.priority(),
+		Endpoint: p.endpoint.ID, HasPrompt: q.call.Prompt != nil, Priority: q.sentPriority,
 		Salt: p.choice.Salt, WeightVersion: p.choice.Version, FetchDeadlineMs: p.fetchDeadlineMs, LastEventID: q.call.LastEventID, Remaining: remaining(q.deadline, q.g.clock()),
 	}
 	if pr := q.call.Prompt; pr != nil {
--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -58,6 +58,7 @@
 	f.Add(data)
 	f.Add(data[:len(data)/2])
 	r.Extension.Reuses = []reportReuse{{endpointHash("e0"), 1, 1 << 62}}
+	r.Extension.Ranks = []reportRanks{{endpointHash("e0"), forward.RankedTokens{50, 0, 100}}}
 	extended, err := encodeReport(r)
 	require.NoError(f, err)
 	f.Add(extended)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -259,7 +259,7 @@
 	g.updateLimitGroup()
 	r.Limits = s.limitsToReport(s.clock())
 	r.Parts = g.partsToReport(s.clock())
-	r.Extension.Reuses = s.reusesToReport(s.clock())
+	r.Extension = reportExtension{Reuses: s.reusesToReport(s.clock()), Ranks: s.ranksToReport()}
 	for h, l := range s.peerLoads.loaded {
 		if s.clock() >= l.expiresAt {
 			delete(s.peerLoads.loaded, h)
@@ -343,6 +343,7 @@
 	for _, l := range r.Loads {
 		p.loads[l.Endpoint] = forward.EndpointLoad{Active: l.Active, Waiting: l.Waiting, PrefillTokens: l.Prefill, MemoryTokens: l.Memory, LongRunning: l.Long}
 	}
+	applyRanks(p.loads, r.Extension.Ranks)
 	s.peerLoads.set(r.Member, p)
 	for _, u := range r.Saves {
 		for _, v := range s.stores {
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -41,6 +41,7 @@
 	defer s.mu.Unlock()
 	now := s.clock()
 	q.scheduling = s.scheduling()
+	q.setRank(s)
 	if q.keyExpired(s, now) {
 		return nil, q.placementError(s.staleConfigError("a key may have been taken away since the configuration was read"))
 	}
@@ -150,7 +151,7 @@
 	return forward.Choose(forward.PlacementRequest{
 		Prompt: q.call.Prompt, FailureDomain: s.settings.FailureDomain, Engine: q.service.Engine, CacheGroup: q.cacheGroup,
 		StartIndex: s.rng.IntN(len(cs) + 1),
-		Stores:     s.fetchableStores(now), Now: now, Unseen: s.unseenPrompts(now),
+		Stores:     s.fetchableStores(now), Now: now, Unseen: s.unseenPrompts(now), Ranked: q.scheduling.RankedQueues, Rank: q.rank,
 		Fetchable: func(model string, version int64) bool { return s.rollout.Fetchable(model, version, now) },
 	}, cs)
 }
--- a/gateway/reportextension.go
+++ b/gateway/reportextension.go
@@ -13,10 +13,14 @@
 // skipped.
 type reportExtension struct {
 	Reuses boundedList[reportReuse]
+	Ranks  boundedList[reportRanks]
 }
 
 // Names in the map.
-const extensionReuses = "reused"
+const (
+	extensionReuses = "reused"
+	extensionRanks  = "ranks"
+)
 
 // maxReportBytes leaves room in a datagram for the message in which a report is passed on.
 const maxReportBytes = maxDatagram - 64
@@ -32,13 +36,19 @@
 	if len(x.Reuses) > 0 {
 		out[extensionReuses] = x.Reuses
 	}
+	if len(x.Ranks) > 0 {
+		out[extensionRanks] = x.Ranks
+	}
 	return out
 }
 
 // target returns where to decode a value, nil if the name isn't known.
 func (x *reportExtension) target(name string) any {
-	if name == extensionReuses {
+	switch name {
+	case extensionReuses:
 		return &x.Reuses
+	case extensionRanks:
+		return &x.Ranks
 	}
 	return nil
 }
--- a/gateway/reportextension_test.go
+++ b/gateway/reportextension_test.go
@@ -5,6 +5,8 @@
 
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/galenaweir/galenaweir/core/forward"
 )
 
 // previousReport has the fields of a load report of the previous release, which reads it with
@@ -26,6 +28,7 @@
 func extendedReport() *loadReport {
 	r := testReport("10.0.0.1:7", 5, 2)
 	r.Extension.Reuses = []reportReuse{{endpointHash("e0"), 1, 1500}}
+	r.Extension.Ranks = []reportRanks{{endpointHash("e0"), forward.RankedTokens{50, 0, 100}}}
 	return r
 }
 
@@ -64,6 +67,8 @@
 		"endless map":    "\xdf\xff\xff\xff\xff",
 		"endless list":   "\x81\xa6reused\xdd\xff\xff\xff\xff",
 		"name no string": "\x81\x01\x01",
+		"no ranks":       "\x81\xa5ranks\x91\x90",
+		"many ranks":     "\x81\xa5ranks\x91\x9c\x01\x01\x01\x01\x01\x01\x01\x01\x01\x01\x01\x01",
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := decodeReport(append(data[:len(data):len(data)], extension...))
@@ -89,3 +94,61 @@
 	}
 	require.Greater(t, len(r.Uses), 6*maxReportedParts, "the extension left out although there was room")
 }
+
+// Guards against a report of a large deployment that no longer fits a datagram: 60 endpoints with
+// waiting prefill of all ranks, and as many parts of prompts as one report holds.
+func TestReportOfALargeDeploymentFitsADatagram(t *testing.T) {
+	r := &loadReport{Protocol: reportProtocol, Member: "10.100.100.100:12345", Seq: 1 << 60}
+	for i := range 60 {
+		h := uint32(1<<31 + i)
+		r.Loads = append(r.Loads, reportLoad{h, 64, 64, 120_000, 500_000, 64})
+		ranks := reportRanks{Endpoint: h}
+		for k := range ranks.Prefill {
+			ranks.Prefill[k] = 12_000
+		}
+		r.Extension.Ranks = append(r.Extension.Ranks, ranks)
+	}
+	for range maxReportedParts {
+		r.Uses = append(r.Uses, reportUse{1 << 31, 1 << 63, 9_122})
+		r.Extension.Reuses = append(r.Extension.Reuses, reportReuse{1 << 31, 1 << 60, 2_000})
+	}
+	data, err := encodeReport(r)
+	require.NoError(t, err)
+	t.Logf("%d bytes", len(data))
+	read, err := decodeReport(data)
+	require.NoError(t, err)
+	require.Equal(t, r.Extension, read.Extension)
+}
+
+// Guards against ranks that are lost between entries, and against prefill of peers of the previous
+// release, or of contradictory ranks, that urgent prompts don't count.
+func TestPeersLoadsByRank(t *testing.T) {
+	h := endpointHash("e0")
+	for name, c := range map[string]struct {
+		ranks boundedList[reportRanks]
+		ahead int // of a prompt of rank 1, of 30,000 tokens in all
+	}{
+		"previous release": {nil, 30_000},
+		"ranks":            {boundedList[reportRanks]{{h, forward.RankedTokens{1_000, 2_000, 27_000}}}, 5_048},
+		"part of them":     {boundedList[reportRanks]{{h, forward.RankedTokens{2: 20_000}}}, 12_048},
+		"too many":         {boundedList[reportRanks]{{h, forward.RankedTokens{2: 31_000}}}, 30_000},
+		"negative":         {boundedList[reportRanks]{{h, forward.RankedTokens{-1_000, 0, 27_000}}}, 30_000},
+		"another endpoint": {boundedList[reportRanks]{{h + 1, forward.RankedTokens{1_000}}}, 30_000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			sent := testReport("10.0.0.1:7", 5, 300)
+			sent.Extension.Ranks = c.ranks
+			data, err := encodeReport(sent)
+			require.NoError(t, err)
+			r, err := decodeReport(data)
+			require.NoError(t, err)
+			f.applyReport(r)
+			l := f.state.peerLoads.load("e0")
+			require.Equal(t, c.ahead, l.PrefillAhead(1))
+			f.clock.advance(reportTTL)
+			f.state.peerLoads.expire(f.clock.read())
+			require.Empty(t, f.state.peerLoads.totals)
+		})
+	}
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -57,6 +57,8 @@
 	held           *forward.HeldRequest // why it is held, nil if it isn't
 	shed           bool                 // it was refused as this entry is short of processor time
 	scheduling     Scheduling           // settings of the last placement
+	rank           int                  // at the last placement, 0 without ranks
+	sentPriority   int                  // priority that the endpoint gets
 	accessLog      accessLog
 }
 
