Place prompts late instead of refusing them

Cause: in a burst, prompts that miss their latency target are refused although engines have capacity before their deadline, and one customer with a third of the load makes the others' prompts late.

Change: with scheduling.lateRequests, forward.Schedule places such a prompt with rank 9 if the wait behind all waiting prefill is at most half of the time left, else refuses it with the time until that holds. With scheduling.fairShare, customers that have placed more than an equal part of the tokens of 2 s in time are placed late first while prompts of their rank or a more urgent one are refused or late. The access log line says why an attempt was late; counters are added.

--- a/core/forward/choose.go
+++ b/core/forward/choose.go
@@ -210,11 +210,10 @@
 
 // queueMs returns the expected time in ms that a request waits for a load on its endpoint.
 func (t *PlacementRequest) queueMs(l EndpointLoad, own RequestLoad) float64 {
-	prefillTokens := l.PrefillTokens
 	if own.Ranked {
-		prefillTokens = l.PrefillAhead(own.Rank)
+		l = l.AheadOf(own.Rank)
 	}
-	wait := float64(prefillTokens)/prefillTokensPerMs + stepMsPerRequest*stepsPerPrompt*float64(l.Active)
+	wait := float64(l.PrefillTokens)/prefillTokensPerMs + stepMsPerRequest*stepsPerPrompt*float64(l.Active)
 	if overcommit := l.MemoryTokens + own.MemoryTokens - t.Engine.CapacityTokens; overcommit > 0 {
 		wait += float64(overcommit) / float64(t.Engine.CapacityTokens) * float64(memoryOvercommitWait/time.Millisecond)
 	}
--- a/core/forward/ranks.go
+++ b/core/forward/ranks.go
@@ -64,18 +64,26 @@
 	return true
 }
 
-// PrefillAhead returns the waiting prefill that an engine does before that of a request with the given
-// rank: that of the same and more urgent ranks, and at most one chunk of the others. Prefill whose rank
-// isn't known, as of peers with an earlier release, counts for all ranks.
+// PrefillBehind returns the waiting prefill of less urgent ranks. Prefill whose rank isn't known, as of
+// peers with an earlier release, counts for all ranks.
+func (l *EndpointLoad) PrefillBehind(rank int) (tokens int) {
+	for _, n := range l.PrefillByRank[rank+1:] {
+		tokens += n
+	}
+	return tokens
+}
+
+// AheadOf returns the load that delays a request of the given rank: of the waiting prefill that of the
+// same and more urgent ranks, and at most one chunk of the others. Prompts that wait behind the request
+// hold no memory yet; if theirs counted, a queue of late prompts would have the urgent ones refused.
 //
 // Load pattern: a burst of long patient prompts beside short urgent ones, which an engine takes first.
 // If all waiting prefill counts, the urgent ones are refused although they wouldn't wait.
-func (l *EndpointLoad) PrefillAhead(rank int) int {
-	behind := 0
-	for _, n := range l.PrefillByRank[rank+1:] {
-		behind += n
-	}
-	return l.PrefillTokens - behind + min(behind, chunkTokens)
+func (l EndpointLoad) AheadOf(rank int) EndpointLoad {
+	behind := l.PrefillBehind(rank)
+	l.PrefillTokens -= behind - min(behind, chunkTokens)
+	l.MemoryTokens -= min(behind, l.MemoryTokens)
+	return l
 }
 
 func (r RankedTokens) plus(o RankedTokens, sign int) RankedTokens {
--- a/core/forward/ranks_test.go
+++ b/core/forward/ranks_test.go
@@ -45,7 +45,7 @@
 
 // Guards against a load whose prefill by rank doesn't return to zero, and against prefill of an unknown
 // rank that is taken for less urgent.
-func TestPrefillAhead(t *testing.T) {
+func TestLoadAhead(t *testing.T) {
 	var l EndpointLoad
 	works := []RequestLoad{{PrefillTokens: 100, Ranked: true}, {PrefillTokens: 3000, Ranked: true, Rank: 2}, {PrefillTokens: 500, Ranked: true, Rank: LastRank}, {PrefillTokens: 7}}
 	for _, w := range works {
@@ -57,8 +57,11 @@
 		"a later one": {2, 107 + 3000 + 500},
 		"the last":    {LastRank, 3607},
 	} {
-		t.Run(name, func(t *testing.T) { require.Equal(t, c.want, l.PrefillAhead(c.rank)) })
+		t.Run(name, func(t *testing.T) { require.Equal(t, c.want, l.AheadOf(c.rank).PrefillTokens) })
 	}
+	l.MemoryTokens = 4000
+	require.Equal(t, 500, l.AheadOf(0).MemoryTokens, "prompts that wait behind it hold none")
+	l.MemoryTokens = 0
 	sum := l.Plus(l)
 	require.Equal(t, 6000, sum.PrefillByRank[2])
 	require.Equal(t, l, sum.Minus(l))
--- a/core/forward/schedulingreplay_test.go
+++ b/core/forward/schedulingreplay_test.go
@@ -27,10 +27,11 @@
 )
 
 // Long prompts a second outside of the burst. In the burst they are twice as many: with the short ones,
-// 2.2 M and 3.0 M tokens a second, of 2.8 M that the engines prefill.
+// 2.2 M, 3.0 M and 3.7 M tokens a second, of 2.8 M that the engines prefill.
 const (
-	replayWithinCapacity = 67.0
-	replayBeyondCapacity = 100.0
+	replayWithinCapacity    = 67.0
+	replayBeyondCapacity    = 100.0
+	replayFarBeyondCapacity = 130.0
 )
 
 // replayClass is a kind of prompts of the load.
@@ -268,3 +269,47 @@
 	}
 	return replayDecision{engine: c.Index, priority: r.class.route.Priority, load: c.Load}
 }
+
+// scheduler decides as with settings of scheduling. Each entry has shares of its own.
+type scheduler struct {
+	late   bool
+	shares []FairShare // by entry, nil if the setting is off
+	table  *Table
+}
+
+func newScheduler(classes []replayClass, late, fairShare bool) *scheduler {
+	config := &Config{}
+	for _, c := range classes {
+		config.Routes = append(config.Routes, c.route)
+	}
+	s := &scheduler{late: late, table: NewTable(config)}
+	if fairShare {
+		s.shares = make([]FairShare, replayEntries)
+	}
+	return s
+}
+
+func (s *scheduler) decide(p *schedulingReplay, r *replayRequest, t PlacementRequest) replayDecision {
+	rank := s.table.Rank(&r.class.route, nil)
+	t.Ranked, t.Rank = true, rank
+	c, customer := Choose(t, p.cs), fmt.Sprint(r.customer)
+	if c.Index < 0 || c.ExpectedWait > r.class.deadline {
+		return replayDecision{engine: -1}
+	}
+	var behindAll func() Choice
+	if s.late {
+		behindAll = func() Choice {
+			t.Rank = LastRank
+			return Choose(t, p.cs)
+		}
+	}
+	overShare := s.shares != nil && s.shares[r.entry].Exceeds(customer, rank, t.Now)
+	c, outcome, _ := Schedule(c, r.class.route.LatencyTarget, r.class.deadline, overShare, behindAll)
+	if s.shares != nil {
+		s.shares[r.entry].RecordPrompt(customer, rank, r.prompt.Tokens, outcome, t.Now)
+	}
+	if outcome == Refused {
+		return replayDecision{engine: -1}
+	}
+	return replayDecision{engine: c.Index, priority: c.Load.Rank, late: outcome.Late(), load: c.Load}
+}
--- a/gateway/accesslog.go
+++ b/gateway/accesslog.go
@@ -158,6 +158,9 @@
 		if a.placement.choice.Version > 0 {
 			e = e.Int64("weights_"+n, a.placement.choice.Version)
 		}
+		if a.placement.outcome.Late() {
+			e = e.Str("late_"+n, lateReasons[a.placement.outcome])
+		}
 		if a.placement.outdatedFor > 0 {
 			e = e.Dur("outdated_ms_"+n, a.placement.outdatedFor)
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,6 +93,8 @@
 	unknownHeaders     unknownHeaders
 	rejectedReports    *expvar.Int
 	addressesReused    *expvar.Int
+	uncountedRetries   *expvar.Int
+	latePrompts        *expvar.Map
 	durations          *metrics.DurationHistograms
 	firstByteDurations *metrics.DurationHistograms
 }
@@ -119,6 +121,8 @@
 		unknownHeaders:     unknownHeaders{count: metrics.Default.LabeledCounter("forward_unknown_headers")},
 		rejectedReports:    metrics.Default.Counter("stray_load_reports"),
 		addressesReused:    metrics.Default.Counter("forward_addresses_reused"),
+		uncountedRetries:   metrics.Default.Counter("forward_uncounted_retries"),
+		latePrompts:        metrics.Default.LabeledCounter("forward_late_prompts"),
 		durations:          metrics.Default.DurationHistograms("forward_ms"),
 		firstByteDurations: metrics.Default.DurationHistograms("forward_first_byte_ms"),
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -48,6 +48,7 @@
 	h.Set("Test-Endpoint", o.Endpoint)
 	h.Set("Test-Customer", o.Customer)
 	h.Set("Test-Last", o.LastEventID)
+	h.Set("Test-Priority", strconv.Itoa(o.Priority))
 }
 
 func (testHeaderCodec) ParseResponse(status int, h http.Header) ResponseInfo {
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -25,6 +25,7 @@
 	work            forward.RequestLoad
 	maxConns        int // maximum connections of this process to the endpoint
 	choice          forward.Choice
+	outcome         forward.Outcome
 	placedAt        time.Duration
 	limit           float64              // limit of the endpoint that was known, forward.Unlimited if none
 	outdatedFor     time.Duration        // longest time for which a newer weight version may have been set, 0 if none is
@@ -77,16 +78,13 @@
 		return nil, q.noRoom(s, apierr.DeadlineUnmet, c.ExpectedWait-left, now, "the expected wait is longer than the deadline")
 	}
 	if q.call.Prompt != nil {
-		takeUps := s.takeUpCredit(q.service.Name)
-		if forward.ShouldShed(c, q.route.LatencyTarget) && !(q.takesUp() && takeUps.Spend(c, q.route)) {
-			return nil, q.noRoom(s, apierr.Overloaded, c.QueueWait, now, "the latency target can't be met")
-		}
-		if !q.takesUp() {
-			takeUps.RecordPlacement()
+		var err *apierr.Error
+		if c, err = q.schedulePrompt(s, cs, c, left, now); err != nil {
+			return nil, err
 		}
 	}
 	s.shedder.Service(q.service.Name).RecordPlacement(false, now)
-	p := &placement{endpoint: cs[c.Index].Endpoint, work: c.Load, choice: c, placedAt: now, maxConns: s.connLimit(q.service, cs[c.Index].Endpoint.ID)}
+	p := &placement{endpoint: cs[c.Index].Endpoint, work: c.Load, choice: c, outcome: q.outcome, placedAt: now, maxConns: s.connLimit(q.service, cs[c.Index].Endpoint.ID)}
 	if chosen := &cs[c.Index]; chosen.Outdated {
 		p.outdatedFor = now - chosen.OutdatedSince
 	}
@@ -148,10 +146,15 @@
 }
 
 func (q *request) chooseFrom(s *state, cs []forward.Candidate, now time.Duration) forward.Choice {
+	return q.chooseRanked(s, cs, q.rank, now)
+}
+
+// chooseRanked chooses an endpoint for the request as one of the given rank.
+func (q *request) chooseRanked(s *state, cs []forward.Candidate, rank int, now time.Duration) forward.Choice {
 	return forward.Choose(forward.PlacementRequest{
 		Prompt: q.call.Prompt, FailureDomain: s.settings.FailureDomain, Engine: q.service.Engine, CacheGroup: q.cacheGroup,
 		StartIndex: s.rng.IntN(len(cs) + 1),
-		Stores:     s.fetchableStores(now), Now: now, Unseen: s.unseenPrompts(now), Ranked: q.scheduling.RankedQueues, Rank: q.rank,
+		Stores:     s.fetchableStores(now), Now: now, Unseen: s.unseenPrompts(now), Ranked: q.scheduling.RankedQueues, Rank: rank,
 		Fetchable: func(model string, version int64) bool { return s.rollout.Fetchable(model, version, now) },
 	}, cs)
 }
@@ -191,6 +194,7 @@
 // spreads all that are refused. The caller holds the state's mutex.
 func (q *request) noRoom(s *state, kind apierr.Kind, excess, now time.Duration, message string) *apierr.Error {
 	s.shedder.Service(q.service.Name).RecordPlacement(true, now)
+	q.recordOutcome(s, forward.Refused, now)
 	return q.placementError(apierr.NewRetryable(kind, apierr.NotRun, q.returnAfter(s, excess, now), message, "send the request again later"))
 }
 
--- a/gateway/reportextension_test.go
+++ b/gateway/reportextension_test.go
@@ -145,7 +145,7 @@
 			require.NoError(t, err)
 			f.applyReport(r)
 			l := f.state.peerLoads.load("e0")
-			require.Equal(t, c.ahead, l.PrefillAhead(1))
+			require.Equal(t, c.ahead, l.AheadOf(1).PrefillTokens)
 			f.clock.advance(reportTTL)
 			f.state.peerLoads.expire(f.clock.read())
 			require.Empty(t, f.state.peerLoads.totals)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -59,6 +59,7 @@
 	scheduling     Scheduling           // settings of the last placement
 	rank           int                  // at the last placement, 0 without ranks
 	sentPriority   int                  // priority that the endpoint gets
+	outcome        forward.Outcome      // of the last placement
 	accessLog      accessLog
 }
 
@@ -378,13 +379,20 @@
 	if q.headerSent && q.route.Kind != forward.Stream {
 		return false // only a stream can go on elsewhere
 	}
-	if !notRun && !q.route.Repeatable() || q.countedAttempts() >= max(q.route.MaxAttempts, 1) {
+	maxAttempts := max(q.route.MaxAttempts, 1)
+	if !notRun && !q.route.Repeatable() || q.countedAttempts() >= maxAttempts {
 		return false
 	}
 	s := q.g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.retryBudget(q.service.Name).TrySpend(s.clock())
+	if !s.retryBudget(q.service.Name).TrySpend(s.clock()) {
+		return false
+	}
+	if q.sentAttempts >= maxAttempts {
+		q.g.uncountedRetries.Add(1)
+	}
+	return true
 }
 
 // countedAttempts returns how many attempts count towards the route's maximum.
--- a/gateway/scheduling.go
+++ b/gateway/scheduling.go
@@ -3,9 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
+	"github.com/galenaweir/galenaweir/core/apierr"
 	"github.com/galenaweir/galenaweir/core/forward"
 )
 
@@ -13,6 +13,8 @@
 // settings, requests get the decisions that they got before these settings existed.
 type Scheduling struct {
 	RankedQueues bool `json:"rankedQueues"` // send ranks, and expect the wait for the same and more urgent ones
+	LateRequests bool `json:"lateRequests"` // place prompts that can't meet their latency target with the last rank
+	FairShare    bool `json:"fairShare"`    // place prompts of customers with more than their share late first
 	RetryRefused int  `json:"retryRefused"` // rejected attempts of a request that don't count towards the route's maximum
 }
 
@@ -26,6 +28,12 @@
 	if c.RetryRefused < 0 || c.RetryRefused > maxRetryRefused {
 		errs = append(errs, fmt.Errorf("scheduling.retryRefused is %d; want 0 to %d", c.RetryRefused, maxRetryRefused))
 	}
+	if c.LateRequests && !c.RankedQueues {
+		errs = append(errs, errors.New("scheduling.lateRequests is true without rankedQueues; set scheduling.rankedQueues to true, or leave lateRequests out"))
+	}
+	if c.FairShare && !c.LateRequests {
+		errs = append(errs, errors.New("scheduling.fairShare is true without lateRequests; set scheduling.lateRequests to true, or leave fairShare out"))
+	}
 	return errs
 }
 
@@ -40,77 +48,66 @@
 // setRank sets the rank of the request by the newest configuration, and the priority to send. The
 // caller holds the state's mutex.
 func (q *request) setRank(s *state) {
-	q.sentPriority = q.priority()
+	q.outcome, q.rank, q.sentPriority = forward.OnTime, 0, q.priority()
 	if q.scheduling.RankedQueues && q.call.Prompt != nil {
 		q.rank = s.table.Rank(q.route, q.customer)
 		q.sentPriority = q.rank
 	}
 }
 
-// reportRanks is the waiting prefill by rank that the sender of a report has placed on an endpoint. It
-// is encoded as an array of the hash and the tokens up to the last rank with any.
-type reportRanks struct {
-	Endpoint uint32 // hash of the endpoint's ID
-	Prefill  forward.RankedTokens
-}
-
-// EncodeMsgpack implements msgpack.CustomEncoder.
-func (r reportRanks) EncodeMsgpack(e *msgpack.Encoder) error {
-	n := forward.RankCount
-	for n > 0 && r.Prefill[n-1] == 0 {
-		n--
+// schedulePrompt decides whether a prompt is placed with the choice c, late with another one, or
+// refused. The caller holds the state's mutex.
+func (q *request) schedulePrompt(s *state, cs []forward.Candidate, c forward.Choice, left, now time.Duration) (forward.Choice, *apierr.Error) {
+	takeUps := s.takeUpCredit(q.service.Name)
+	if q.takesUp() && forward.ShouldShed(c, q.route.LatencyTarget) && takeUps.Spend(c, q.route) {
+		q.recordOutcome(s, forward.OnTime, now)
+		return c, nil
+	}
+	var behindAll func() forward.Choice
+	if q.scheduling.LateRequests {
+		behindAll = func() forward.Choice { return q.chooseRanked(s, cs, forward.LastRank, now) }
 	}
-	if err := e.EncodeArrayLen(1 + n); err != nil {
-		return err
+	overShare := q.scheduling.FairShare && !q.takesUp() && s.fairShare(q.service.Name).Exceeds(q.customerName(), q.rank, now)
+	c, outcome, retryAfter := forward.Schedule(c, q.route.LatencyTarget, left, overShare, behindAll)
+	if outcome == forward.Refused {
+		return c, q.noRoom(s, apierr.Overloaded, retryAfter, now, "the latency target can't be met")
 	}
-	if err := e.EncodeUint(uint64(r.Endpoint)); err != nil {
-		return err
+	if q.outcome = outcome; outcome.Late() {
+		q.sentPriority = forward.LastRank
+		q.g.latePrompts.Add(lateReasons[outcome], 1)
 	}
-	for _, tokens := range r.Prefill[:n] {
-		if err := e.EncodeInt(int64(tokens)); err != nil {
-			return err
-		}
+	q.recordOutcome(s, outcome, now)
+	if !q.takesUp() {
+		takeUps.RecordPlacement()
 	}
-	return nil
+	return c, nil
 }
 
-var errRanks = errors.New("the number of ranks of an endpoint is out of range")
+// lateReasons are the labels of late prompts in counters and in the access log.
+var lateReasons = map[forward.Outcome]string{forward.Late: "target_missed", forward.LateByShare: "over_share"}
 
-// DecodeMsgpack implements msgpack.CustomDecoder.
-func (r *reportRanks) DecodeMsgpack(d *msgpack.Decoder) error {
-	n, err := d.DecodeArrayLen()
-	if err != nil || n < 1 || n > 1+forward.RankCount {
-		return errors.Join(err, errRanks)
-	}
-	*r = reportRanks{}
-	if r.Endpoint, err = d.DecodeUint32(); err != nil {
-		return err
-	}
-	for i := range n - 1 {
-		if r.Prefill[i], err = d.DecodeInt(); err != nil {
-			return err
-		}
+// recordOutcome records what became of a prompt for the shares of the customers. The caller holds the
+// state's mutex.
+func (q *request) recordOutcome(s *state, outcome forward.Outcome, now time.Duration) {
+	if q.scheduling.FairShare && q.call.Prompt != nil {
+		s.fairShare(q.service.Name).RecordPrompt(q.customerName(), q.rank, q.call.Prompt.Tokens, outcome, now)
 	}
-	return nil
 }
 
-// ranksToReport returns the waiting prefill by rank that this process has placed on endpoints.
-func (s *state) ranksToReport() (out boundedList[reportRanks]) {
-	for _, e := range s.endpoints {
-		if e.load.PrefillByRank != (forward.RankedTokens{}) {
-			out = append(out, reportRanks{e.hash, e.load.PrefillByRank})
-		}
+// customerName returns the name of the customer, "" if there is none.
+func (q *request) customerName() string {
+	if q.customer == nil {
+		return ""
 	}
-	return out
+	return q.customer.Name
 }
 
-// applyRanks adds the ranks in a peer's report to its loads. If they contradict a load, its prefill
-// counts for all ranks.
-func applyRanks(loads map[uint32]forward.EndpointLoad, ranks []reportRanks) {
-	for _, r := range ranks {
-		if l, ok := loads[r.Endpoint]; ok && r.Prefill.Valid(l.PrefillTokens) {
-			l.PrefillByRank = r.Prefill
-			loads[r.Endpoint] = l
-		}
+// fairShare returns the shares of the customers of a service at this entry.
+func (s *state) fairShare(service string) *forward.FairShare {
+	f := s.fairShares[service]
+	if f == nil {
+		f = &forward.FairShare{}
+		s.fairShares[service] = f
 	}
+	return f
 }
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -38,6 +38,11 @@
 	_, err = loadSettingsText(t, strings.Replace(good, "{", `{"newer": {"x": 1},`, 1))
 	require.NoError(t, err, "unknown fields are ignored")
 
+	require.Nil(t, s.Scheduling)
+	s, err = loadSettingsText(t, withScheduling(`"rankedQueues": true, "lateRequests": true, "fairShare": true, "retryRefused": 1`))
+	require.NoError(t, err)
+	require.Equal(t, &Scheduling{RankedQueues: true, LateRequests: true, FairShare: true, RetryRefused: 1}, s.Scheduling)
+
 	for name, text := range map[string]string{
 		"host":          strings.Replace(good, `"host": "10.1.0.19"`, `"host": "front"`, 1),
 		"callerAddress": strings.Replace(good, `"10.1.0.19:8749"`, `"10.1.0.19"`, 1),
@@ -48,6 +53,9 @@
 		"scheduling.retryRefused is -1; want":                               withScheduling(`"retryRefused": -1`),
 		"scheduling.retryRefused is a string; want a value of type int":     withScheduling(`"retryRefused": "1"`),
 		"scheduling.retryRefused is a number 0.5; want a value of type int": withScheduling(`"retryRefused": 0.5`),
+		"scheduling.rankedQueues is a number; want a value of type bool":    withScheduling(`"rankedQueues": 1`),
+		"scheduling.lateRequests is true without rankedQueues; set":         withScheduling(`"lateRequests": true`),
+		"scheduling.fairShare is true without lateRequests; set":            withScheduling(`"rankedQueues": true, "fairShare": true`),
 	} {
 		require.NotEqual(t, good, text, name)
 		_, err := loadSettingsText(t, text)
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -88,6 +88,7 @@
 	limitGroup        forward.LimitGroup
 	shedder           forward.Shedder
 	takeUps           map[string]*forward.TakeUpCredit // by service
+	fairShares        map[string]*forward.FairShare    // by service
 	processorShort    bool                             // tasks that could run wait for the processor
 	limitQueues       map[string]*forward.LimitQueue   // by service
 	parts             *forward.PartHolds
@@ -103,7 +104,7 @@
 	rollout.RetireDelay = forward.RetireDelayFor(milliseconds(s.VersionMs))
 	return &state{
 		clock: clock, rng: rng, endpointList: forward.NewEndpointList(), endpoints: map[string]*endpointState{}, endpointsByHash: map[uint32]string{}, peerFacts: map[string]knownFacts{}, rollout: rollout,
-		retryBudgets: map[string]*retry.Budget{}, peerLoads: newPeerLoads(), peerUpdates: forward.NewPeerUpdates(), settings: s, streams: forward.NewStreamBuilds(), streamLog: newStreamLog(), limitQueues: map[string]*forward.LimitQueue{}, takeUps: map[string]*forward.TakeUpCredit{}, statements: newStatements(),
+		retryBudgets: map[string]*retry.Budget{}, peerLoads: newPeerLoads(), peerUpdates: forward.NewPeerUpdates(), settings: s, streams: forward.NewStreamBuilds(), streamLog: newStreamLog(), limitQueues: map[string]*forward.LimitQueue{}, takeUps: map[string]*forward.TakeUpCredit{}, fairShares: map[string]*forward.FairShare{}, statements: newStatements(),
 		parts: forward.NewPartHolds(), partSaver: newPartSaver(), endpointChecks: map[forward.EndpointStart]*endpointCheck{}, storeFollowers: map[uint32]*storeFollower{},
 		freshness: forward.Freshness{MaxKeyAge: milliseconds(s.RevokeMs) - revokeMargin}, readConfirmed: make(chan struct{}), storeRead: make(chan struct{}), resumes: make(chan struct{}, 1),
 	}
