--- a/settings/fields.go
+++ b/settings/fields.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	_ "embed"
 	"fmt"
 	"reflect"
 	"strconv"
@@ -90,6 +91,12 @@
 	return errs
 }
 
+// forwardingSection is the part of the reference page about forwarding entries, whose settings have no
+// tags to make it from.
+//
+//go:embed forwarding.md
+var forwardingSection string
+
 // Markdown returns the reference page of the settings, docs/settings.md.
 func Markdown() string {
 	var b strings.Builder
@@ -105,5 +112,6 @@
 		}
 		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s | %s |\n", f.Key, f.Type, f.Unit, def, limits, f.Doc)
 	}
+	b.WriteString(forwardingSection)
 	return b.String()
 }
