Merge scheduling by rank, late placement and reused addresses

Cause: urgent prompts were refused for the queue of patient ones, and old list entries drew requests again and again.

--- a/gateway/accesslog.go
+++ b/gateway/accesslog.go
@@ -133,6 +133,9 @@
 	}
 	if q.call.Prompt != nil {
 		e = e.Int("prompt_tokens", q.call.Prompt.Tokens)
+		if q.scheduling.RankedQueues {
+			e = e.Int("rank", q.rank)
+		}
 	}
 	if q.call.LastEventID != "" {
 		e = e.Str("resumes", q.call.Resumes).Str("last_event", q.call.LastEventID).Str("build", q.accessLog.build).Int("of_build", q.accessLog.ofBuild)
@@ -155,6 +158,9 @@
 		if a.placement.choice.Version > 0 {
 			e = e.Int64("weights_"+n, a.placement.choice.Version)
 		}
+		if a.placement.outcome.Late() {
+			e = e.Str("late_"+n, lateReasons[a.placement.outcome])
+		}
 		if a.placement.outdatedFor > 0 {
 			e = e.Dur("outdated_ms_"+n, a.placement.outdatedFor)
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,6 +92,9 @@
 	refusals           *expvar.Map
 	unknownHeaders     unknownHeaders
 	rejectedReports    *expvar.Int
+	addressesReused    *expvar.Int
+	uncountedRetries   *expvar.Int
+	latePrompts        *expvar.Map
 	durations          *metrics.DurationHistograms
 	firstByteDurations *metrics.DurationHistograms
 }
@@ -117,6 +120,9 @@
 		refusals:           metrics.Default.LabeledCounter("forward_refusals"),
 		unknownHeaders:     unknownHeaders{count: metrics.Default.LabeledCounter("forward_unknown_headers")},
 		rejectedReports:    metrics.Default.Counter("stray_load_reports"),
+		addressesReused:    metrics.Default.Counter("forward_addresses_reused"),
+		uncountedRetries:   metrics.Default.Counter("forward_uncounted_retries"),
+		latePrompts:        metrics.Default.LabeledCounter("forward_late_prompts"),
 		durations:          metrics.Default.DurationHistograms("forward_ms"),
 		firstByteDurations: metrics.Default.DurationHistograms("forward_first_byte_ms"),
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -45,6 +45,7 @@
 	tried          map[string]bool
 	sentAttempts   int  // attempts in which the request was sent
 	unsentAttempts int  // attempts that ended before anything was sent
+	notRunAttempts int  // attempts that the endpoint stated that it did not run
 	bodyBegun      bool // the body has been read, at least in part
 	headerSent     bool // the response header has been sent to the caller
 	lastEventID    string
@@ -55,6 +56,10 @@
 	partKeys       []uint64             // of the prompt's shared parts, once they are needed
 	held           *forward.HeldRequest // why it is held, nil if it isn't
 	shed           bool                 // it was refused as this entry is short of processor time
+	scheduling     Scheduling           // settings of the last placement
+	rank           int                  // at the last placement, 0 without ranks
+	sentPriority   int                  // priority that the endpoint gets
+	outcome        forward.Outcome      // of the last placement
 	accessLog      accessLog
 }
 
@@ -374,13 +379,25 @@
 	if q.headerSent && q.route.Kind != forward.Stream {
 		return false // only a stream can go on elsewhere
 	}
-	if !notRun && !q.route.Repeatable() || q.sentAttempts >= max(q.route.MaxAttempts, 1) {
+	maxAttempts := max(q.route.MaxAttempts, 1)
+	if !notRun && !q.route.Repeatable() || q.countedAttempts() >= maxAttempts {
 		return false
 	}
 	s := q.g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.retryBudget(q.service.Name).TrySpend(s.clock())
+	if !s.retryBudget(q.service.Name).TrySpend(s.clock()) {
+		return false
+	}
+	if q.sentAttempts >= maxAttempts {
+		q.g.uncountedRetries.Add(1)
+	}
+	return true
+}
+
+// countedAttempts returns how many attempts count towards the route's maximum.
+func (q *request) countedAttempts() int {
+	return forward.CountedAttempts(q.sentAttempts, q.notRunAttempts, q.scheduling.RetryRefused)
 }
 
 func boolInt(b bool) int {
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -23,6 +23,11 @@
 	return LoadSettings(path)
 }
 
+// withScheduling returns the sample with an object scheduling that has the given fields.
+func withScheduling(fields string) string {
+	return strings.Replace(sampleSettings, "{", `{"scheduling": {`+fields+`},`, 1)
+}
+
 // Guards against invalid settings that are accepted, or rejected without naming the setting.
 func TestLoadSettings(t *testing.T) {
 	good := sampleSettings
@@ -33,6 +38,11 @@
 	_, err = loadSettingsText(t, strings.Replace(good, "{", `{"newer": {"x": 1},`, 1))
 	require.NoError(t, err, "unknown fields are ignored")
 
+	require.Nil(t, s.Scheduling)
+	s, err = loadSettingsText(t, withScheduling(`"rankedQueues": true, "lateRequests": true, "fairShare": true, "retryRefused": 1`))
+	require.NoError(t, err)
+	require.Equal(t, &Scheduling{RankedQueues: true, LateRequests: true, FairShare: true, RetryRefused: 1}, s.Scheduling)
+
 	for name, text := range map[string]string{
 		"host":           strings.Replace(good, `"host": "10.1.0.19"`, `"host": "front"`, 1),
 		"callerAddress":  strings.Replace(good, `"10.1.0.19:8749"`, `"10.1.0.19"`, 1),
@@ -41,6 +51,13 @@
 		"operatorPollMs": strings.Replace(good, "{", `{"operatorPollMs": 499,`, 1),
 		"500 to 2500":    strings.Replace(good, "{", `{"operatorPollMs": 2501,`, 1),
 		"id":             strings.Replace(good, `"id": "entry-1",`, "", 1),
+		"scheduling.retryRefused is 3; want 0 to 2":                         withScheduling(`"retryRefused": 3`),
+		"scheduling.retryRefused is -1; want":                               withScheduling(`"retryRefused": -1`),
+		"scheduling.retryRefused is a string; want a value of type int":     withScheduling(`"retryRefused": "1"`),
+		"scheduling.retryRefused is a number 0.5; want a value of type int": withScheduling(`"retryRefused": 0.5`),
+		"scheduling.rankedQueues is a number; want a value of type bool":    withScheduling(`"rankedQueues": 1`),
+		"scheduling.lateRequests is true without rankedQueues; set":         withScheduling(`"lateRequests": true`),
+		"scheduling.fairShare is true without lateRequests; set":            withScheduling(`"rankedQueues": true, "fairShare": true`),
 	} {
 		require.NotEqual(t, good, text, name)
 		_, err := loadSettingsText(t, text)
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -45,6 +45,7 @@
 	loadingSince     time.Duration    // when a peer first reported that
 	emptyingUntil    time.Duration    // emptied by a peer before loading weights: gets no long prompts until then
 	orderCount       int64            // number of orders that the endpoint has accepted, as far as known
+	reusedUntil      time.Duration    // another endpoint had its address; the peers are told until then
 }
 
 // state holds everything that decisions about requests depend on. It is guarded by mu.
@@ -91,6 +92,7 @@
 	evacuations       forward.Evacuations
 	shedder           forward.Shedder
 	takeUps           map[string]*forward.TakeUpCredit // by service
+	fairShares        map[string]*forward.FairShare    // by service
 	processorShort    bool                             // tasks that could run wait for the processor
 	limitQueues       map[string]*forward.LimitQueue   // by service
 	parts             *forward.PartHolds
@@ -106,7 +108,7 @@
 	rollout.RetireDelay = forward.RetireDelayFor(milliseconds(s.VersionMs))
 	return &state{
 		clock: clock, rng: rng, endpointList: forward.NewEndpointList(), endpoints: map[string]*endpointState{}, endpointsByHash: map[uint32]string{}, peerFacts: map[string]knownFacts{}, rollout: rollout,
-		retryBudgets: map[string]*retry.Budget{}, peerLoads: newPeerLoads(), peerUpdates: forward.NewPeerUpdates(), settings: s, streams: forward.NewStreamBuilds(), streamLog: newStreamLog(), limitQueues: map[string]*forward.LimitQueue{}, takeUps: map[string]*forward.TakeUpCredit{}, statements: newStatements(),
+		retryBudgets: map[string]*retry.Budget{}, peerLoads: newPeerLoads(), peerUpdates: forward.NewPeerUpdates(), settings: s, streams: forward.NewStreamBuilds(), streamLog: newStreamLog(), limitQueues: map[string]*forward.LimitQueue{}, takeUps: map[string]*forward.TakeUpCredit{}, fairShares: map[string]*forward.FairShare{}, statements: newStatements(),
 		parts: forward.NewPartHolds(), partSaver: newPartSaver(), endpointChecks: map[forward.EndpointStart]*endpointCheck{}, storeFollowers: map[uint32]*storeFollower{},
 		freshness: forward.Freshness{MaxKeyAge: milliseconds(s.RevokeMs) - revokeMargin}, readConfirmed: make(chan struct{}), storeRead: make(chan struct{}), resumes: make(chan struct{}, 1),
 	}
@@ -224,6 +226,7 @@
 		st.nextStateRead = 0
 		clear(st.observedVersions)
 		st.orderCount = 0
+		st.reusedUntil = 0
 	}
 	st.started = e.StartedUnixMs
 	if restarted {
