Move the count of attempts to the settings of scheduling

Change: countedAttempts is in gateway/scheduling.go; no other change. Result: go test -race ./gateway -run 'Schedul|Late|Share|Rejected|Reused|Retr|Budget' passes.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -395,11 +395,6 @@
 	return true
 }
 
-// countedAttempts returns how many attempts count towards the route's maximum.
-func (q *request) countedAttempts() int {
-	return forward.CountedAttempts(q.sentAttempts, q.notRunAttempts, q.scheduling.RetryRefused)
-}
-
 func boolInt(b bool) int {
 	if b {
 		return 1
--- a/gateway/scheduling.go
+++ b/gateway/scheduling.go
@@ -111,3 +111,8 @@
 	}
 	return f
 }
+
+// countedAttempts returns how many attempts count towards the route's maximum.
+func (q *request) countedAttempts() int {
+	return forward.CountedAttempts(q.sentAttempts, q.notRunAttempts, q.scheduling.RetryRefused)
+}
