Let few members read a new generation of the group

Change: three members, by hash, read the list at once and tell the others; the others wait for one join. In a generation the list doesn't change, and its generation is confirmed by a join as before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,6 +77,7 @@
 	pool            *connPool
 	ownership       forward.Ownership // guarded by the state's mutex
 	memberID        string
+	readList        forward.OfferedList // read from the log and not confirmed yet; guarded by the state's mutex
 	peerConn        *net.UDPConn
 	reportRequests  chan struct{}
 	maxCheckWait    time.Duration // see defaultMaxCheckWait
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -308,6 +308,12 @@
 		if isRelay(data) {
 			data = g.passOn(data)
 		}
+		if isMemberList(data) {
+			if !g.receiveMemberList(data) {
+				g.rejectedReports.Add(1)
+			}
+			continue
+		}
 		if isStoreNews(data) {
 			if !g.receiveStoreNews(data) {
 				g.rejectedReports.Add(1)
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -38,7 +38,7 @@
 			continue
 		}
 		m, err := g.join(ctx, name)
-		if err == nil && g.recordJoin(m, sentAt) && g.readMembers(ctx, m) {
+		if err == nil && g.recordJoin(m, sentAt) && g.learnMembers(ctx, m) {
 			continue // the next join confirms that the list is current
 		}
 		wait.For(ctx, joinInterval)
@@ -97,6 +97,7 @@
 	defer s.mu.Unlock()
 	if g.ownership.RecordJoin(m, sentAt) {
 		s.peerLoads.members = g.ownership.Members()
+		g.offerIfRead(m)
 		g.updateLimitGroup()
 		log.Info().Str("event", "members").Int64("era", int64(m.Era)).Int64("generation", m.Number).Int("count", len(s.peerLoads.members)).Msg("group of entries changed")
 	}
@@ -106,6 +107,22 @@
 	return !g.ownership.KnowsMembers(m)
 }
 
+// learnMembers learns the members of a new generation from a peer or from the log. It reports whether
+// they are known now.
+func (g *Gateway) learnMembers(ctx context.Context, generation forward.Generation) bool {
+	known, read := g.adoptMembers(generation)
+	return known || read && g.readMembers(ctx, generation)
+}
+
+// offerIfRead tells the peers the list that was just confirmed, if this process has read it from the
+// log. The caller holds the state's mutex.
+func (g *Gateway) offerIfRead(generation forward.Generation) {
+	if l := g.readList; g.state.settings.SharedMemberLists && l.Generation == generation && len(l.Members) > 0 {
+		go g.offerMembers(l)
+	}
+	g.readList = forward.OfferedList{}
+}
+
 func (g *Gateway) readMembers(ctx context.Context, generation forward.Generation) bool {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
@@ -120,6 +137,8 @@
 	g.state.mu.Lock()
 	defer g.state.mu.Unlock()
 	g.ownership.RecordMembers(generation, list.Members)
+	g.state.memberReads.Settled()
+	g.readList = forward.OfferedList{Generation: generation, Members: list.Members}
 	return true
 }
 
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -24,18 +24,19 @@
 	PeerPorts     [2]int `json:"peerPorts"`     // first and last port for traffic between entries
 	MetricsPort   int    `json:"metricsPort"`   // port that serves metrics, 0 to disable
 
-	DrainMs         int64   `json:"drainMs"`         // maximum time from an endpoint's removal to the last request sent to it
-	GraceS          float64 `json:"graceS"`          // time from SIGTERM to SIGKILL
-	RevokeMs        int64   `json:"revokeMs"`        // maximum time from the removal of a key until it is rejected
-	BudgetRatio     float64 `json:"budgetRatio"`     // share of requests that may be retried
-	BudgetWindowS   float64 `json:"budgetWindowS"`   // time over which that share is computed
-	VersionMs       int64   `json:"versionMs"`       // maximum time from naming a weight version to the last request on an older one
-	OrderHandoverMs int64   `json:"orderHandoverMs"` // minimum time between the load orders of two owners of an endpoint
-	LogWritesPerS   float64 `json:"logWritesPerS"`   // write calls a second that the log accepts from all entries together, 400 if absent
-	MemoryMb        int64   `json:"memoryMb"`        // memory of this host, 0 for no memory limit in the Go runtime
-	WarmUpRatio     float64 `json:"warmUpRatio"`     // a warming endpoint gets at most the rate that it takes x warmUpRatio + warmUpRequests requests in any one second; no bound if both are 0
-	WarmUpRequests  float64 `json:"warmUpRequests"`  //
-	OperatorPollMs  int64   `json:"operatorPollMs"`  // how long a read waits at the log for operators' records, 1000 if absent
+	DrainMs           int64   `json:"drainMs"`           // maximum time from an endpoint's removal to the last request sent to it
+	GraceS            float64 `json:"graceS"`            // time from SIGTERM to SIGKILL
+	RevokeMs          int64   `json:"revokeMs"`          // maximum time from the removal of a key until it is rejected
+	BudgetRatio       float64 `json:"budgetRatio"`       // share of requests that may be retried
+	BudgetWindowS     float64 `json:"budgetWindowS"`     // time over which that share is computed
+	VersionMs         int64   `json:"versionMs"`         // maximum time from naming a weight version to the last request on an older one
+	OrderHandoverMs   int64   `json:"orderHandoverMs"`   // minimum time between the load orders of two owners of an endpoint
+	LogWritesPerS     float64 `json:"logWritesPerS"`     // write calls a second that the log accepts from all entries together, 400 if absent
+	MemoryMb          int64   `json:"memoryMb"`          // memory of this host, 0 for no memory limit in the Go runtime
+	WarmUpRatio       float64 `json:"warmUpRatio"`       // a warming endpoint gets at most the rate that it takes x warmUpRatio + warmUpRequests requests in any one second; no bound if both are 0
+	WarmUpRequests    float64 `json:"warmUpRequests"`    //
+	SharedMemberLists bool    `json:"sharedMemberLists"` // few entries read the members of a new generation of the group from the log and tell the others
+	OperatorPollMs    int64   `json:"operatorPollMs"`    // how long a read waits at the log for operators' records, 1000 if absent
 
 	Scheduling *Scheduling `json:"scheduling"` // nil turns all of it off
 }
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -89,6 +89,7 @@
 	promptRate        forward.Rate         // of the prompts that this process places
 	limitGroup        forward.LimitGroup
 	warmUpGroup       forward.WarmUpGroup
+	memberReads       forward.MemberReads
 	evacuations       forward.Evacuations
 	shedder           forward.Shedder
 	takeUps           map[string]*forward.TakeUpCredit // by service
