--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -48,19 +48,23 @@
 
 // TrySpend takes one extra attempt from the budget. It returns false if none is left.
 func (b *Budget) TrySpend(now time.Duration) bool {
+	if requests, spent := b.Use(now); float64(spent+1) > b.share*float64(requests) {
+		return false
+	}
+	b.currentBucket(now).spent++
+	return true
+}
+
+// Use returns the requests of the window and the extra attempts that were taken in it.
+func (b *Budget) Use(now time.Duration) (requests, spent int) {
 	current := b.currentBucket(now)
-	requests, spent := 0, 0
 	for _, k := range b.buckets {
 		if k.number > current.number-bucketsPerWindow {
 			requests += k.requests
 			spent += k.spent
 		}
 	}
-	if float64(spent+1) > b.share*float64(requests) {
-		return false
-	}
-	current.spent++
-	return true
+	return requests, spent
 }
 
 // CanSpend reports whether the budget has an extra attempt left, without taking it.
