--- a/core/forward/choose.go
+++ b/core/forward/choose.go
@@ -82,6 +82,7 @@
 	Unseen        float64      // prompts that peers have placed and that this process doesn't know of yet, on average
 	Now           time.Duration
 	Fetchable     func(model string, version int64) bool // see Rollout.Fetchable
+	Tentative     bool                                   // the choice may not be used; see Choice.RecordTransfers
 }
 
 // Choice is the result of placing a request.
@@ -138,7 +139,9 @@
 		}
 	}
 	if best.Index >= 0 && t.Prompt != nil && t.Engine != nil {
-		best.recordTransfers(&cs[best.Index], t.Prompt.SharedParts(), plans.forVersion(best.Version).keys, t.Now)
+		if !t.Tentative {
+			best.recordTransfers(&cs[best.Index], t.Prompt.SharedParts(), plans.forVersion(best.Version).keys, t.Now)
+		}
 		best.selectSources()
 	}
 	return best
