Send second attempts for slow responses

Cause: section 6 of docs/design/0001-warmup-evacuation-load.md; a repeatable request waits for one slow endpoint although others are idle. Change: with secondAttemptShare set, attempts of repeatable requests run in a goroutine with a copy of the request; the first complete event, or head that isn't retried, wins, and the other connection is closed.

--- a/gateway/accesslog.go
+++ b/gateway/accesslog.go
@@ -78,6 +78,7 @@
 	aborted        string
 	bodyRead       bool // the request has been read whole
 	err            *apierr.Error
+	second         secondAttemptLog
 }
 
 // countCandidates records how many candidates the last placement had, by state.
@@ -161,10 +162,14 @@
 		if a.placement.limit != forward.Unlimited {
 			e = e.Float64("limit_"+n, a.placement.limit)
 		}
+		if a.placement.second {
+			e = e.Bool("second_"+n, true)
+		}
 		if a.err != nil {
 			e = e.Bool("not_run_"+n, a.err.notRun).Bool("sent_"+n, a.err.sent).Str("failure_"+n, a.err.Error())
 		}
 	}
+	e = q.accessLog.second.write(e)
 	if q.accessLog.aborted != "" {
 		e = e.Str("aborted", q.accessLog.aborted)
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -16,6 +16,18 @@
 
 // sendTo sends the request to an endpoint and delivers the response to the caller.
 func (q *request) sendTo(ctx context.Context, p *placement) *exchangeError {
+	resp, xerr := q.exchange(ctx, p, func() error { return q.checkSend(ctx, p) })
+	q.countAttempt(xerr)
+	if xerr != nil {
+		return xerr
+	}
+	q.observeHead(p, resp)
+	return q.receive(resp, p)
+}
+
+// exchange sends the request to an endpoint, unless beforeSend returns an error, and reads the head
+// of the response.
+func (q *request) exchange(ctx context.Context, p *placement, beforeSend func() error) (*response, *exchangeError) {
 	m := q.msg
 	m.header = q.msg.header.Clone()
 	o := ForwardInfo{
@@ -32,17 +44,26 @@
 		o.LastEventID = q.lastEventID
 	}
 	q.g.headerCodec.WriteRequest(m.header, o)
-	resp, xerr := q.g.exchange(ctx, &m, q.call.ID, p.endpoint, p.maxConns, func() error { return q.checkSend(ctx, p) })
-	if xerr == nil || xerr.sent {
+	return q.g.exchange(ctx, &m, q.call.ID, p.endpoint, p.maxConns, beforeSend)
+}
+
+// countAttempt counts an attempt whose exchange has ended, or whose connection is closed.
+func (q *request) countAttempt(x *exchangeError) {
+	if x == nil || x.sent {
 		q.sentAttempts++
-		q.allRefused = xerr != nil && xerr.notRun && (q.sentAttempts == 1 || q.allRefused)
-	}
-	if xerr != nil {
-		return xerr
+		q.allRefused = x != nil && x.notRun && (q.sentAttempts == 1 || q.allRefused)
 	}
-	defer resp.close()
+}
+
+// observeHead records the arrival of the head of a response.
+func (q *request) observeHead(p *placement, resp *response) {
 	p.headArrived = true
 	q.observeResponse(p, resp)
+}
+
+// receive delivers a response to the caller, or drops it if the request is to be retried.
+func (q *request) receive(resp *response, p *placement) *exchangeError {
+	defer resp.close()
 	if q.shouldRetryResponse(resp) {
 		return statusError(resp, fmt.Errorf("the endpoint failed with %d", resp.httpResp.StatusCode))
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -104,6 +104,7 @@
 	writeResult  chan error // receives the result of writing the request
 	bodyComplete bool       // the body has been read to its end
 	identified   bool       // the response states the ID of the request
+	ahead        readAhead  // bytes of the body that were read before the response won against another
 }
 
 // exchange sends a request to an endpoint and reads the header of the response. It calls
@@ -218,6 +219,9 @@
 // Read implements io.Reader for the body. It returns io.EOF only at the framed end of
 // the body.
 func (r *response) Read(p []byte) (int, error) {
+	if r.ahead.remains() {
+		return r.ahead.read(p)
+	}
 	n, err := r.httpResp.Body.Read(p)
 	if err == io.EOF {
 		r.bodyComplete = true
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,6 +92,8 @@
 	refusals           *expvar.Map
 	unknownHeaders     unknownHeaders
 	rejectedReports    *expvar.Int
+	secondAttempts     secondAttemptMetrics
+	after              func(time.Duration) (<-chan time.Time, func() bool) // a timer and how to stop it
 	durations          *metrics.DurationHistograms
 	firstByteDurations *metrics.DurationHistograms
 }
@@ -117,6 +119,8 @@
 		refusals:           metrics.Default.LabeledCounter("forward_refusals"),
 		unknownHeaders:     unknownHeaders{count: metrics.Default.LabeledCounter("forward_unknown_headers")},
 		rejectedReports:    metrics.Default.Counter("stray_load_reports"),
+		secondAttempts:     newSecondAttemptMetrics(),
+		after:              newTimer,
 		durations:          metrics.Default.DurationHistograms("forward_ms"),
 		firstByteDurations: metrics.Default.DurationHistograms("forward_first_byte_ms"),
 	}
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -163,6 +163,7 @@
 			limits = append(limits, l)
 		}
 	}
+	s.secondAttempts.RecordShortage(q.service.Name, now)
 	after := s.limitQueue(q.service.Name).Refuse(q.priority(), forward.LimitedRate(limits, s.limitGroup.Size()), now, s.rng)
 	return apierr.NewRetryable(apierr.Overloaded, apierr.NotRun, after, "the endpoints that could take the request have named limits that are used up", "send the request again at the stated time")
 }
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -32,6 +32,7 @@
 	headArrived     bool                 // the head of the response has arrived
 	events          int                  // complete events that have arrived
 	probe           *forward.HeldRequest // set if the request is sent to find out whether a held part is sound
+	second          bool                 // a second attempt, sent while the first one was under way
 }
 
 // place chooses an endpoint and adds the request to its load.
@@ -84,6 +85,12 @@
 		}
 	}
 	s.shedder.Service(q.service.Name).RecordPlacement(false, now)
+	return q.assign(s, cs, c, now), nil
+}
+
+// assign adds the request to the load of the endpoint that was chosen for it. The caller holds the
+// state's mutex.
+func (q *request) assign(s *state, cs []forward.Candidate, c forward.Choice, now time.Duration) *placement {
 	p := &placement{endpoint: cs[c.Index].Endpoint, work: c.Load, choice: c, placedAt: now, maxConns: s.connLimit(q.service, cs[c.Index].Endpoint.ID)}
 	if chosen := &cs[c.Index]; chosen.Outdated {
 		p.outdatedFor = now - chosen.OutdatedSince
@@ -117,7 +124,7 @@
 		}
 	}
 	q.tried[p.endpoint.ID] = true
-	return p, nil
+	return p
 }
 
 // choose chooses an endpoint among the service's candidates, which it returns too. A stream that
@@ -151,6 +158,7 @@
 		StartIndex: s.rng.IntN(len(cs) + 1),
 		Stores:     s.fetchableStores(now), Now: now, Unseen: s.unseenPrompts(now),
 		Fetchable: func(model string, version int64) bool { return s.rollout.Fetchable(model, version, now) },
+		Tentative: q.tentative,
 	}, cs)
 }
 
@@ -189,6 +197,7 @@
 // spreads all that are refused. The caller holds the state's mutex.
 func (q *request) noRoom(s *state, kind apierr.Kind, excess, now time.Duration, message string) *apierr.Error {
 	s.shedder.Service(q.service.Name).RecordPlacement(true, now)
+	s.secondAttempts.RecordShortage(q.service.Name, now)
 	return q.placementError(apierr.NewRetryable(kind, apierr.NotRun, q.returnAfter(s, excess, now), message, "send the request again later"))
 }
 
@@ -231,6 +240,7 @@
 	case x.misdirected && p.choice.Version == 0:
 		st.health.RecordRefusal(now + misdirectedPause) // with a version in the request, the endpoint may just have other weights
 	case x.limited: // what it named decides when it gets further requests
+	case x.err == errSuperseded: // another attempt answered first
 	case x.notRun:
 		st.health.RecordRefusal(now + refusalPause)
 	case !x.sent && !withheld(x.err):
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -55,6 +55,7 @@
 	partKeys       []uint64             // of the prompt's shared parts, once they are needed
 	held           *forward.HeldRequest // why it is held, nil if it isn't
 	shed           bool                 // it was refused as this entry is short of processor time
+	tentative      bool                 // a copy of the request for a placement that may not be used
 	accessLog      accessLog
 }
 
@@ -175,6 +176,7 @@
 	if !takesUp && s.shedder.Sheds(name, s.rng.Float64(), now) {
 		q.shed = true
 		q.g.shed.Add(1)
+		s.secondAttempts.RecordShortage(name, now)
 		return apierr.NewRetryable(apierr.Overloaded, apierr.NotRun, s.retryAfter(name, 0, now), "this entry has more requests than processor time", "send the request again later")
 	}
 	q.deadline = q.arrivedAt + defaultTimeout
@@ -199,6 +201,7 @@
 		q.call.Prompt = nil
 	}
 	s.retryBudget(name).CountRequest(now)
+	s.secondAttempts.CountRequest(name, now)
 	return nil
 }
 
@@ -324,7 +327,7 @@
 		if err != nil {
 			return err
 		}
-		xerr := q.sendTo(ctx, p)
+		p, xerr := q.send(ctx, p)
 		q.observeBreakOff(ctx, p, xerr)
 		q.finishAttempt(p, xerr)
 		if xerr == nil {
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -33,8 +33,15 @@
 	OrderHandoverMs int64   `json:"orderHandoverMs"` // minimum time between the load orders of two owners of an endpoint
 	LogWritesPerS   float64 `json:"logWritesPerS"`   // write calls a second that the log accepts from all entries together, 400 if absent
 	MemoryMb        int64   `json:"memoryMb"`        // memory of this host, 0 for no memory limit in the Go runtime
+
+	// SecondAttemptShare is the share of a service's requests in budgetWindowS that may get a second
+	// attempt while the first one is slow, 0 for none.
+	SecondAttemptShare float64 `json:"secondAttemptShare"`
 }
 
+// maxSecondAttemptShare bounds the extra load on endpoints that are already slow.
+const maxSecondAttemptShare = 0.1
+
 // defaultLogWritesPerS applies if the settings give no rate.
 const defaultLogWritesPerS = 400.0
 
@@ -94,6 +101,9 @@
 	positive("budgetWindowS", s.BudgetWindowS)
 	positive("versionMs", float64(s.VersionMs))
 	positive("orderHandoverMs", float64(s.OrderHandoverMs))
+	if !(s.SecondAttemptShare >= 0 && s.SecondAttemptShare <= maxSecondAttemptShare) {
+		errs = append(errs, fmt.Errorf("secondAttemptShare is %v; want a share from 0 to %v, or leave it out for no second attempts", s.SecondAttemptShare, maxSecondAttemptShare))
+	}
 	if s.LogWritesPerS < 0 {
 		errs = append(errs, fmt.Errorf("logWritesPerS is %v; want a number above 0, or leave it out", s.LogWritesPerS))
 	}
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -33,12 +33,19 @@
 	_, err = loadSettingsText(t, strings.Replace(good, "{", `{"newer": {"x": 1},`, 1))
 	require.NoError(t, err, "unknown fields are ignored")
 
+	require.Zero(t, s.SecondAttemptShare, "off if absent")
+	s, err = loadSettingsText(t, strings.Replace(good, "{", `{"secondAttemptShare": 0.1,`, 1))
+	require.NoError(t, err)
+	require.Equal(t, 0.1, s.SecondAttemptShare)
+
 	for name, text := range map[string]string{
 		"host":          strings.Replace(good, `"host": "10.1.0.19"`, `"host": "front"`, 1),
 		"callerAddress": strings.Replace(good, `"10.1.0.19:8749"`, `"10.1.0.19"`, 1),
 		"peerPorts":     strings.Replace(good, `[7580,7595]`, `[7595,7580]`, 1),
 		"revokeMs":      strings.Replace(good, `"revokeMs": 5000`, `"revokeMs": 0`, 1),
-		"id":            strings.Replace(good, `"id": "entry-1",`, "", 1),
+		"secondAttemptShare is 0.2; want a share from 0 to 0.1": strings.Replace(good, `"budgetRatio": 0.2,`, `"budgetRatio": 0.2, "secondAttemptShare": 0.2,`, 1),
+		"secondAttemptShare": strings.Replace(good, `"budgetRatio": 0.2,`, `"budgetRatio": 0.2, "secondAttemptShare": -0.01,`, 1),
+		"id":                 strings.Replace(good, `"id": "entry-1",`, "", 1),
 	} {
 		require.NotEqual(t, good, text, name)
 		_, err := loadSettingsText(t, text)
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -75,6 +75,7 @@
 	endpointsByHash   map[uint32]string // IDs of endpoints, by the hash that reports use
 	rollout           *forward.Rollout
 	retryBudgets      map[string]*retry.Budget
+	secondAttempts    *forward.SecondAttempts
 	stores            []*forward.StoreView
 	storeFollowers    map[uint32]*storeFollower // by the hash of the store's name
 	reportClock       forward.EndpointClock     // endpoints' clock as their reports state it
@@ -102,7 +103,7 @@
 	rollout.RetireDelay = forward.RetireDelayFor(milliseconds(s.VersionMs))
 	return &state{
 		clock: clock, rng: rng, endpointList: forward.NewEndpointList(), endpoints: map[string]*endpointState{}, endpointsByHash: map[uint32]string{}, peerFacts: map[string]knownFacts{}, rollout: rollout,
-		retryBudgets: map[string]*retry.Budget{}, peerLoads: newPeerLoads(), peerUpdates: forward.NewPeerUpdates(), settings: s, streams: forward.NewStreamBuilds(), streamLog: newStreamLog(), limitQueues: map[string]*forward.LimitQueue{}, takeUps: map[string]*forward.TakeUpCredit{}, statements: newStatements(),
+		retryBudgets: map[string]*retry.Budget{}, secondAttempts: forward.NewSecondAttempts(s.SecondAttemptShare, seconds(s.BudgetWindowS)), peerLoads: newPeerLoads(), peerUpdates: forward.NewPeerUpdates(), settings: s, streams: forward.NewStreamBuilds(), streamLog: newStreamLog(), limitQueues: map[string]*forward.LimitQueue{}, takeUps: map[string]*forward.TakeUpCredit{}, statements: newStatements(),
 		parts: forward.NewPartHolds(), partSaver: newPartSaver(), endpointChecks: map[forward.EndpointStart]*endpointCheck{}, storeFollowers: map[uint32]*storeFollower{},
 		freshness: forward.Freshness{MaxKeyAge: milliseconds(s.RevokeMs) - revokeMargin}, readConfirmed: make(chan struct{}), storeRead: make(chan struct{}), resumes: make(chan struct{}, 1),
 	}
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -28,7 +28,7 @@
 // about the endpoint's health.
 func withheld(err error) bool {
 	switch err {
-	case errConnLimit, errKeyStale, errWeightsOutdated, errHeld, errLeaving, errPaused, errCallerLeft:
+	case errConnLimit, errKeyStale, errWeightsOutdated, errHeld, errLeaving, errPaused, errCallerLeft, errSuperseded:
 		return true
 	}
 	return false
