Test that a run that lost ends while the winner streams

Cause: the end of the request would close a connection that the race forgets, so the other tests pass without the cancellation. Change: a test in which the winner's stream waits for the end of the other run.

--- a/gateway/secondattempt_test.go
+++ b/gateway/secondattempt_test.go
@@ -516,3 +516,36 @@
 	require.Contains(t, logged(), errSuperseded.Error())
 	require.Equal(t, map[string]forward.SecondAttemptUse{"s": {Requests: 101, Limit: 10, Used: 1}}, f.Status().SecondAttempts)
 }
+
+// maxRunAfterLoss is the time within which an endpoint must be able to stop a run that lost.
+const maxRunAfterLoss = 400 * time.Millisecond
+
+// Guards against a run that goes on, and counts as load, until the winner's stream has ended.
+func TestRunThatLostEndsWhileTheWinnerStreams(t *testing.T) {
+	a, b := newGate(t), newGate(t)
+	f := newRaceFixture(t, a.testEndpoint, b.testEndpoint)
+	done := f.call(f.request(t, "POST", "/resumable/x", ""))
+	a.wait(t, a.arrived, "the first attempt is not sent")
+	f.fire()
+	b.wait(t, b.arrived, "the second attempt is not sent")
+	var ended time.Duration
+	var load forward.EndpointLoad
+	b.answer <- func(r *http.Request, c net.Conn) bool {
+		writeEvents(false, "id: 1\ndata: b\n\n")(r, c)
+		began := time.Now()
+		select {
+		case <-a.closed:
+		case <-time.After(raceTimeout):
+		}
+		ended = time.Since(began)
+		f.state.mu.Lock()
+		load = f.state.endpointState("e0").load
+		f.state.mu.Unlock()
+		const second = "id: 2\ndata: c\n\n"
+		fmt.Fprintf(c, "%x\r\n%s\r\n0\r\n\r\n", len(second), second)
+		return false
+	}
+	require.Equal(t, "id: 1\ndata: b\n\nid: 2\ndata: c\n\n", f.result(done).body)
+	require.Less(t, ended, maxRunAfterLoss)
+	require.Zero(t, load)
+}
