--- a/cmd/galenaweir-entry/state.go
+++ b/cmd/galenaweir-entry/state.go
@@ -13,6 +13,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/galenaweir/galenaweir/core/forward"
 	"github.com/galenaweir/galenaweir/gateway"
 	"github.com/galenaweir/galenaweir/platform"
 )
@@ -59,7 +60,7 @@
 func printState(w io.Writer, published gateway.PublishedVersions, statuses []gateway.EntryStatus) error {
 	fmt.Fprintf(w, "log: configuration %d, weights %s, %d entries\n", published.ConfigVersion, formatMap(published.WeightVersions), len(statuses))
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "host\tentry\tready\tconfig\tage ms\tweights\tusable\tin flight\tfence\tholds\trollouts")
+	fmt.Fprintln(t, "host\tentry\tready\tconfig\tage ms\tweights\tusable\tin flight\tfence\tholds\trollouts\tsecond")
 	differs := false
 	for _, p := range statuses {
 		if p.Err != nil {
@@ -69,8 +70,8 @@
 		}
 		st := p.Status
 		differs = differs || st.ConfigVersion != published.ConfigVersion || !maps.Equal(st.WeightVersions, published.WeightVersions)
-		fmt.Fprintf(t, "%s\t%s\t%t\t%d\t%d\t%s\t%d/%d\t%d\t%d\t%s\t%s\n", p.Host, st.ID, st.Ready, st.ConfigVersion, st.ConfigAgeMs, formatMap(st.WeightVersions),
-			st.Usable, st.Endpoints, st.InFlight, st.Generation, strings.Join(st.OwnedEndpoints, ","), formatMap(st.Rollouts))
+		fmt.Fprintf(t, "%s\t%s\t%t\t%d\t%d\t%s\t%d/%d\t%d\t%d\t%s\t%s\t%s\n", p.Host, st.ID, st.Ready, st.ConfigVersion, st.ConfigAgeMs, formatMap(st.WeightVersions),
+			st.Usable, st.Endpoints, st.InFlight, st.Generation, strings.Join(st.OwnedEndpoints, ","), formatMap(st.Rollouts), formatSecondAttempts(st.SecondAttempts))
 	}
 	if err := t.Flush(); err != nil {
 		return err
@@ -81,6 +82,16 @@
 	return nil
 }
 
+// formatSecondAttempts formats the use of the limit of second attempts by service, "-" if there are
+// none.
+func formatSecondAttempts(use map[string]forward.SecondAttemptUse) string {
+	out := map[string]string{}
+	for service, u := range use {
+		out[service] = fmt.Sprintf("%d/%d", u.Used, u.Limit)
+	}
+	return formatMap(out)
+}
+
 // formatMap formats a map as comma-separated key=value pairs, sorted by key.
 func formatMap[V any](m map[string]V) string {
 	if len(m) == 0 {
--- a/cmd/galenaweir-entry/state_test.go
+++ b/cmd/galenaweir-entry/state_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/galenaweir/galenaweir/core/forward"
 	"github.com/galenaweir/galenaweir/gateway"
 )
 
@@ -16,10 +17,11 @@
 	published := gateway.PublishedVersions{ConfigVersion: 7, WeightVersions: map[string]int64{"m": 2}}
 	good := gateway.EntryStatus{Host: "10.0.0.1", Status: gateway.Status{
 		ID: "entry-1", Ready: true, ConfigVersion: 7, WeightVersions: map[string]int64{"m": 2}, Endpoints: 3, Usable: 2, OwnedEndpoints: []string{"i-1"}, Rollouts: map[string]string{"i-1": "emptying"},
+		SecondAttempts: map[string]forward.SecondAttemptUse{"s": {Requests: 100, Limit: 5, Used: 2}},
 	}}
 	var b strings.Builder
 	require.NoError(t, printState(&b, published, []gateway.EntryStatus{good}))
-	for _, text := range []string{"configuration 7", "m=2", "entry-1", "2/3", "i-1=emptying"} {
+	for _, text := range []string{"configuration 7", "m=2", "entry-1", "2/3", "i-1=emptying", "s=2/5"} {
 		require.Contains(t, b.String(), text)
 	}
 	old := good
