Copy a racing request under the lock and finish faulty attempts

Cause: the check of an endpoint that broke off earlier may write the request's keys while an attempt's copy is made; hashing the body before each race held the state's mutex; a panic in an attempt left its connection counted and its load in place. Change: copy the request under the mutex, compute no keys in advance, finish the attempt before the panic is passed on.

--- a/gateway/secondattempt.go
+++ b/gateway/secondattempt.go
@@ -87,15 +87,15 @@
 	s := q.g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if delay, ok = s.secondAttempts.Begin(q.route, p.choice.ExpectedWait, s.clock()); ok {
-		q.suspectKeys() // computed before the attempts share them
-	}
-	return delay, ok
+	return s.secondAttempts.Begin(q.route, p.choice.ExpectedWait, s.clock())
 }
 
 // start runs an attempt in a goroutine of its own.
 func (r *race) start(p *placement) {
+	s := r.q.g.state
+	s.mu.Lock() // an earlier attempt that broke off may still be writing the request's keys
 	view := *r.q
+	s.mu.Unlock()
 	a := &racingAttempt{q: &view, p: p}
 	a.ctx, a.cancel = context.WithCancel(r.ctx)
 	r.running = append(r.running, a)
@@ -149,7 +149,8 @@
 func (r *race) settle(a *racingAttempt) *racingAttempt {
 	r.remove(a)
 	if a.panicked != nil {
-		panic(a.panicked)
+		r.drop(a)
+		panic(a.panicked) // answered by recoverPanic
 	}
 	r.q.countAttempt(a.err)
 	r.q.recordLateness(a)
