--- a/core/forward/choose.go
+++ b/core/forward/choose.go
@@ -84,6 +84,7 @@
 	Ranked        bool // the request is sent with a rank
 	Rank          int
 	Fetchable     func(model string, version int64) bool // see Rollout.Fetchable
+	Tentative     bool                                   // the choice may not be used; see Choice.RecordTransfers
 }
 
 // Choice is the result of placing a request.
@@ -140,7 +141,9 @@
 		}
 	}
 	if best.Index >= 0 && t.Prompt != nil && t.Engine != nil {
-		best.recordTransfers(&cs[best.Index], t.Prompt.SharedParts(), plans.forVersion(best.Version).keys, t.Now)
+		if !t.Tentative {
+			best.recordTransfers(&cs[best.Index], t.Prompt.SharedParts(), plans.forVersion(best.Version).keys, t.Now)
+		}
 		best.selectSources()
 	}
 	return best
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -96,6 +96,8 @@
 	addressesReused    *expvar.Int
 	uncountedRetries   *expvar.Int
 	latePrompts        *expvar.Map
+	secondAttempts     secondAttemptMetrics
+	after              func(time.Duration) (<-chan time.Time, func() bool) // a timer and how to stop it
 	durations          *metrics.DurationHistograms
 	firstByteDurations *metrics.DurationHistograms
 }
@@ -124,6 +126,8 @@
 		addressesReused:    metrics.Default.Counter("forward_addresses_reused"),
 		uncountedRetries:   metrics.Default.Counter("forward_uncounted_retries"),
 		latePrompts:        metrics.Default.LabeledCounter("forward_late_prompts"),
+		secondAttempts:     newSecondAttemptMetrics(),
+		after:              newTimer,
 		durations:          metrics.Default.DurationHistograms("forward_ms"),
 		firstByteDurations: metrics.Default.DurationHistograms("forward_first_byte_ms"),
 	}
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -169,6 +169,7 @@
 			limits = append(limits, b.PerSecond)
 		}
 	}
+	s.secondAttempts.RecordShortage(q.service.Name, now)
 	after := s.limitQueue(q.service.Name).Refuse(q.priority(), forward.LimitedRate(limits, s.limitGroup.Size()), now, s.rng)
 	return apierr.NewRetryable(apierr.Overloaded, apierr.NotRun, after, "the limits of the endpoints that could take the request are used up", "send the request again at the stated time")
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -60,6 +60,7 @@
 	rank           int                  // at the last placement, 0 without ranks
 	sentPriority   int                  // priority that the endpoint gets
 	outcome        forward.Outcome      // of the last placement
+	tentative      bool                 // a copy of the request for a placement that may not be used
 	accessLog      accessLog
 }
 
@@ -180,6 +181,7 @@
 	if !takesUp && s.shedder.Sheds(name, s.rng.Float64(), now) {
 		q.shed = true
 		q.g.shed.Add(1)
+		s.secondAttempts.RecordShortage(name, now)
 		return apierr.NewRetryable(apierr.Overloaded, apierr.NotRun, s.retryAfter(name, 0, now), "this entry has more requests than processor time", "send the request again later")
 	}
 	q.deadline = q.arrivedAt + defaultTimeout
@@ -204,6 +206,7 @@
 		q.call.Prompt = nil
 	}
 	s.retryBudget(name).CountRequest(now)
+	s.secondAttempts.CountRequest(name, now)
 	return nil
 }
 
@@ -329,7 +332,7 @@
 		if err != nil {
 			return err
 		}
-		xerr := q.sendTo(ctx, p)
+		p, xerr := q.send(ctx, p)
 		q.observeBreakOff(ctx, p, xerr)
 		q.finishAttempt(p, xerr)
 		if xerr == nil {
--- a/gateway/scheduling.go
+++ b/gateway/scheduling.go
@@ -75,6 +75,7 @@
 	if q.outcome = outcome; outcome.Late() {
 		q.sentPriority = forward.LastRank
 		q.g.latePrompts.Add(lateReasons[outcome], 1)
+		s.secondAttempts.RecordShortage(q.service.Name, now)
 	}
 	q.recordOutcome(s, outcome, now)
 	if !q.takesUp() {
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -39,8 +39,15 @@
 	OperatorPollMs    int64   `json:"operatorPollMs"`    // how long a read waits at the log for operators' records, 1000 if absent
 
 	Scheduling *Scheduling `json:"scheduling"` // nil turns all of it off
+
+	// SecondAttemptShare is the share of a service's requests in budgetWindowS that may get a second
+	// attempt while the first one is slow, 0 for none.
+	SecondAttemptShare float64 `json:"secondAttemptShare"`
 }
 
+// maxSecondAttemptShare bounds the extra load on endpoints that are already slow.
+const maxSecondAttemptShare = 0.1
+
 // defaultLogWritesPerS applies if the settings give no rate.
 const defaultLogWritesPerS = 400.0
 
@@ -107,6 +114,9 @@
 	}
 	notNegative("warmUpRatio", s.WarmUpRatio)
 	notNegative("warmUpRequests", s.WarmUpRequests)
+	if !(s.SecondAttemptShare >= 0 && s.SecondAttemptShare <= maxSecondAttemptShare) {
+		errs = append(errs, fmt.Errorf("secondAttemptShare is %v; want a share from 0 to %v, or leave it out for no second attempts", s.SecondAttemptShare, maxSecondAttemptShare))
+	}
 	if s.LogWritesPerS < 0 {
 		errs = append(errs, fmt.Errorf("logWritesPerS is %v; want a number above 0, or leave it out", s.LogWritesPerS))
 	}
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -43,6 +43,11 @@
 	require.NoError(t, err)
 	require.Equal(t, &Scheduling{RankedQueues: true, LateRequests: true, FairShare: true, RetryRefused: 1}, s.Scheduling)
 
+	require.Zero(t, s.SecondAttemptShare, "off if absent")
+	s, err = loadSettingsText(t, strings.Replace(good, "{", `{"secondAttemptShare": 0.1,`, 1))
+	require.NoError(t, err)
+	require.Equal(t, 0.1, s.SecondAttemptShare)
+
 	for name, text := range map[string]string{
 		"host":           strings.Replace(good, `"host": "10.1.0.19"`, `"host": "front"`, 1),
 		"callerAddress":  strings.Replace(good, `"10.1.0.19:8749"`, `"10.1.0.19"`, 1),
@@ -58,6 +63,8 @@
 		"scheduling.rankedQueues is a number; want a value of type bool":    withScheduling(`"rankedQueues": 1`),
 		"scheduling.lateRequests is true without rankedQueues; set":         withScheduling(`"lateRequests": true`),
 		"scheduling.fairShare is true without lateRequests; set":            withScheduling(`"rankedQueues": true, "fairShare": true`),
+		"secondAttemptShare is 0.2; want a share from 0 to 0.1":             strings.Replace(good, `"budgetRatio": 0.2,`, `"budgetRatio": 0.2, "secondAttemptShare": 0.2,`, 1),
+		"secondAttemptShare": strings.Replace(good, `"budgetRatio": 0.2,`, `"budgetRatio": 0.2, "secondAttemptShare": -0.01,`, 1),
 	} {
 		require.NotEqual(t, good, text, name)
 		_, err := loadSettingsText(t, text)
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -40,6 +40,8 @@
 	HeldRequests   []HeldPart        `json:"held_requests"`       // requests that are held as a whole
 	WarmingUp      []WarmingEndpoint `json:"warming_up"`
 	Evacuated      []EvacuatedDomain `json:"evacuated"`
+
+	SecondAttempts map[string]forward.SecondAttemptUse `json:"second_attempts,omitempty"` // use of the limit by service, absent if off
 }
 
 // HeldPart is a part of prompts, or a whole request, that is held because endpoints ended under it.
@@ -110,6 +112,7 @@
 		ID: g.settings.ID, Ready: ready, WeightVersions: s.rollout.NewestTargets(), Members: len(s.peerLoads.members), Generation: g.ownership.FencingToken(), Era: int64(s.eras.Newest()),
 		Rollouts: s.rollout.Stages(), InFlight: g.inFlight.Load(), CallerConns: g.callerConns.Open(), IdleConns: g.callerConns.Idle(), DelayMs: float64(g.schedulingDelay.Load()) / float64(time.Millisecond), OwnedEndpoints: []string{}, HeldParts: s.heldParts(false, now), HeldRequests: s.heldParts(true, now),
 	}
+	st.SecondAttempts = s.secondAttempts.Use(now)
 	if age, known := s.freshness.Age(now); known {
 		st.ConfigAgeMs = age.Milliseconds()
 	}
