Let prompts wait at the entry for room at the endpoints

Change: a line for each service at each entry, by rank, customers' shares and arrival; less urgent prompts leave short queues for more urgent ones. Off unless scheduling.waitingLine is set.

--- a/core/forward/secondattempt.go
+++ b/core/forward/secondattempt.go
@@ -15,10 +15,10 @@
 	// minOverdue lets an entry with a few requests a second make second attempts at all.
 	minOverdue = 2.0
 
-	secondShortageTime      = time.Second          // after a refusal or a late placement
-	minSecondDelay    = 5 * time.Millisecond // about a round trip with a new connection
-	minDeadlineShare  = 4                    // at least one part in so many of the request's time must be left
-	maxTrackedTargets = 1024                 // routes and services; a configuration has a few tens
+	secondShortageTime = time.Second          // after a refusal or a late placement
+	minSecondDelay     = 5 * time.Millisecond // about a round trip with a new connection
+	minDeadlineShare   = 4                    // at least one part in so many of the request's time must be left
+	maxTrackedTargets  = 1024                 // routes and services; a configuration has a few tens
 )
 
 // SecondSkip is the reason for which an overdue attempt gets no second one, empty if it gets one.
--- a/core/forward/secondattempt_test.go
+++ b/core/forward/secondattempt_test.go
@@ -78,8 +78,12 @@
 		"all attempts are used": {SkipAttempts, func(_ *SecondAttempts, o *OverdueAttempt, _ *retry.Budget) { o.Sent = 2 }},
 		"held":                  {SkipHeld, func(_ *SecondAttempts, o *OverdueAttempt, _ *retry.Budget) { o.Held = true }},
 		"no processor time":     {SkipProcessor, func(_ *SecondAttempts, o *OverdueAttempt, _ *retry.Budget) { o.ProcessorShort = true }},
-		"refused just now":      {SkipShortage, func(a *SecondAttempts, _ *OverdueAttempt, _ *retry.Budget) { a.RecordShortage("s", now-secondShortageTime+1) }},
-		"refused a second ago":  {"", func(a *SecondAttempts, _ *OverdueAttempt, _ *retry.Budget) { a.RecordShortage("s", now-secondShortageTime) }},
+		"refused just now": {SkipShortage, func(a *SecondAttempts, _ *OverdueAttempt, _ *retry.Budget) {
+			a.RecordShortage("s", now-secondShortageTime+1)
+		}},
+		"refused a second ago": {"", func(a *SecondAttempts, _ *OverdueAttempt, _ *retry.Budget) {
+			a.RecordShortage("s", now-secondShortageTime)
+		}},
 		"another service is short": {"", func(a *SecondAttempts, _ *OverdueAttempt, _ *retry.Budget) {
 			a.RecordShortage("other", now)
 		}},
--- a/gateway/accesslog.go
+++ b/gateway/accesslog.go
@@ -71,6 +71,7 @@
 	build          string                // of the stream that is taken up, if an endpoint of it is listed
 	ofBuild        int                   // endpoints of that build
 	bestWait       time.Duration         // expected at the endpoint that the last placement chose
+	waited         time.Duration         // in the line
 	heldParts      []forward.SuspectPart // for which the request was refused
 	status         int
 	bytes          int64
@@ -134,7 +135,7 @@
 	}
 	if q.call.Prompt != nil {
 		e = e.Int("prompt_tokens", q.call.Prompt.Tokens)
-		if q.scheduling.RankedQueues {
+		if q.scheduling.RankedQueues || q.scheduling.WaitingLine {
 			e = e.Int("rank", q.rank)
 		}
 	}
@@ -144,6 +145,9 @@
 	if l := q.accessLog; l.candidates > 0 {
 		e = e.Int("endpoints", l.candidates).Int("usable", l.usable).Int("emptying", l.emptying).Int("outdated", l.outdated).Int("excluded", l.excluded).Int("over_limit", l.overLimit).Int("paused", l.paused).Int("tried", l.tried)
 	}
+	if q.accessLog.waited > 0 {
+		e = e.Dur("waited_ms", q.accessLog.waited)
+	}
 	if q.accessLog.held > 0 {
 		e = e.Int("held", q.accessLog.held)
 	}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -52,6 +52,9 @@
 	if left < minUsefulBudget {
 		return nil, q.placementError(apierr.NewRetryable(apierr.DeadlineUnmet, apierr.NotRun, overloadRetryAfter, "no time is left", "send the request with a longer deadline"))
 	}
+	if q.linePlace == nil && q.mayWait(now) && s.lines.of(q.service.Name).MustWait(q.rank) {
+		return nil, errMustWait
+	}
 	cs, c := q.choose(s, left, now)
 	q.accessLog.countCandidates(cs, q.tried)
 	if q.bound {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -60,6 +60,9 @@
 	rank           int                  // at the last placement, 0 without ranks
 	sentPriority   int                  // priority that the endpoint gets
 	outcome        forward.Outcome      // of the last placement
+	linePlace      *forward.LinePlace   // nil while it doesn't wait
+	linedUpAt      time.Duration        // when it began to wait
+	lineEnd        time.Duration        // until when it may wait, 0 before it does
 	tentative      bool                 // a copy of the request for a placement that may not be used
 	accessLog      accessLog
 }
@@ -328,7 +331,7 @@
 		return err
 	}
 	for {
-		p, err := q.place()
+		p, err := q.placeInTurn(ctx)
 		if err != nil {
 			return err
 		}
--- a/gateway/scheduling.go
+++ b/gateway/scheduling.go
@@ -15,6 +15,7 @@
 	RankedQueues bool `json:"rankedQueues"` // send ranks, and expect the wait for the same and more urgent ones
 	LateRequests bool `json:"lateRequests"` // place prompts that can't meet their latency target with the last rank
 	FairShare    bool `json:"fairShare"`    // place prompts of customers with more than their share late first
+	WaitingLine  bool `json:"waitingLine"`  // let prompts wait at the entry for room at the endpoints
 	RetryRefused int  `json:"retryRefused"` // rejected attempts of a request that don't count towards the route's maximum
 }
 
@@ -31,8 +32,8 @@
 	if c.LateRequests && !c.RankedQueues {
 		errs = append(errs, errors.New("scheduling.lateRequests is true without rankedQueues; set scheduling.rankedQueues to true, or leave lateRequests out"))
 	}
-	if c.FairShare && !c.LateRequests {
-		errs = append(errs, errors.New("scheduling.fairShare is true without lateRequests; set scheduling.lateRequests to true, or leave fairShare out"))
+	if c.FairShare && !c.LateRequests && !c.WaitingLine {
+		errs = append(errs, errors.New("scheduling.fairShare is true without lateRequests or waitingLine; set one of them to true, or leave fairShare out"))
 	}
 	return errs
 }
@@ -49,7 +50,7 @@
 // caller holds the state's mutex.
 func (q *request) setRank(s *state) {
 	q.outcome, q.rank, q.sentPriority = forward.OnTime, 0, q.priority()
-	if q.scheduling.RankedQueues && q.call.Prompt != nil {
+	if (q.scheduling.RankedQueues || q.scheduling.WaitingLine) && q.call.Prompt != nil {
 		q.rank = s.table.Rank(q.route, q.customer)
 		q.sentPriority = q.rank
 	}
@@ -63,6 +64,9 @@
 		q.recordOutcome(s, forward.OnTime, now)
 		return c, nil
 	}
+	if q.mayWait(now) && (forward.ShouldShed(c, q.route.LatencyTarget) || !forward.LeavesRoom(c, s.table.UrgentTarget(q.service.Name, q.route))) {
+		return c, errMustWait
+	}
 	var behindAll func() forward.Choice
 	if q.scheduling.LateRequests {
 		behindAll = func() forward.Choice { return q.chooseRanked(s, cs, forward.LastRank, now) }
