Bound the bytes that slow callers and endpoints hold

Cause: request bodies, buffered responses and unwritten events of slow peers were held without a common bound, and a process that exceeds its memory is killed. An endpoint that gave up a response which the caller did not read was counted as failing, and its request was repeated.

Change: setting heldBytesMb (off by default). An endpoint that cuts a response after the entry waited for the caller for 500 ms is not blamed and the attempt is not repeated.

--- a/callerconn/stall.go
+++ b/callerconn/stall.go
@@ -1,6 +1,7 @@
 package callerconn
 
 import (
+	"context"
 	"errors"
 	"net"
 	"os"
@@ -57,6 +58,16 @@
 	resetConn(nc)
 }
 
+// ResetCaller resets the connection of the request with the given context, also while a goroutine
+// reads or writes it. It reports whether the context names one.
+func ResetCaller(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if ok {
+		resetConn(c.Conn)
+	}
+	return ok
+}
+
 func resetConn(nc net.Conn) {
 	if c, ok := nc.(*net.TCPConn); ok {
 		_ = c.SetLinger(0) // the connection may have ended
--- a/cmd/galenaweir-entry/state.go
+++ b/cmd/galenaweir-entry/state.go
@@ -59,7 +59,7 @@
 func printState(w io.Writer, published gateway.PublishedVersions, statuses []gateway.EntryStatus) error {
 	fmt.Fprintf(w, "log: configuration %d, weights %s, %d entries\n", published.ConfigVersion, formatMap(published.WeightVersions), len(statuses))
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "host\tentry\tready\tconfig\tage ms\tweights\tusable\tin flight\tfence\tholds\trollouts")
+	fmt.Fprintln(t, "host\tentry\tready\tconfig\tage ms\tweights\tusable\tin flight\theld MB\tfence\tholds\trollouts")
 	differs := false
 	for _, p := range statuses {
 		if p.Err != nil {
@@ -69,8 +69,8 @@
 		}
 		st := p.Status
 		differs = differs || st.ConfigVersion != published.ConfigVersion || !maps.Equal(st.WeightVersions, published.WeightVersions)
-		fmt.Fprintf(t, "%s\t%s\t%t\t%d\t%d\t%s\t%d/%d\t%d\t%d\t%s\t%s\n", p.Host, st.ID, st.Ready, st.ConfigVersion, st.ConfigAgeMs, formatMap(st.WeightVersions),
-			st.Usable, st.Endpoints, st.InFlight, st.Generation, strings.Join(st.OwnedEndpoints, ","), formatMap(st.Rollouts))
+		fmt.Fprintf(t, "%s\t%s\t%t\t%d\t%d\t%s\t%d/%d\t%d\t%s\t%d\t%s\t%s\n", p.Host, st.ID, st.Ready, st.ConfigVersion, st.ConfigAgeMs, formatMap(st.WeightVersions),
+			st.Usable, st.Endpoints, st.InFlight, formatHeld(st), st.Generation, strings.Join(st.OwnedEndpoints, ","), formatMap(st.Rollouts))
 	}
 	if err := t.Flush(); err != nil {
 		return err
@@ -81,6 +81,20 @@
 	return nil
 }
 
+// formatHeld formats the bytes that an entry buffers and their bound, with the number of requests that
+// were ended because of it.
+func formatHeld(st gateway.Status) string {
+	const megabyte = 1 << 20
+	if st.HeldBytesLimit == 0 {
+		return "-"
+	}
+	s := fmt.Sprintf("%.1f/%.1f", float64(st.HeldBytes)/megabyte, float64(st.HeldBytesLimit)/megabyte)
+	if st.HeldEnded > 0 {
+		s += fmt.Sprintf(" (%d ended)", st.HeldEnded)
+	}
+	return s
+}
+
 // formatMap formats a map as comma-separated key=value pairs, sorted by key.
 func formatMap[V any](m map[string]V) string {
 	if len(m) == 0 {
--- a/cmd/galenaweir-entry/state_test.go
+++ b/cmd/galenaweir-entry/state_test.go
@@ -22,6 +22,11 @@
 	for _, text := range []string{"configuration 7", "m=2", "entry-1", "2/3", "i-1=emptying"} {
 		require.Contains(t, b.String(), text)
 	}
+	limited := good
+	limited.Status.HeldBytes, limited.Status.HeldBytesLimit, limited.Status.HeldEnded = 3<<20, 64<<20, 2
+	b.Reset()
+	require.NoError(t, printState(&b, published, []gateway.EntryStatus{limited}))
+	require.Contains(t, b.String(), "3.0/64.0 (2 ended)")
 	old := good
 	old.Status.ConfigVersion = 6
 	require.ErrorIs(t, printState(&b, published, []gateway.EntryStatus{good, old}), errStateDiffers)
--- a/gateway/accesslog.go
+++ b/gateway/accesslog.go
@@ -165,6 +165,7 @@
 			e = e.Bool("not_run_"+n, a.err.notRun).Bool("sent_"+n, a.err.sent).Str("failure_"+n, a.err.Error())
 		}
 	}
+	e = q.bytes.logFields(e)
 	if q.accessLog.aborted != "" {
 		e = e.Str("aborted", q.accessLog.aborted)
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -170,7 +170,7 @@
 // once it has been read completely.
 func (q *request) deliver(resp *response, p *placement) *exchangeError {
 	var buf bytes.Buffer
-	_, err := io.Copy(&buf, io.LimitReader(resp, maxBufferedBytes))
+	_, err := io.Copy(&buf, q.bytes.trackResponse(io.LimitReader(resp, q.bytes.maxBuffered())))
 	if err != nil {
 		return &exchangeError{sent: true, err: fmt.Errorf("read the answer's body: %w", err)}
 	}
--- a/gateway/breakoff.go
+++ b/gateway/breakoff.go
@@ -69,7 +69,7 @@
 // it suspects the request and the shared parts of its prompt. A further attempt waits for that, as it
 // obeys what is held.
 func (q *request) observeBreakOff(ctx context.Context, p *placement, x *exchangeError) {
-	if !x.brokeOff() || q.r.Context().Err() != nil {
+	if !x.brokeOff() || q.r.Context().Err() != nil || q.excusesEndpoint(x) {
 		return
 	}
 	g, e, endedAt := q.g, &p.endpoint, q.g.clock()
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -58,6 +58,7 @@
 	header    http.Header
 	body      []byte
 	hasLength bool // send Content-Length, otherwise a body is sent in chunks
+	bytes     *requestBytes
 }
 
 func (m *wireRequest) encodeHeader() []byte {
@@ -126,7 +127,7 @@
 	resp := &response{sentAt: g.clock(), conn: conn, pool: g.pool, key: key, writeResult: make(chan error, 1)}
 	resp.stopCancel = context.AfterFunc(ctx, func() { conn.Close() })
 	if len(data) <= maxInlineWriteBytes {
-		n, err := conn.Write(data)
+		n, err := m.writeTo(conn, data)
 		resp.writeResult <- err
 		if err != nil {
 			resp.close()
@@ -134,7 +135,7 @@
 		}
 	} else {
 		go func() {
-			_, err := conn.Write(data)
+			_, err := m.writeTo(conn, data)
 			resp.writeResult <- err
 		}()
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,6 +84,7 @@
 	draining    atomic.Bool
 	inFlight    atomic.Int64
 	callerConns *callerconn.Conns
+	held        *heldBytes // nil without a bound on buffered bytes
 
 	shed            atomic.Int64 // requests that were shed since the last sample
 	schedulingDelay atomic.Int64 // a high quantile of the last sample, in nanoseconds
@@ -111,6 +112,7 @@
 		ownership:          forward.Ownership{Self: member, Lease: orderLease, Handover: milliseconds(s.OrderHandoverMs) + orderTransitTime, MemberTTL: memberLease},
 		memberID:           member,
 		callerConns:        callerconn.New(),
+		held:               newHeldBytes(s.HeldBytesMb, o.Clock),
 		reportRequests:     make(chan struct{}, 1),
 		maxCheckWait:       defaultMaxCheckWait,
 		requests:           metrics.Default.Counter("forwarded_requests"),
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -224,7 +224,7 @@
 	if x != nil && !x.sent {
 		st.limit.Refund()
 	}
-	if x == nil || q.r.Context().Err() != nil {
+	if x == nil || q.r.Context().Err() != nil || q.excusesEndpoint(x) {
 		return
 	}
 	switch {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -24,6 +24,9 @@
 	var events eventBuffer
 	buf := make([]byte, relayBufferBytes)
 	for {
+		if err := q.bytes.holdResponse(relayBufferBytes + cap(events.pending)); err != nil {
+			return q.streamError(err)
+		}
 		n, err := resp.Read(buf)
 		if complete := events.add(buf[:n]); len(complete) > 0 {
 			if p.events == 0 {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -55,6 +55,7 @@
 	partKeys       []uint64             // of the prompt's shared parts, once they are needed
 	held           *forward.HeldRequest // why it is held, nil if it isn't
 	shed           bool                 // it was refused as this entry is short of processor time
+	bytes          *requestBytes        // what it buffers, nil if that has no bound
 	accessLog      accessLog
 }
 
@@ -96,6 +97,11 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), remaining(q.deadline, g.clock()))
 	defer cancel()
+	defer q.releaseBytes()
+	if err := q.reserveBytes(ctx, cancel); err != nil {
+		q.refuse(err)
+		return
+	}
 	if err := q.readBody(); err != nil {
 		q.refuse(err)
 		return
@@ -247,6 +253,9 @@
 	q.bodyBegun = true
 	body, err := q.readWithin(remaining(q.deadline, q.g.clock()))
 	var tooLarge *http.MaxBytesError
+	if berr := q.bytesError(err); berr != nil {
+		return berr
+	}
 	switch {
 	case errors.As(err, &tooLarge):
 		return apierr.New(apierr.TooLarge, apierr.NotRun, fmt.Sprintf("the body is longer than %d bytes", tooLarge.Limit), "send a shorter body")
@@ -265,7 +274,7 @@
 	if q.r.Header.Get("User-Agent") == "" {
 		h.Del("User-Agent")
 	}
-	q.msg = wireRequest{method: q.r.Method, uri: requestTarget(q.r), host: q.r.Host, header: h, body: body, hasLength: q.r.ContentLength >= 0 && (len(body) > 0 || q.r.Header.Get("Content-Length") != "")}
+	q.msg = wireRequest{method: q.r.Method, uri: requestTarget(q.r), host: q.r.Host, header: h, body: body, bytes: q.bytes, hasLength: q.r.ContentLength >= 0 && (len(body) > 0 || q.r.Header.Get("Content-Length") != "")}
 	return nil
 }
 
@@ -278,7 +287,7 @@
 	}
 	rc := http.NewResponseController(q.w)
 	_ = rc.SetReadDeadline(time.Now().Add(limit)) // httptest.ResponseRecorder does not support deadlines
-	body, err := io.ReadAll(q.r.Body)
+	body, err := io.ReadAll(q.trackBody())
 	if err == nil {
 		_ = rc.SetReadDeadline(time.Time{})
 	}
@@ -324,11 +333,12 @@
 		if err != nil {
 			return err
 		}
+		q.bytes.beginAttempt()
 		xerr := q.sendTo(ctx, p)
 		q.observeBreakOff(ctx, p, xerr)
 		q.finishAttempt(p, xerr)
 		if xerr == nil {
-			return nil
+			return q.bytesError(nil)
 		}
 		if err := q.checkRetry(ctx, xerr); err != nil {
 			return err
@@ -339,6 +349,9 @@
 // checkRetry returns nil if another attempt follows a failed one, or the error to refuse the
 // request with.
 func (q *request) checkRetry(ctx context.Context, x *exchangeError) *apierr.Error {
+	if err := q.bytesError(x); err != nil {
+		return err
+	}
 	if q.r.Context().Err() != nil || errors.Is(x, errCallerLeft) {
 		return apierr.New(apierr.Cancelled, apierr.RanUnknown, "the caller has left", "").WithCause(x)
 	}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -33,8 +33,13 @@
 	OrderHandoverMs int64   `json:"orderHandoverMs"` // minimum time between the load orders of two owners of an endpoint
 	LogWritesPerS   float64 `json:"logWritesPerS"`   // write calls a second that the log accepts from all entries together, 400 if absent
 	MemoryMb        int64   `json:"memoryMb"`        // memory of this host, 0 for no memory limit in the Go runtime
+	HeldBytesMb     float64 `json:"heldBytesMb"`     // bound on request bodies, buffered responses and unwritten events of all requests together, 0 for none
 }
 
+// maxHeldDivisor is the divisor of memoryMb that gives the largest heldBytesMb: the rest is for
+// everything else, and the garbage collector lets the heap grow beyond what is in use.
+const maxHeldDivisor = 2
+
 // defaultLogWritesPerS applies if the settings give no rate.
 const defaultLogWritesPerS = 400.0
 
@@ -97,6 +102,13 @@
 	if s.LogWritesPerS < 0 {
 		errs = append(errs, fmt.Errorf("logWritesPerS is %v; want a number above 0, or leave it out", s.LogWritesPerS))
 	}
+	if s.HeldBytesMb < 0 || s.MemoryMb > 0 && s.HeldBytesMb > float64(s.MemoryMb)/maxHeldDivisor {
+		limit := "up"
+		if s.MemoryMb > 0 {
+			limit = fmt.Sprintf("to %v, half of memoryMb", float64(s.MemoryMb)/maxHeldDivisor)
+		}
+		errs = append(errs, fmt.Errorf("heldBytesMb is %v; want a number from 0 %s, or leave it out for no bound", s.HeldBytesMb, limit))
+	}
 	return errors.Join(errs...)
 }
 
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -32,13 +32,22 @@
 	require.Equal(t, [2]int{7580, 7595}, s.PeerPorts)
 	_, err = loadSettingsText(t, strings.Replace(good, "{", `{"newer": {"x": 1},`, 1))
 	require.NoError(t, err, "unknown fields are ignored")
+	require.Zero(t, s.HeldBytesMb)
+	for _, held := range []string{`"memoryMb": 134, "heldBytesMb": 67`, `"heldBytesMb": 1000`, `"memoryMb": 134, "heldBytesMb": 0`, `"heldBytesMb": 0.5`} {
+		_, err = loadSettingsText(t, strings.Replace(good, `"memoryMb": 134`, held, 1))
+		require.NoError(t, err, held)
+	}
 
 	for name, text := range map[string]string{
 		"host":          strings.Replace(good, `"host": "10.1.0.19"`, `"host": "front"`, 1),
 		"callerAddress": strings.Replace(good, `"10.1.0.19:8749"`, `"10.1.0.19"`, 1),
 		"peerPorts":     strings.Replace(good, `[7580,7595]`, `[7595,7580]`, 1),
 		"revokeMs":      strings.Replace(good, `"revokeMs": 5000`, `"revokeMs": 0`, 1),
-		"id":            strings.Replace(good, `"id": "entry-1",`, "", 1),
+		"heldBytesMb is -1; want a number from 0 to 67, half of memoryMb": strings.Replace(good, `"memoryMb": 134`, `"memoryMb": 134, "heldBytesMb": -1`, 1),
+		"heldBytesMb is 68":                          strings.Replace(good, `"memoryMb": 134`, `"memoryMb": 134, "heldBytesMb": 68`, 1),
+		"heldBytesMb is -2; want a number from 0 up": strings.Replace(good, `"memoryMb": 134`, `"heldBytesMb": -2`, 1),
+		"heldBytesMb of type":                        strings.Replace(good, `"memoryMb": 134`, `"heldBytesMb": "48"`, 1),
+		"id":                                         strings.Replace(good, `"id": "entry-1",`, "", 1),
 	} {
 		require.NotEqual(t, good, text, name)
 		_, err := loadSettingsText(t, text)
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -38,6 +38,7 @@
 	DelayMs        float64           `json:"scheduling_delay_ms"` // for which tasks that could run waited for the processor
 	HeldParts      []HeldPart        `json:"held_parts"`          // parts of prompts that are held
 	HeldRequests   []HeldPart        `json:"held_requests"`       // requests that are held as a whole
+	HeldBytesStatus
 }
 
 // HeldPart is a part of prompts, or a whole request, that is held because endpoints ended under it.
@@ -106,7 +107,7 @@
 	now := s.clock()
 	st := Status{
 		ID: g.settings.ID, Ready: ready, WeightVersions: s.rollout.NewestTargets(), Members: len(s.peerLoads.members), Generation: g.ownership.FencingToken(), Era: int64(s.eras.Newest()),
-		Rollouts: s.rollout.Stages(), InFlight: g.inFlight.Load(), CallerConns: g.callerConns.Open(), IdleConns: g.callerConns.Idle(), DelayMs: float64(g.schedulingDelay.Load()) / float64(time.Millisecond), OwnedEndpoints: []string{}, HeldParts: s.heldParts(false, now), HeldRequests: s.heldParts(true, now),
+		Rollouts: s.rollout.Stages(), InFlight: g.inFlight.Load(), CallerConns: g.callerConns.Open(), IdleConns: g.callerConns.Idle(), DelayMs: float64(g.schedulingDelay.Load()) / float64(time.Millisecond), OwnedEndpoints: []string{}, HeldParts: s.heldParts(false, now), HeldRequests: s.heldParts(true, now), HeldBytesStatus: g.held.status(),
 	}
 	if age, known := s.freshness.Age(now); known {
 		st.ConfigAgeMs = age.Milliseconds()
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -105,5 +105,17 @@
 		}
 		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s | %s |\n", f.Key, f.Type, f.Unit, def, limits, f.Doc)
 	}
+	b.WriteString(forwardingSettings)
 	return b.String()
 }
+
+// forwardingSettings is the part of the reference page about the optional settings of forwarding
+// entries, which package gateway reads.
+const forwardingSettings = `
+## Forwarding entries
+
+` + "`galenaweir-entry forward` reads another file, described by the type Settings in gateway/settings.go. Its optional settings:" + `
+
+| Key | Type | Unit | Default | Limits | Meaning |
+| --- | --- | --- | --- | --- | --- |
+` + "| `heldBytesMb` | number | MB | 0 (off) | 0 to half of `memoryMb` | bound on request bodies, buffered responses and unwritten events of all requests together; one connection gets a quarter of it, so at least eight times `maxBodyBytes` of the configuration lets all bodies in (a body counts twice) |\n"
