Add explain, which shows where a request would go

Cause: operators could not see why an entry prefers, leaves out or refuses endpoints for a request without sending it.

Change: galenaweir-entry explain asks GET /explain on the metrics port, from the entry's own host. The answer comes from the placement itself, stopped before it is carried out: place is split at the lock, Choose reports the cost of each candidate to an observer, and what the decision changes (random numbers, transfers, limits, queues, credits, memos) is taken back under the same lock.

--- a/cmd/galenaweir-entry/main.go
+++ b/cmd/galenaweir-entry/main.go
@@ -22,7 +22,7 @@
 )
 
 func main() {
-	s := process.ParseCommandLine("galenaweir-entry", addForwardCommand, addStateCommand)
+	s := process.ParseCommandLine("galenaweir-entry", addForwardCommand, addStateCommand, addExplainCommand)
 	if err := run(s); err != nil {
 		log.Error().Err(err).Msg("entry ended")
 		os.Exit(1)
--- a/core/forward/choose.go
+++ b/core/forward/choose.go
@@ -81,7 +81,8 @@
 	StartIndex    int          // index of the candidate to evaluate first, which wins ties
 	Unseen        float64      // prompts that peers have placed and that this process doesn't know of yet, on average
 	Now           time.Duration
-	Fetchable     func(model string, version int64) bool // see Rollout.Fetchable
+	Fetchable     func(model string, version int64) bool  // see Rollout.Fetchable
+	Observe       func(index int, cost float64, c Choice) // called for each candidate, unless nil
 }
 
 // Choice is the result of placing a request.
@@ -132,6 +133,9 @@
 		if c.Outdated {
 			cost += outdatedPenaltyMs
 		}
+		if t.Observe != nil {
+			t.Observe(i, cost, choice)
+		}
 		if cost < bestCost {
 			choice.Index, choice.Suspect = i, !c.Usable
 			best, bestCost = choice, cost
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -105,10 +105,11 @@
 	if wallClock == nil {
 		wallClock = time.Now
 	}
-	return &Gateway{
+	source := rand.NewPCG(o.Seed, o.Seed)
+	g := &Gateway{
 		namingStore: o.NamingStore, streamStore: o.StreamStore, partStore: o.PartStore, wallClock: wallClock, namingsToSave: make(chan forward.Naming, maxNamingsToSave), factsRequests: make(chan struct{}, 1),
 		settings: s, clock: o.Clock, createdAt: o.Clock(), headerCodec: o.HeaderCodec, operators: o.Operators, endpoints: o.Endpoints, groupClient: o.GroupClient, endpointControl: o.EndpointControl, storeClient: o.StoreClient,
-		state: newState(s, o.Clock, rand.New(rand.NewPCG(o.Seed, o.Seed))), pool: newConnPool(o.Clock),
+		state: newState(s, o.Clock, rand.New(source)), pool: newConnPool(o.Clock),
 		ownership:          forward.Ownership{Self: member, Lease: orderLease, Handover: milliseconds(s.OrderHandoverMs) + orderTransitTime, MemberTTL: memberLease},
 		memberID:           member,
 		callerConns:        callerconn.New(),
@@ -122,6 +123,8 @@
 		durations:          metrics.Default.DurationHistograms("forward_ms"),
 		firstByteDurations: metrics.Default.DurationHistograms("forward_first_byte_ms"),
 	}
+	g.state.rngSource = source
+	return g
 }
 
 // Ready reports whether this process should receive new callers.
@@ -181,6 +184,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.HandleFunc("POST /parts/release", g.serveRelease)
+	mux.HandleFunc("GET /explain", g.serveExplain)
 	return mux
 }
 
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -39,7 +39,12 @@
 	s := q.g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.clock()
+	return q.placeLocked(s, s.clock())
+}
+
+// placeLocked is place for callers that hold the state's mutex. A placement with an observer stops
+// before it is carried out, and returns no placement.
+func (q *request) placeLocked(s *state, now time.Duration) (*placement, *apierr.Error) {
 	if q.keyExpired(s, now) {
 		return nil, q.placementError(s.staleConfigError("a key may have been taken away since the configuration was read"))
 	}
@@ -83,6 +88,10 @@
 			takeUps.RecordPlacement()
 		}
 	}
+	if q.observer != nil {
+		q.observer.chosen = &c
+		return nil, nil
+	}
 	s.shedder.Service(q.service.Name).RecordPlacement(false, now)
 	p := &placement{endpoint: cs[c.Index].Endpoint, work: c.Load, choice: c, placedAt: now, maxConns: s.connLimit(q.service, cs[c.Index].Endpoint.ID)}
 	if chosen := &cs[c.Index]; chosen.Outdated {
@@ -146,12 +155,12 @@
 }
 
 func (q *request) chooseFrom(s *state, cs []forward.Candidate, now time.Duration) forward.Choice {
-	return forward.Choose(forward.PlacementRequest{
+	return forward.Choose(q.observer.observe(forward.PlacementRequest{
 		Prompt: q.call.Prompt, FailureDomain: s.settings.FailureDomain, Engine: q.service.Engine, CacheGroup: q.cacheGroup,
 		StartIndex: s.rng.IntN(len(cs) + 1),
 		Stores:     s.fetchableStores(now), Now: now, Unseen: s.unseenPrompts(now),
 		Fetchable: func(model string, version int64) bool { return s.rollout.Fetchable(model, version, now) },
-	}, cs)
+	}, cs), cs)
 }
 
 // placementError returns the error for a request that cannot be placed: err, or an unknown
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -56,6 +56,7 @@
 	held           *forward.HeldRequest // why it is held, nil if it isn't
 	shed           bool                 // it was refused as this entry is short of processor time
 	bytes          *requestBytes        // what it buffers, nil if that has no bound
+	observer       *placementObserver   // set if the placement is only asked for
 	accessLog      accessLog
 }
 
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -51,6 +51,7 @@
 	mu                sync.Mutex
 	clock             Clock
 	rng               *rand.Rand
+	rngSource         *rand.PCG // of rng, nil in tests that don't need it
 	table             *forward.Table
 	freshness         forward.Freshness
 	eras              forward.EraTracker
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -81,8 +81,7 @@
 // serveRelease lets the part in again whose key the query names. It accepts calls from its own host
 // only, as the metrics port is open to all.
 func (g *Gateway) serveRelease(w http.ResponseWriter, r *http.Request) {
-	from, _, err := net.SplitHostPort(r.RemoteAddr)
-	if ip := net.ParseIP(from); err != nil || from != g.settings.Host && !ip.IsLoopback() {
+	if !g.isFromOwnHost(r) {
 		http.Error(w, "call this from the entry's own host", http.StatusForbidden)
 		return
 	}
