Merge slow readers and explain; bound warm-ups by the first reader of a record

Change: peers state the heartbeat of a record, and reading it again later doesn't extend the warm-up; the shares together exceed the rate by 0.15 within the same bound. Merge of the budget for buffered bytes and of explain.

--- a/core/forward/choose.go
+++ b/core/forward/choose.go
@@ -83,8 +83,9 @@
 	Now           time.Duration
 	Ranked        bool // the request is sent with a rank
 	Rank          int
-	Fetchable     func(model string, version int64) bool // see Rollout.Fetchable
-	Tentative     bool                                   // the choice may not be used; see Choice.RecordTransfers
+	Fetchable     func(model string, version int64) bool  // see Rollout.Fetchable
+	Tentative     bool                                    // the choice may not be used; see Choice.RecordTransfers
+	Observe       func(index int, cost float64, c Choice) // called for each candidate, unless nil
 }
 
 // Choice is the result of placing a request.
@@ -135,6 +136,9 @@
 		if c.Outdated {
 			cost += outdatedPenaltyMs
 		}
+		if t.Observe != nil {
+			t.Observe(i, cost, choice)
+		}
 		if cost < bestCost {
 			choice.Index, choice.Suspect = i, !c.Usable
 			best, bestCost = choice, cost
--- a/core/forward/warmup.go
+++ b/core/forward/warmup.go
@@ -15,6 +15,10 @@
 	// placed, by up to MaxWarmUpSendDelay.
 	usableBound = 0.8
 
+	// sustainedRatio is by how much all entries together exceed the rate that the endpoint takes: part
+	// of the shares goes unused, as an entry's demand comes in bursts.
+	sustainedRatio = 1.15
+
 	// WarmUpLease is how long a member list entitles an entry to its share after it was proved to be
 	// current. A member that leaves keeps its share for so long, and a new one waits for so long.
 	WarmUpLease = 2 * time.Second
@@ -45,7 +49,7 @@
 // scaled by a factor.
 func (b WarmUpBounds) split(factor float64) (burst, perSecond float64) {
 	usable := usableBound * factor * (b.PerSecond*b.Ratio + b.Requests)
-	perSecond = min(factor*b.PerSecond, max(usable-1, 0))
+	perSecond = min(sustainedRatio*factor*b.PerSecond, max(usable-1, 0))
 	return usable - perSecond, perSecond
 }
 
@@ -140,7 +144,8 @@
 // The zero value is an endpoint that isn't warming up.
 type WarmUp struct {
 	told      time.Duration // end by the endpoint's own statements
-	heartbeat int64         // of the record that stated told
+	toldLeft  time.Duration // that the newest record stated
+	heartbeat int64         // of that record, also if a peer has read it first
 	presumed  time.Duration // end by what happened to the endpoint
 	since     int64         // heartbeat after which a record ends the presumption
 	firstHand bool          // the end was not told by a peer
@@ -181,24 +186,30 @@
 	return !before && w.Active(now)
 }
 
-// ObserveRecord records what the endpoint's record says. Records of one start come in order, so a
-// newer one may end a warm-up that an older one stated or that was presumed. It reports whether the
-// endpoint has just begun to count as warming up.
-func (w *WarmUp) ObserveRecord(left time.Duration, heartbeat int64, now time.Duration) bool {
-	if left > 0 {
-		w.heartbeat = max(w.heartbeat, heartbeat)
-		return w.extend(&w.told, now+min(left, maxWarmUpStatement), true, now)
+// ObserveRecord records what a record of the endpoint says, read by this process or by a peer. Records
+// of one start come in order, so a newer one may end a warm-up that an older one stated or that was
+// presumed. A record says no more when it is read again later: it is some time old by then. While the
+// stated time falls, each record bounds the same end. It reports whether the endpoint has just begun to
+// count as warming up.
+func (w *WarmUp) ObserveRecord(left time.Duration, heartbeat int64, firstHand bool, now time.Duration) bool {
+	if heartbeat > w.since && left <= 0 {
+		w.presumed = min(w.presumed, now)
 	}
-	if heartbeat > w.heartbeat {
-		w.told = min(w.told, now)
+	if heartbeat <= w.heartbeat {
+		return false
 	}
-	if heartbeat > w.since {
-		w.presumed = min(w.presumed, now)
+	falls := w.Active(now) && left < w.toldLeft
+	w.heartbeat, w.toldLeft = heartbeat, left
+	until := now + min(max(left, 0), maxWarmUpStatement)
+	if falls || left <= 0 {
+		w.told = min(w.told, until)
+		return false
 	}
-	return false
+	return w.extend(&w.told, until, firstHand, now)
 }
 
-// Observe records that the endpoint, or a peer, says for how much longer the endpoint is warming up.
+// Observe records that an answer of the endpoint, or a peer, says for how much longer the endpoint is
+// warming up.
 func (w *WarmUp) Observe(left time.Duration, firstHand bool, now time.Duration) bool {
 	if left <= 0 {
 		return false // an answer may be older than the start of the warm-up
@@ -216,6 +227,15 @@
 // warmUpReportInterval is how often the peers are told of the same warm-up: a report may be lost.
 const warmUpReportInterval = 500 * time.Millisecond
 
+// Heartbeat returns the heartbeat of the newest record that is known, 0 if the end of the warm-up
+// isn't from a record.
+func (w *WarmUp) Heartbeat() int64 {
+	if w.presumed > w.told {
+		return 0
+	}
+	return w.heartbeat
+}
+
 // ReportDue returns how much longer the endpoint is warming up if the peers are to be told. What a
 // peer has told isn't passed on, as its age would be lost.
 func (w *WarmUp) ReportDue(now time.Duration) (left time.Duration, due bool) {
--- a/gateway/accesslog.go
+++ b/gateway/accesslog.go
@@ -180,6 +180,7 @@
 		}
 	}
 	e = q.accessLog.second.write(e)
+	e = q.bytes.logFields(e)
 	if q.accessLog.aborted != "" {
 		e = e.Str("aborted", q.accessLog.aborted)
 	}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -42,7 +42,12 @@
 	s := q.g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.clock()
+	return q.placeLocked(s, s.clock())
+}
+
+// placeLocked is place for callers that hold the state's mutex. A placement with an observer stops
+// before it is carried out, and returns no placement.
+func (q *request) placeLocked(s *state, now time.Duration) (*placement, *apierr.Error) {
 	q.scheduling = s.scheduling()
 	q.setRank(s)
 	if q.keyExpired(s, now) {
@@ -88,6 +93,10 @@
 			return nil, err
 		}
 	}
+	if q.observer != nil {
+		q.observer.chosen = &c
+		return nil, nil
+	}
 	s.shedder.Service(q.service.Name).RecordPlacement(false, now)
 	return q.assign(s, cs, c, now), nil
 }
@@ -163,13 +172,13 @@
 
 // chooseRanked chooses an endpoint for the request as one of the given rank.
 func (q *request) chooseRanked(s *state, cs []forward.Candidate, rank int, now time.Duration) forward.Choice {
-	return forward.Choose(forward.PlacementRequest{
+	return forward.Choose(q.observer.observe(forward.PlacementRequest{
 		Prompt: q.call.Prompt, FailureDomain: s.settings.FailureDomain, Engine: q.service.Engine, CacheGroup: q.cacheGroup,
 		StartIndex: s.rng.IntN(len(cs) + 1),
 		Stores:     s.fetchableStores(now), Now: now, Unseen: s.unseenPrompts(now), Ranked: q.scheduling.RankedQueues, Rank: rank,
 		Fetchable: func(model string, version int64) bool { return s.rollout.Fetchable(model, version, now) },
 		Tentative: q.tentative,
-	}, cs)
+	}, cs), cs)
 }
 
 // placementError returns the error for a request that cannot be placed: err, or an unknown
@@ -244,7 +253,7 @@
 	if x != nil && !x.sent {
 		st.limit.Refund()
 	}
-	if x == nil || q.r.Context().Err() != nil {
+	if x == nil || q.r.Context().Err() != nil || q.excusesEndpoint(x) {
 		return
 	}
 	switch {
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -37,6 +37,7 @@
 	WarmUpRequests    float64 `json:"warmUpRequests"`    //
 	SharedMemberLists bool    `json:"sharedMemberLists"` // few entries read the members of a new generation of the group from the log and tell the others
 	OperatorPollMs    int64   `json:"operatorPollMs"`    // how long a read waits at the log for operators' records, 1000 if absent
+	HeldBytesMb       float64 `json:"heldBytesMb"`       // bound on request bodies, buffered responses and unwritten events of all requests together, 0 for none
 
 	Scheduling *Scheduling `json:"scheduling"` // nil turns all of it off
 
@@ -48,6 +49,10 @@
 // maxSecondAttemptShare bounds the extra load on endpoints that are already slow.
 const maxSecondAttemptShare = 0.1
 
+// maxHeldDivisor is the divisor of memoryMb that gives the largest heldBytesMb: the rest is for
+// everything else, and the garbage collector lets the heap grow beyond what is in use.
+const maxHeldDivisor = 2
+
 // defaultLogWritesPerS applies if the settings give no rate.
 const defaultLogWritesPerS = 400.0
 
@@ -124,6 +129,13 @@
 		errs = append(errs, fmt.Errorf("operatorPollMs is %d; want %d to %d, or leave it out", s.OperatorPollMs, minOperatorPollMs, maxOperatorPollMs))
 	}
 	errs = append(errs, s.Scheduling.validate()...)
+	if s.HeldBytesMb < 0 || s.MemoryMb > 0 && s.HeldBytesMb > float64(s.MemoryMb)/maxHeldDivisor {
+		limit := "up"
+		if s.MemoryMb > 0 {
+			limit = fmt.Sprintf("to %v, half of memoryMb", float64(s.MemoryMb)/maxHeldDivisor)
+		}
+		errs = append(errs, fmt.Errorf("heldBytesMb is %v; want a number from 0 %s, or leave it out for no bound", s.HeldBytesMb, limit))
+	}
 	return errors.Join(errs...)
 }
 
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -42,6 +42,8 @@
 	Evacuated      []EvacuatedDomain `json:"evacuated"`
 
 	SecondAttempts map[string]forward.SecondAttemptUse `json:"second_attempts,omitempty"` // use of the limit by service, absent if off
+
+	HeldBytesStatus
 }
 
 // HeldPart is a part of prompts, or a whole request, that is held because endpoints ended under it.
@@ -84,8 +86,7 @@
 // serveRelease lets the part in again whose key the query names. It accepts calls from its own host
 // only, as the metrics port is open to all.
 func (g *Gateway) serveRelease(w http.ResponseWriter, r *http.Request) {
-	from, _, err := net.SplitHostPort(r.RemoteAddr)
-	if ip := net.ParseIP(from); err != nil || from != g.settings.Host && !ip.IsLoopback() {
+	if !g.isFromOwnHost(r) {
 		http.Error(w, "call this from the entry's own host", http.StatusForbidden)
 		return
 	}
@@ -110,7 +111,7 @@
 	now := s.clock()
 	st := Status{
 		ID: g.settings.ID, Ready: ready, WeightVersions: s.rollout.NewestTargets(), Members: len(s.peerLoads.members), Generation: g.ownership.FencingToken(), Era: int64(s.eras.Newest()),
-		Rollouts: s.rollout.Stages(), InFlight: g.inFlight.Load(), CallerConns: g.callerConns.Open(), IdleConns: g.callerConns.Idle(), DelayMs: float64(g.schedulingDelay.Load()) / float64(time.Millisecond), OwnedEndpoints: []string{}, HeldParts: s.heldParts(false, now), HeldRequests: s.heldParts(true, now),
+		Rollouts: s.rollout.Stages(), InFlight: g.inFlight.Load(), CallerConns: g.callerConns.Open(), IdleConns: g.callerConns.Idle(), DelayMs: float64(g.schedulingDelay.Load()) / float64(time.Millisecond), OwnedEndpoints: []string{}, HeldParts: s.heldParts(false, now), HeldRequests: s.heldParts(true, now), HeldBytesStatus: g.held.status(),
 	}
 	st.SecondAttempts = s.secondAttempts.Use(now)
 	if age, known := s.freshness.Age(now); known {
--- a/gateway/warmup.go
+++ b/gateway/warmup.go
@@ -17,8 +17,10 @@
 
 // reportWarmUp says that an endpoint is warming up.
 type reportWarmUp struct {
-	Endpoint uint32 // hash of the endpoint's ID
-	LeftMs   int64
+	Endpoint  uint32 // hash of the endpoint's ID
+	Started   int64  // StartedUnixMs of its entry
+	Heartbeat int64  // of the record that says so, 0 if something else does
+	LeftMs    int64
 }
 
 // errWarmingUp is returned when the endpoint that a request was placed on is warming up and this
@@ -83,7 +85,7 @@
 		return
 	}
 	s.resetIfRestarted(*c.Endpoint)
-	if s.endpointState(c.ID).warmUp.ObserveRecord(c.Endpoint.WarmUpRemaining, c.Endpoint.Heartbeat, now) {
+	if s.endpointState(c.ID).warmUp.ObserveRecord(c.Endpoint.WarmUpRemaining, c.Endpoint.Heartbeat, true, now) {
 		s.logWarmUp(c.Endpoint, "record", now)
 	}
 }
@@ -135,7 +137,7 @@
 	for _, e := range due[:min(len(due), maxReportedWarmUps)] {
 		left, _ := e.warmUp.ReportDue(now)
 		e.warmUp.RecordReport(now)
-		out = append(out, reportWarmUp{e.hash, left.Milliseconds()})
+		out = append(out, reportWarmUp{e.hash, e.started, e.warmUp.Heartbeat(), left.Milliseconds()})
 	}
 	return out
 }
@@ -149,7 +151,17 @@
 			continue
 		}
 		e, listed := s.endpointList.Get(id, now)
-		if listed && s.serviceWarmUpBounds(e.Service).Limited() && s.endpointState(id).warmUp.Observe(milliseconds(w.LeftMs), false, now) {
+		st := s.endpointState(id)
+		if !listed || e.StartedUnixMs != w.Started || !s.serviceWarmUpBounds(e.Service).Limited() {
+			continue
+		}
+		begun := false
+		if w.Heartbeat > 0 {
+			begun = st.warmUp.ObserveRecord(milliseconds(w.LeftMs), w.Heartbeat, false, now)
+		} else {
+			begun = st.warmUp.Observe(milliseconds(w.LeftMs), false, now)
+		}
+		if begun {
 			s.logWarmUp(&e, "peer", now)
 		}
 	}
