Share reads of the endpoint list between entries

Cause: 39 entries make 32 calls a second for the endpoint list alone.

Two readers of each failure domain, three at least, read the list; the others ask them with the time on their own clock and read the log themselves without a proof of 1.2 s. Batch states the offsets of records, so that answers continue a position exactly. Log line list_sharing, counters shared_list_reads.

--- a/core/forward/listshare.go
+++ b/core/forward/listshare.go
@@ -21,7 +21,7 @@
 	readersPerDomain   = 2                     // failure domains are asked first for their own readers
 	minListReaders     = 3                     // in all domains together
 	listReaderKey      = "endpoint list"       // rendezvous key of the readers
-	askShare           = 0.6                   // time from an answer to the next question, as a share of the longest age of a proof
+	askShare           = 0.65                  // time from an answer to the next question, as a share of the longest age of a proof
 	repeatShare        = 0.15                  // time without an answer after which another reader is asked, as a share of that age
 	maxListAsks        = 2                     // questions before this entry reads the log itself
 	silentReaderPause  = 5 * time.Second       // a reader that did not answer is asked last for so long
@@ -70,6 +70,7 @@
 	From    int64
 	Next    int64
 	Changes []ListChange
+	AskIn   time.Duration // until the next question suits the reader, so that it answers many from one read
 }
 
 // ListChange is a change at an offset of the log. If Heartbeat isn't 0, the record differs from the
@@ -94,6 +95,7 @@
 	readBegan  time.Duration // start of the last read, completed or not
 	reading    bool          // a read's records have arrived and are not applied yet
 	readNow    bool          // a reader knows a newer era
+	newest     Era           // newest era of the log\'s answers, of whatever records
 
 	nextAsk time.Duration
 	asked   []askedReader // since the last answer or read
@@ -131,7 +133,7 @@
 // ReadDue returns when this entry should read the log, given the end of its last suspension. A read
 // that failed is repeated after a pause that the caller knows.
 func (l *ListShare) ReadDue(resumedAt time.Duration) time.Duration {
-	if !l.positioned || l.readNow || l.ownRead < resumedAt {
+	if !l.positioned || l.readNow || l.newest > l.era || l.ownRead < resumedAt {
 		return 0
 	}
 	due := l.proof + l.MaxAge
@@ -178,6 +180,10 @@
 	return order[0], ListQuestion{AskedAt: now, Era: l.era, Position: l.position}, true
 }
 
+// ObserveEra records the newest era that any answer of the log has stated. The list is then read from
+// the log before answers of peers are used.
+func (l *ListShare) ObserveEra(e Era) { l.newest = max(l.newest, e) }
+
 // BeginRead records that this entry begins to read the log.
 func (l *ListShare) BeginRead(now time.Duration) {
 	l.readBegan, l.reading, l.readNow = now, false, false
@@ -223,7 +229,7 @@
 		return nil
 	}
 	l.recordOwnRead(started, now)
-	return l.answers(started)
+	return l.answers(started, now)
 }
 
 // onlyHeartbeat reports whether a record differs from the listed entry in a higher heartbeat number
@@ -287,7 +293,9 @@
 
 // answers returns the answers to the questions that arrived before a read started, and forgets them.
 // A question from before the window, or of another era, gets none.
-func (l *ListShare) answers(started time.Duration) map[string]ListAnswer {
+func (l *ListShare) answers(started, now time.Duration) map[string]ListAnswer {
+	cycle := l.share(askShare)
+	askIn := cycle - now%cycle // the same time for all that ask
 	out := map[string]ListAnswer{}
 	l.questions = slices.DeleteFunc(l.questions, func(w waitingQuestion) bool {
 		if w.arrivedAt > started {
@@ -295,7 +303,7 @@
 		}
 		if w.Era == l.era && w.Position >= l.from && w.Position <= l.position {
 			first, _ := slices.BinarySearchFunc(l.window, w.Position, func(c ListChange, at int64) int { return int(c.Offset - at) })
-			out[w.member] = ListAnswer{AskedAt: w.AskedAt, Era: l.era, From: w.Position, Next: l.position, Changes: slices.Clone(l.window[first:])}
+			out[w.member] = ListAnswer{AskedAt: w.AskedAt, Era: l.era, From: w.Position, Next: l.position, Changes: slices.Clone(l.window[first:]), AskIn: askIn}
 		}
 		return true
 	})
@@ -312,7 +320,7 @@
 		l.readNow = true // the log has returned from an older copy, as far as the reader knows
 	}
 	switch {
-	case !l.positioned || l.reading || a.Era != l.era || !wasAsked:
+	case !l.positioned || l.reading || a.Era != l.era || l.newest > l.era || !wasAsked:
 		return nil, false
 	case a.AskedAt <= l.proof || a.AskedAt > now || now-a.AskedAt >= l.MaxAge:
 		return nil, false
@@ -330,7 +338,7 @@
 		l.keep(c)
 	}
 	delete(l.silent, from)
-	l.asked, l.nextAsk = nil, now+l.share(askShare)
+	l.asked, l.nextAsk = nil, now+min(max(a.AskIn, questionWindow), l.share(askShare))
 	l.position, l.proof = a.Next, a.AskedAt
 	return records, true
 }
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -26,8 +26,9 @@
 	name      string
 	feed      Feed[T]
 	clock     Clock
-	pollWait  time.Duration // long-poll wait of a read
-	pollPause time.Duration // pause between reads
+	pollWait  time.Duration             // long-poll wait of a read
+	pollPause time.Duration             // pause between reads
+	await     func(ctx context.Context) // waits for the next read in place of pollPause, if it isn't nil
 	// nextWait returns the wait of the next read, at most the given one. It may be nil.
 	nextWait func(wait, now time.Duration) time.Duration
 	// suspendedSince reports whether the process was suspended after a time. If it is nil, an empty
@@ -71,7 +72,11 @@
 				log.Info().Str("event", "log_regained").Str("feed", r.name).Int("failures", failures).Msg("log is readable again")
 			}
 			failures = 0
-			wait.For(ctx, r.pollPause)
+			if r.await != nil {
+				r.await(ctx)
+			} else {
+				wait.For(ctx, r.pollPause)
+			}
 			continue
 		}
 		if errors.Is(err, context.Canceled) && r.suspendedSince != nil && r.suspendedSince(started, r.clock()) {
@@ -257,6 +262,15 @@
 func (g *Gateway) applyEndpoints(changes []forward.EndpointChange, started time.Duration, snapshot bool) {
 	s := g.state
 	s.mu.Lock()
+	g.applyEndpointsLocked(changes, started, snapshot)
+	alive := s.pruneEndpoints(s.clock())
+	s.mu.Unlock()
+	g.pool.prune(alive)
+}
+
+// applyEndpointsLocked is applyEndpoints for a caller that holds the state's mutex.
+func (g *Gateway) applyEndpointsLocked(changes []forward.EndpointChange, started time.Duration, snapshot bool) {
+	s := g.state
 	now := s.clock()
 	if s.endpointList.LogRegained(now) {
 		s.streamLog.incompleteUntil = now + s.catchUpTime()
@@ -272,9 +286,6 @@
 	s.endpointListRead, s.listedCache = true, nil
 	s.listedEndpoints(now) // notices restarts, and keeps what peers report of endpoints without requests
 	s.streams.ObserveEndpoints(s.readyByList(now), started, now)
-	alive := s.pruneEndpoints(now)
-	s.mu.Unlock()
-	g.pool.prune(alive)
 }
 
 // logEndpoint logs changes of an endpoint's state. Heartbeats without a change are not
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,6 +75,7 @@
 	factsRequests   chan struct{}
 	state           *state
 	pool            *connPool
+	list            *sharedList       // nil if reads of the endpoint list are not shared
 	ownership       forward.Ownership // guarded by the state's mutex
 	memberID        string
 	peerConn        *net.UDPConn
@@ -92,6 +93,7 @@
 	refusals           *expvar.Map
 	unknownHeaders     unknownHeaders
 	rejectedReports    *expvar.Int
+	listShares         *expvar.Map
 	durations          *metrics.DurationHistograms
 	firstByteDurations *metrics.DurationHistograms
 }
@@ -104,7 +106,7 @@
 	if wallClock == nil {
 		wallClock = time.Now
 	}
-	return &Gateway{
+	g := &Gateway{
 		namingStore: o.NamingStore, streamStore: o.StreamStore, partStore: o.PartStore, wallClock: wallClock, namingsToSave: make(chan forward.Naming, maxNamingsToSave), factsRequests: make(chan struct{}, 1),
 		settings: s, clock: o.Clock, createdAt: o.Clock(), headerCodec: o.HeaderCodec, operators: o.Operators, endpoints: o.Endpoints, groupClient: o.GroupClient, endpointControl: o.EndpointControl, storeClient: o.StoreClient,
 		state: newState(s, o.Clock, rand.New(rand.NewPCG(o.Seed, o.Seed))), pool: newConnPool(o.Clock),
@@ -119,7 +121,12 @@
 		rejectedReports:    metrics.Default.Counter("stray_load_reports"),
 		durations:          metrics.Default.DurationHistograms("forward_ms"),
 		firstByteDurations: metrics.Default.DurationHistograms("forward_first_byte_ms"),
+		listShares:         metrics.Default.LabeledCounter("shared_list_reads"),
 	}
+	if s.SharedListReads {
+		g.list = newSharedList(g)
+	}
+	return g
 }
 
 // Ready reports whether this process should receive new callers.
@@ -269,5 +276,8 @@
 		defer g.state.mu.Unlock()
 		g.state.endpointList.LogLost(now)
 	}}
+	if g.list != nil {
+		r.feed, r.apply, r.await = g.list, g.list.apply, g.list.await
+	}
 	r.run(ctx, g.state)
 }
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -75,6 +75,7 @@
 // Batch is a set of records that was read from the log.
 type Batch[T any] struct {
 	Records []T
+	Offsets []int64     // of the records, nil if not known
 	Next    int64       // offset from which Read continues
 	Partial bool        // the log held further records when it answered
 	Era     forward.Era // era of the log that the records and Next belong to
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -304,6 +304,12 @@
 			}
 			continue
 		}
+		if isListMessage(data) {
+			if !g.receiveList(data) {
+				g.rejectedReports.Add(1)
+			}
+			continue
+		}
 		if isRelay(data) {
 			data = g.passOn(data)
 		}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -34,6 +34,7 @@
 	LogWritesPerS   float64 `json:"logWritesPerS"`   // write calls a second that the log accepts from all entries together, 400 if absent
 	MemoryMb        int64   `json:"memoryMb"`        // memory of this host, 0 for no memory limit in the Go runtime
 	OperatorPollMs  int64   `json:"operatorPollMs"`  // how long a read waits at the log for operators' records, 1000 if absent
+	SharedListReads bool    `json:"sharedListReads"` // a few entries read the endpoint list for the others
 }
 
 // defaultLogWritesPerS applies if the settings give no rate.
