--- a/core/forward/listshare_test.go
+++ b/core/forward/listshare_test.go
@@ -342,3 +342,104 @@
 		}
 	}
 }
+
+// Guards against an answer that is used although it proves nothing, or does not continue what this
+// process knows.
+func TestAcceptListAnswer(t *testing.T) {
+	const asked, now = time.Hour + time.Second, time.Hour + 1100*time.Millisecond
+	record := func(heartbeat int64) ListChange {
+		return ListChange{Offset: 12, EndpointChange: EndpointChange{ID: "e", Endpoint: &Endpoint{ID: "e", StartedUnixMs: 3, Heartbeat: heartbeat}}}
+	}
+	beat := ListChange{Offset: 13, EndpointChange: EndpointChange{ID: "e"}, Started: 3, Heartbeat: 6}
+	good := ListAnswer{AskedAt: asked, Era: 1, From: 10, Next: 20, Changes: []ListChange{record(5), beat}}
+	for name, c := range map[string]struct {
+		change  func(l *ListShare, a *ListAnswer)
+		from    string
+		resumed time.Duration
+		now     time.Duration
+		want    int // records, -1 if the answer is not used
+	}{
+		"good":                    {want: 2},
+		"reaches further back":    {change: func(_ *ListShare, a *ListAnswer) { a.From = 4 }, want: 2},
+		"known in part":           {change: func(l *ListShare, _ *ListAnswer) { l.position = 13 }, want: -1}, // the heartbeat's entry is not listed
+		"known in full":           {change: func(l *ListShare, _ *ListAnswer) { l.position = 20 }, want: 0},
+		"gap":                     {change: func(_ *ListShare, a *ListAnswer) { a.From = 11 }, want: -1},
+		"behind":                  {change: func(l *ListShare, _ *ListAnswer) { l.position = 21 }, want: -1},
+		"of another reader":       {from: "other", want: -1},
+		"to another question":     {change: func(_ *ListShare, a *ListAnswer) { a.AskedAt++ }, want: -1},
+		"older than the proof":    {change: func(l *ListShare, _ *ListAnswer) { l.proof = asked }, want: -1},
+		"too late":                {now: asked + listSimMaxAge, want: -1},
+		"older era":               {change: func(l *ListShare, _ *ListAnswer) { l.era = 2 }, want: -1},
+		"newer era":               {change: func(_ *ListShare, a *ListAnswer) { a.Era = 2 }, want: -1},
+		"the log has a newer era": {change: func(l *ListShare, _ *ListAnswer) { l.ObserveEra(2) }, want: -1},
+		"suspended since":         {resumed: asked + 1, want: -1},
+		"not read since":          {resumed: time.Hour + 1, want: -1},
+		"own records not applied": {change: func(l *ListShare, _ *ListAnswer) { l.Arrived(10) }, want: -1},
+		"own read is under way":   {change: func(l *ListShare, _ *ListAnswer) { l.BeginRead(asked) }, want: 2},
+		"offset outside":          {change: func(_ *ListShare, a *ListAnswer) { a.Next = 13 }, want: -1},
+		"not in order":            {change: func(_ *ListShare, a *ListAnswer) { a.Changes = []ListChange{beat, record(5)} }, want: -1},
+		"heartbeat of a new start": {change: func(_ *ListShare, a *ListAnswer) {
+			a.Changes = []ListChange{record(5), {Offset: 14, EndpointChange: EndpointChange{ID: "e"}, Started: 4, Heartbeat: 1}}
+		}, want: -1},
+	} {
+		l, list := NewListShare(listSimMaxAge), NewEndpointList()
+		l.RecordSnapshot(10, 1, time.Hour, time.Hour)
+		l.EndRead()
+		_, _, _ = l.Ask("self", []string{"reader"}, nil, asked)
+		a := good
+		if c.change != nil {
+			c.change(l, &a)
+		}
+		from, at := c.from, c.now
+		if from == "" {
+			from = "reader"
+		}
+		if at == 0 {
+			at = now
+		}
+		records, ok := l.Accept(list, from, a, c.resumed, at)
+		require.Equal(t, c.want >= 0, ok, name)
+		require.Len(t, records, max(c.want, 0), name)
+		if ok {
+			require.Equal(t, asked, l.Proof(), name)
+			require.EqualValues(t, 20, l.Position(), name)
+			require.Equal(t, asked+listSimMaxAge, l.ReadDue(c.resumed), name)
+			_, again := l.Accept(list, from, a, c.resumed, at)
+			require.False(t, again, "%s: a repeated answer is not used", name)
+		}
+	}
+}
+
+// Guards against an answer that was read before its question arrived, and against own records that are
+// applied over newer ones of an answer.
+func TestListReaderAnswersFromLaterReads(t *testing.T) {
+	l, list := NewListShare(listSimMaxAge), NewEndpointList()
+	l.RecordSnapshot(10, 1, time.Hour, time.Hour)
+	l.EndRead()
+	arrived := time.Hour + time.Second
+	require.True(t, l.RecordQuestion("m", ListQuestion{AskedAt: 5, Era: 1, Position: 10}, arrived))
+	require.Equal(t, arrived+questionWindow, l.ReadDue(0))
+	require.Empty(t, l.RecordRead(list, nil, nil, 11, false, arrived-1, arrived+1), "the read started before the question arrived")
+	require.Empty(t, l.RecordRead(list, nil, nil, 12, true, arrived, arrived+1), "a partial read proves nothing")
+	answers := l.RecordRead(list, nil, nil, 14, false, arrived, arrived+1)
+	require.Equal(t, ListAnswer{AskedAt: 5, Era: 1, From: 10, Next: 14, AskIn: answers["m"].AskIn}, answers["m"])
+	require.Empty(t, l.RecordRead(list, nil, nil, 15, false, arrived+1, arrived+2), "answered once")
+	require.False(t, l.Arrived(14), "an answer has moved the position")
+}
+
+// Guards against readers that all belong to one failure domain, and against too few of them.
+func TestListReaders(t *testing.T) {
+	domains, members := map[string]string{}, []string{}
+	for i := range 39 {
+		m := fmt.Sprintf("10.0.0.%d:1", i)
+		members, domains[m] = append(members, m), string(rune('a'+i%3))
+	}
+	perDomain := map[string]int{}
+	for _, m := range ListReaders(members, domains) {
+		perDomain[domains[m]]++
+	}
+	require.Equal(t, map[string]int{"a": 2, "b": 2, "c": 2}, perDomain)
+	require.Len(t, ListReaders(members, nil), 3, "the domains are not known")
+	require.Len(t, ListReaders(members, map[string]string{members[0]: "a"}), 3)
+	require.Empty(t, ListReaders(nil, domains))
+}
--- a/gateway/listshare_test.go
+++ b/gateway/listshare_test.go
@@ -157,7 +157,7 @@
 		"4 off": {4, false, 0, 3.4}, "4 on": {4, true, 0, 3.4},
 		"39 off": {39, false, 0, 33}, "39 on": {39, true, 0, 12},
 		"103 off": {103, false, 0, 87}, "103 on": {103, true, 0, 16},
-		"39 with 5% lost": {39, true, 0.05, 14},
+		"39 with 5% lost": {39, true, 0.05, 14}, "39 with all lost": {39, true, 1, 34},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			began := time.Now()
