--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,6 +75,7 @@
 	factsRequests   chan struct{}
 	state           *state
 	pool            *connPool
+	list            *sharedList       // nil if reads of the endpoint list are not shared
 	ownership       forward.Ownership // guarded by the state's mutex
 	memberID        string
 	readList        forward.OfferedList // read from the log and not confirmed yet; guarded by the state's mutex
@@ -99,6 +100,7 @@
 	latePrompts        *expvar.Map
 	secondAttempts     secondAttemptMetrics
 	after              func(time.Duration) (<-chan time.Time, func() bool) // a timer and how to stop it
+	listShares         *expvar.Map
 	durations          *metrics.DurationHistograms
 	firstByteDurations *metrics.DurationHistograms
 }
@@ -133,8 +135,12 @@
 		after:              newTimer,
 		durations:          metrics.Default.DurationHistograms("forward_ms"),
 		firstByteDurations: metrics.Default.DurationHistograms("forward_first_byte_ms"),
+		listShares:         metrics.Default.LabeledCounter("shared_list_reads"),
 	}
 	g.state.rngSource = source
+	if s.SharedListReads {
+		g.list = newSharedList(g)
+	}
 	return g
 }
 
@@ -286,5 +292,8 @@
 		defer g.state.mu.Unlock()
 		g.state.endpointList.LogLost(now)
 	}}
+	if g.list != nil {
+		r.feed, r.apply, r.await = g.list, g.list.apply, g.list.await
+	}
 	r.run(ctx, g.state)
 }
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -38,6 +38,7 @@
 	SharedMemberLists bool    `json:"sharedMemberLists"` // few entries read the members of a new generation of the group from the log and tell the others
 	OperatorPollMs    int64   `json:"operatorPollMs"`    // how long a read waits at the log for operators' records, 1000 if absent
 	HeldBytesMb       float64 `json:"heldBytesMb"`       // bound on request bodies, buffered responses and unwritten events of all requests together, 0 for none
+	SharedListReads   bool    `json:"sharedListReads"`   // a few entries read the endpoint list for the others
 
 	Scheduling *Scheduling `json:"scheduling"` // nil turns all of it off
 
