Show warm-ups and evacuations to operators

Cause: operators could not see which entries have confirmed an evacuation, or which endpoints warm up.

--- a/cmd/galenaweir-entry/state.go
+++ b/cmd/galenaweir-entry/state.go
@@ -76,12 +76,59 @@
 	if err := t.Flush(); err != nil {
 		return err
 	}
+	printDomains(w, statuses)
+	printWarmingUp(w, statuses)
 	if differs {
 		return errStateDiffers
 	}
 	return nil
 }
 
+// printDomains prints which failure domains are evacuated, since when at the latest, and which entries
+// have not confirmed that.
+func printDomains(w io.Writer, statuses []gateway.EntryStatus) {
+	since, confirmed := map[string]int64{}, map[string]int{}
+	for _, p := range statuses {
+		for _, d := range p.Status.Evacuated {
+			if n := confirmed[d.Domain]; n == 0 || d.SinceMs < since[d.Domain] {
+				since[d.Domain] = d.SinceMs
+			}
+			confirmed[d.Domain]++
+		}
+	}
+	for _, domain := range slices.Sorted(maps.Keys(confirmed)) {
+		var missing []string
+		for _, p := range statuses {
+			if !slices.ContainsFunc(p.Status.Evacuated, func(d gateway.EvacuatedDomain) bool { return d.Domain == domain }) {
+				missing = append(missing, p.Host)
+			}
+		}
+		fmt.Fprintf(w, "evacuated: %s, by the last entry %d ms ago, confirmed by %d of %d entries", domain, since[domain], confirmed[domain], len(statuses))
+		if len(missing) > 0 {
+			fmt.Fprintf(w, ", not by %s", strings.Join(missing, ","))
+		}
+		fmt.Fprintln(w)
+	}
+}
+
+// printWarmingUp prints the endpoints that are warming up, for how much longer at most, and how many
+// requests a second the entries may send together.
+func printWarmingUp(w io.Writer, statuses []gateway.EntryStatus) {
+	left, perSecond, entries := map[string]int64{}, map[string]float64{}, map[string]int{}
+	for _, p := range statuses {
+		for _, e := range p.Status.WarmingUp {
+			left[e.Endpoint] = max(left[e.Endpoint], e.LeftMs)
+			perSecond[e.Endpoint] += e.PerSecond
+			if e.PerSecond > 0 {
+				entries[e.Endpoint]++
+			}
+		}
+	}
+	for _, endpoint := range slices.Sorted(maps.Keys(left)) {
+		fmt.Fprintf(w, "warming up: %s for %d ms, %.1f requests a second from %d entries\n", endpoint, left[endpoint], perSecond[endpoint], entries[endpoint])
+	}
+}
+
 // formatSecondAttempts formats the use of the limit of second attempts by service, "-" if there are
 // none.
 func formatSecondAttempts(use map[string]forward.SecondAttemptUse) string {
