--- a/core/forward/warmup.go
+++ b/core/forward/warmup.go
@@ -13,11 +13,11 @@
 const (
 	// usableBound leaves the rest of the bound to requests that are sent later than they were
 	// placed, by up to MaxWarmUpSendDelay.
-	usableBound = 0.8
+	usableBound = 0.9
 
 	// sustainedRatio is by how much all entries together exceed the rate that the endpoint takes: part
 	// of the shares goes unused, as an entry's demand comes in bursts.
-	sustainedRatio = 1.15
+	sustainedRatio = 1.3
 
 	// WarmUpLease is how long a member list entitles an entry to its share after it was proved to be
 	// current. A member that leaves keeps its share for so long, and a new one waits for so long.
@@ -25,10 +25,10 @@
 
 	// MaxWarmUpSendDelay is the longest time from a placement on a warming endpoint until the
 	// request is sent.
-	MaxWarmUpSendDelay = 250 * time.Millisecond
+	MaxWarmUpSendDelay = 100 * time.Millisecond
 
-	rampStep = 250 * time.Millisecond // after the warm-up the bound doubles this often
-	rampTime = time.Second            // and then ends
+	rampStep = 125 * time.Millisecond // after the warm-up the bound doubles this often
+	rampTime = 4 * rampStep           // and then ends
 
 	maxWarmUpStatement = time.Minute // longest time that a statement counts for
 )
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -93,8 +93,8 @@
 		undo = append(undo, func() { delete(s.limitQueues, service) })
 	}
 	for _, st := range maps.Clone(s.endpoints) {
-		limit, share := st.limit, st.connShare
-		undo = append(undo, func() { st.limit, st.connShare = limit, share })
+		limit, share, warmUp := st.limit, st.connShare, st.warmUp
+		undo = append(undo, func() { st.limit, st.connShare, st.warmUp = limit, share, warmUp })
 	}
 	return func() {
 		for _, f := range undo {
@@ -168,9 +168,14 @@
 	switch {
 	case q.tried[c.Endpoint.ID]:
 		return "tried before for this request"
+	case s.evacuations.Active(c.Endpoint.FailureDomain):
+		return "evacuated: the operators evacuate its failure domain"
 	case c.Paused(now):
 		return fmt.Sprintf("paused: it wants no requests from this entry for %d ms", (c.PausedUntil - now).Milliseconds())
 	case c.OverLimit:
+		if st := s.endpointState(c.Endpoint.ID); st.warmUp.Bounded(s.warmUpBounds(q.service), now) {
+			return fmt.Sprintf("warming up for %d ms: this entry's share of its bound is used up, or is for more urgent requests", max(st.warmUp.Until()-now, 0).Milliseconds())
+		}
 		return "over its limit of requests a second"
 	case c.Outdated && now >= c.ExpiresAt:
 		return "older weights than were named, for too long"
--- a/gateway/line.go
+++ b/gateway/line.go
@@ -33,6 +33,12 @@
 	return line
 }
 
+// mustWait reports whether a prompt of the given rank has to wait behind others.
+func (l *lines) mustWait(service string, rank int) bool {
+	line := l.byService[service]
+	return line != nil && line.MustWait(rank)
+}
+
 // grant lets the first prompt of a service try.
 func (l *lines) grant(service string) {
 	if first := l.of(service).First(); first != nil {
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -57,7 +57,7 @@
 	if left < minUsefulBudget {
 		return nil, q.placementError(apierr.NewRetryable(apierr.DeadlineUnmet, apierr.NotRun, overloadRetryAfter, "no time is left", "send the request with a longer deadline"))
 	}
-	if q.linePlace == nil && q.mayWait(now) && s.lines.of(q.service.Name).MustWait(q.rank) {
+	if q.linePlace == nil && q.mayWait(now) && s.lines.mustWait(q.service.Name, q.rank) {
 		return nil, errMustWait
 	}
 	cs, c := q.choose(s, left, now)
@@ -217,7 +217,7 @@
 func (q *request) noRoom(s *state, kind apierr.Kind, excess, now time.Duration, message string) *apierr.Error {
 	s.shedder.Service(q.service.Name).RecordPlacement(true, now)
 	q.recordOutcome(s, forward.Refused, now)
-	s.secondAttempts.RecordShortage(q.service.Name, now)
+	q.recordShortage(s, now)
 	return q.placementError(apierr.NewRetryable(kind, apierr.NotRun, q.returnAfter(s, excess, now), message, "send the request again later"))
 }
 
--- a/gateway/scheduling.go
+++ b/gateway/scheduling.go
@@ -78,8 +78,10 @@
 	}
 	if q.outcome = outcome; outcome.Late() {
 		q.sentPriority = forward.LastRank
-		q.g.latePrompts.Add(lateReasons[outcome], 1)
-		s.secondAttempts.RecordShortage(q.service.Name, now)
+		q.recordShortage(s, now)
+		if q.observer == nil {
+			q.g.latePrompts.Add(lateReasons[outcome], 1)
+		}
 	}
 	q.recordOutcome(s, outcome, now)
 	if !q.takesUp() {
@@ -94,11 +96,19 @@
 // recordOutcome records what became of a prompt for the shares of the customers. The caller holds the
 // state's mutex.
 func (q *request) recordOutcome(s *state, outcome forward.Outcome, now time.Duration) {
-	if q.scheduling.FairShare && q.call.Prompt != nil {
+	if q.scheduling.FairShare && q.call.Prompt != nil && q.observer == nil {
 		s.fairShare(q.service.Name).RecordPrompt(q.customerName(), q.rank, q.call.Prompt.Tokens, outcome, now)
 	}
 }
 
+// recordShortage records that the service is short of room, unless the placement is only asked for. The
+// caller holds the state's mutex.
+func (q *request) recordShortage(s *state, now time.Duration) {
+	if q.observer == nil {
+		s.secondAttempts.RecordShortage(q.service.Name, now)
+	}
+}
+
 // customerName returns the name of the customer, "" if there is none.
 func (q *request) customerName() string {
 	if q.customer == nil {
