--- a/core/forward/warmup.go
+++ b/core/forward/warmup.go
@@ -38,7 +38,7 @@
 type WarmUpBounds struct {
 	PerSecond float64       // requests a second that the endpoint takes while it is warming up
 	Ratio     float64       // it gets at most PerSecond x Ratio + Requests in any one second
-	Requests  float64       //
+	Requests  float64       // see Ratio
 	Length    time.Duration // how long an endpoint warms up after its start
 }
 
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -34,7 +34,7 @@
 	LogWritesPerS     float64 `json:"logWritesPerS"`     // write calls a second that the log accepts from all entries together, 400 if absent
 	MemoryMb          int64   `json:"memoryMb"`          // memory of this host, 0 for no memory limit in the Go runtime
 	WarmUpRatio       float64 `json:"warmUpRatio"`       // a warming endpoint gets at most the rate that it takes x warmUpRatio + warmUpRequests requests in any one second; no bound if both are 0
-	WarmUpRequests    float64 `json:"warmUpRequests"`    //
+	WarmUpRequests    float64 `json:"warmUpRequests"`    // see warmUpRatio
 	SharedMemberLists bool    `json:"sharedMemberLists"` // few entries read the members of a new generation of the group from the log and tell the others
 	OperatorPollMs    int64   `json:"operatorPollMs"`    // how long a read waits at the log for operators' records, 1000 if absent
 	HeldBytesMb       float64 `json:"heldBytesMb"`       // bound on request bodies, buffered responses and unwritten events of all requests together, 0 for none
