Let callers' connections become idle before the test opens more

Cause: TestCallersThatConnectAtOnceCloseAsManyIdleConnections failed once in a run of all tests ("expected 10, actual 11"). A connection becomes idle after its caller has read the response, and the test connected further callers at once. In the failing runs the line idle_connections_surplus says "open 12, idle 1": there was no idle connection to close yet, which the next accept makes up for.

Change: the test waits until all goroutines are blocked before it opens more connections. Its checks and figures are the same.

Conclusion: a fault of the test, not of the product.

--- a/callerconn/descriptors_test.go
+++ b/callerconn/descriptors_test.go
@@ -160,6 +160,7 @@
 		for range limit {
 			require.Equal(t, http.StatusNoContent, l.dial().get("/"))
 		}
+		synctest.Wait() // a connection becomes idle after its caller has read the response
 		for range more {
 			l.dial()
 		}
