Take no connection that failed for one that its peer has closed

Linux reports a failure of a connection to the first system call after it only. The upload is written by another goroutine; if its write is told of the reset, the read after it returns io.EOF, which is the end of an answer without a length. The same holds for time-outs, and for net/http's transport, which the agents' path and all control calls use.

Change: package stricthttp. Connections that its Dialer makes return io.EOF only if the peer has closed them for writing, as the kernel's state of the connection says, or if no write has met another error than a broken pipe. The entry's connections to endpoints and the HTTP clients of services, engines, cache stores, the log, the host list and control calls use it.

--- /dev/null
+++ b/agent/brokenanswers_test.go
@@ -0,0 +1,43 @@
+package agent
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaweir/galenaweir/core/config"
+	"github.com/galenaweir/galenaweir/rpc"
+)
+
+// answerRaw runs a server that answers each request with handle, without having read its body.
+func answerRaw(t *testing.T, handle func(c *net.TCPConn)) (address string) {
+	t.Helper()
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		handle(c.(*net.TCPConn))
+	}))
+	t.Cleanup(srv.Close)
+	return srv.Listener.Addr().String()
+}
+
+// Guards against a part of a service's answer that is passed on, and recorded, as the whole one: the
+// answer has no length, and its connection was reset while the request was still being written.
+func TestPartOfAServiceAnswerIsAFailure(t *testing.T) {
+	address := answerRaw(t, func(c *net.TCPConn) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+		_ = c.SetLinger(0)
+	})
+	upload := make([]byte, 16<<20) // more than the buffers of a connection take
+	for range 200 {
+		resp, err := newServiceCalls().roundTrip(t.Context(), config.Endpoint{Address: address}, &rpc.CallRequest{Method: "POST", Path: "/", Body: upload})
+		require.Error(t, err, "%+v", resp)
+	}
+}
--- a/agent/call.go
+++ b/agent/call.go
@@ -20,6 +20,7 @@
 	"github.com/galenaweir/galenaweir/core/claims"
 	"github.com/galenaweir/galenaweir/core/config"
 	"github.com/galenaweir/galenaweir/rpc"
+	"github.com/galenaweir/galenaweir/stricthttp"
 )
 
 // Limits of service calls.
@@ -41,7 +42,7 @@
 // incarnation of the agent.
 type serviceCalls struct {
 	incarnation string
-	transport   *http.Transport
+	transport   *stricthttp.Transport
 
 	mu   sync.Mutex
 	held map[string]bool // IDs of attempts whose outcome or release is not recorded yet
@@ -63,7 +64,7 @@
 	}
 	return &serviceCalls{
 		incarnation: uuid.NewString(), held: map[string]bool{}, dispatched: dispatched,
-		transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxServiceHeadBytes},
+		transport: stricthttp.NewTransport(&http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxServiceHeadBytes}),
 	}
 }
 
--- a/gateway/dial.go
+++ b/gateway/dial.go
@@ -1,13 +1,14 @@
 package gateway
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/galenaweir/galenaweir/stricthttp"
 )
 
 // Timeouts of outgoing connections. Round trips take a few milliseconds; a lost SYN is
@@ -27,7 +28,7 @@
 
 // dialer detects dead peers with TCP keep-alive and TCP_USER_TIMEOUT: a network path may
 // drop a connection without a reset.
-var dialer = net.Dialer{
+var dialer = stricthttp.Dialer{Dialer: net.Dialer{
 	Timeout:         dialTimeout,
 	KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 	Control: func(_, _ string, c syscall.RawConn) error {
@@ -40,7 +41,7 @@
 		}
 		return err
 	},
-}
+}}
 
 // NewControlClient returns an HTTP client for control calls, that is, calls other than
 // forwarded requests. It sets no overall timeout: each call needs a context with a deadline.
@@ -57,14 +58,12 @@
 	return &http.Client{Transport: t}
 }
 
-func newControlTransport() *http.Transport {
-	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, network, address)
-		},
+func newControlTransport() *stricthttp.Transport {
+	return stricthttp.NewTransport(&http.Transport{
+		DialContext:            dialer.DialContext,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxControlHeadBytes,
 		IdleConnTimeout:        controlIdleTimeout,
 		MaxIdleConnsPerHost:    2,
-	}
+	})
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -87,6 +87,12 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
+	return serveRawOn(t, l, handle)
+}
+
+// serveRawOn is like serveRaw, with a listener of the caller's.
+func serveRawOn(t *testing.T, l net.Listener, handle func(r *http.Request, c net.Conn) bool) *testEndpoint {
+	t.Helper()
 	t.Cleanup(func() { l.Close() })
 	e := &testEndpoint{address: l.Addr().String()}
 	go func() {
--- a/hostlist/hostlist.go
+++ b/hostlist/hostlist.go
@@ -9,6 +9,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/galenaweir/galenaweir/stricthttp"
 )
 
 // Host is one entry of the list.
@@ -41,7 +43,7 @@
 
 // New returns a client of the host list service at address, an IP number and port.
 func New(address string, timeout time.Duration) *Client {
-	return &Client{url: "http://" + address + "/v1/hosts", http: &http.Client{Timeout: timeout, Transport: &http.Transport{MaxResponseHeaderBytes: maxHeadBytes}}}
+	return &Client{url: "http://" + address + "/v1/hosts", http: &http.Client{Timeout: timeout, Transport: stricthttp.NewTransport(&http.Transport{MaxResponseHeaderBytes: maxHeadBytes})}}
 }
 
 // Hosts returns the current host list of the platform.
--- a/logsvc/logsvc.go
+++ b/logsvc/logsvc.go
@@ -12,6 +12,8 @@
 	"net/http"
 	"net/url"
 	"time"
+
+	"github.com/galenaweir/galenaweir/stricthttp"
 )
 
 // Record is one entry of a stream.
@@ -76,7 +78,7 @@
 // New returns a client of the log service at address, an IP number and port. timeout
 // limits each call; for a read, its wait is added.
 func New(address string, timeout time.Duration) *Client {
-	t := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes}
+	t := stricthttp.NewTransport(&http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes})
 	return &Client{base: "http://" + address, timeout: timeout, http: &http.Client{Transport: t}}
 }
 
--- a/protocol/streaming/streaming.go
+++ b/protocol/streaming/streaming.go
@@ -22,6 +22,7 @@
 	"github.com/galenaweir/galenaweir/core/kernel"
 	"github.com/galenaweir/galenaweir/core/prefix"
 	"github.com/galenaweir/galenaweir/protocol"
+	"github.com/galenaweir/galenaweir/stricthttp"
 )
 
 // ID is the plug-in's ID.
@@ -42,9 +43,9 @@
 
 // New returns a client with its own connection pool.
 func New() *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{
+	return &Client{http: &http.Client{Transport: stricthttp.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeadBytes,
-	}}}
+	})}}
 }
 
 // CloseIdle closes the idle connections. Later calls open new ones.
--- a/storeclient/storeclient.go
+++ b/storeclient/storeclient.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/galenaweir/galenaweir/core/prefix"
+	"github.com/galenaweir/galenaweir/stricthttp"
 )
 
 // Errors of the store operations.
@@ -74,7 +75,7 @@
 
 // New returns a client with the options.
 func New(o Options) *Client {
-	return &Client{opts: o, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeadBytes}}}
+	return &Client{opts: o, http: &http.Client{Transport: stricthttp.NewTransport(&http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeadBytes})}}
 }
 
 // Get returns the committed block of the key. After the read it verifies that the slot
