Reject statuses that don't exist, and interim answers with a body

Callers waited until their deadline; where the body, or that of a 101, held the text of an answer with the request's ID, they got that. http.ReadResponse accepts any three characters that are a number of 0 or more, and each status below 200 counted as interim. The agents' path took such a status for a service's answer and recorded it; the entry's handler then panicked.

A recorded answer of this kind is not repeated.

Conclusion: the check stands where heads are read, so nothing after a broken one is read.

--- a/agent/brokenanswers_test.go
+++ b/agent/brokenanswers_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/galenaweir/galenaweir/core/apierr"
 	"github.com/galenaweir/galenaweir/core/config"
 	"github.com/galenaweir/galenaweir/rpc"
 )
@@ -41,3 +42,27 @@
 		require.Error(t, err, "%+v", resp)
 	}
 }
+
+// Guards against a broken head that an outside system has sent and that is taken for an answer, or
+// whose body is searched for one.
+func TestBrokenHeadsAreFailures(t *testing.T) {
+	const inner = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+	for _, head := range []string{
+		"000 Broken\r\nContent-Length: 40", "099 Broken", "+20 Broken", "101 Switching Protocols", "103 Early Hints\r\nContent-Length: 40",
+	} {
+		address := answerRaw(t, func(c *net.TCPConn) { _, _ = io.WriteString(c, "HTTP/1.1 "+head+"\r\n\r\n"+inner) })
+		for name, call := range outsideCalls(t, address) {
+			require.Error(t, call(), "%s: %s", name, head)
+		}
+	}
+}
+
+// Guards against a recorded answer that an entry can't pass on, as its status doesn't exist.
+func TestRecordedBrokenAnswerIsNotRepeated(t *testing.T) {
+	for _, status := range []uint32{0, 99, 101} {
+		_, err := replay(&rpc.Outcome{Status: status, BodyKept: true})
+		require.True(t, apierr.Is(err, apierr.AnswerNotKept), status)
+	}
+	_, err := replay(&rpc.Outcome{Status: 404, BodyKept: true})
+	require.NoError(t, err)
+}
--- a/agent/claimedcall.go
+++ b/agent/claimedcall.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/google/uuid"
@@ -272,16 +273,17 @@
 	return state.Held && state.Incarnation == holder.ExecutorIncarnation
 }
 
-// replay returns the recorded answer of an earlier run.
+// replay returns the recorded answer of an earlier run. Earlier builds also recorded broken answers,
+// whose status doesn't exist.
 func replay(o *rpc.Outcome) (*rpc.CallReply, error) {
-	if !o.GetBodyKept() {
+	if !o.GetBodyKept() || o.Status < http.StatusOK {
 		return nil, answerNotKeptError()
 	}
 	return &rpc.CallReply{Status: o.Status, Body: o.Body, ContentType: o.ContentType, ResourceVersion: o.ResourceVersion, Replayed: true}, nil
 }
 
 func answerNotKeptError() error {
-	return apierr.New(apierr.AnswerNotKept, apierr.DidRun, "the request ran, but its answer was too large to keep", "read the result from the service")
+	return apierr.New(apierr.AnswerNotKept, apierr.DidRun, "the request ran, but its answer was too large to keep, or broken", "read the result from the service")
 }
 
 func keyReusedError(s *rpc.ClaimState) error {
--- a/agent/endless_test.go
+++ b/agent/endless_test.go
@@ -23,8 +23,14 @@
 		w.Header().Set("Long", strings.Repeat("a", 1<<20))
 	}))
 	defer srv.Close()
-	address := srv.Listener.Addr().String()
-	for name, call := range map[string]func() error{
+	for name, call := range outsideCalls(t, srv.Listener.Addr().String()) {
+		require.ErrorContains(t, call(), "headers exceeded", name)
+	}
+}
+
+// outsideCalls returns a call to each outside system, all at the same address.
+func outsideCalls(t *testing.T, address string) map[string]func() error {
+	return map[string]func() error{
 		"engine": func() error { _, err := streaming.New().LoadReport(t.Context(), address); return err },
 		"store": func() error {
 			_, err := storeclient.New(storeclient.DefaultOptions()).Usage(t.Context(), address)
@@ -36,7 +42,5 @@
 			_, err := newServiceCalls().roundTrip(t.Context(), config.Endpoint{Address: address}, &rpc.CallRequest{Method: "GET", Path: "/"})
 			return err
 		},
-	} {
-		require.ErrorContains(t, call(), "headers exceeded", name)
 	}
 }
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/galenaweir/galenaweir/stricthttp"
 )
 
 // Limits on idle connections to endpoints.
@@ -89,11 +91,16 @@
 	return n, err
 }
 
-// readResponse reads the head of a response. net/http puts no bound on the length of a head.
+// readResponse reads the head of a response, and returns an error for one that is broken. net/http
+// puts no bound on the length of a head.
 func (c *endpointConn) readResponse(method string) (*http.Response, error) {
 	c.inHead, c.headLimit = true, maxResponseHeadBytes
 	defer func() { c.inHead = false }()
-	return http.ReadResponse(c.br, &http.Request{Method: method})
+	resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
+	if err != nil {
+		return nil, err
+	}
+	return resp, stricthttp.CheckHead(resp)
 }
 
 // acquire reserves one of the limit connections and returns an idle connection, or nil
