Reject heads with a field name that is none

Cause: net/http accepts blanks in the names of header fields and takes "Content-Length : 5" for another field than the length. Names with control bytes were rejected already.

Result: before, TestHeadWithANameThatIsNoneIsRejected fails for each of the four lines with a blank (status 200 with the text of another answer as the body, 504 if the endpoint leaves the connection open) and passes for the other eight; TestBrokenHeadsAreFailures fails for the service, the engine, the store, the log and the host list. Both pass now.

Conclusion: no two readers of an answer's head can see different lengths by such a line.

--- a/agent/brokenanswers_test.go
+++ b/agent/brokenanswers_test.go
@@ -49,6 +49,7 @@
 	const inner = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 	for _, head := range []string{
 		"000 Broken\r\nContent-Length: 40", "099 Broken", "+20 Broken", "101 Switching Protocols", "103 Early Hints\r\nContent-Length: 40",
+		"200 OK\r\nX-Foo : 1\r\nContent-Length: 2\r\n\r\n{}", "200 OK\r\nTransfer-Encoding : chunked\r\nContent-Length: 2\r\n\r\n{}", "103 Early Hints\r\nX Foo: 1",
 	} {
 		address := answerRaw(t, func(c *net.TCPConn) { _, _ = io.WriteString(c, "HTTP/1.1 "+head+"\r\n\r\n"+inner) })
 		for name, call := range outsideCalls(t, address) {
--- a/gateway/brokenheads_test.go
+++ b/gateway/brokenheads_test.go
@@ -11,15 +11,18 @@
 	"github.com/stretchr/testify/require"
 )
 
-// brokenHead returns an endpoint that sends the head with the ID and the receipt of an answer, then a body that
-// holds another answer to the same request, and leaves the connection open. It sends on the channel
-// when the entry has closed the connection.
-func brokenHead(t *testing.T, head string) (*testEndpoint, <-chan struct{}) {
+// brokenHead returns an endpoint that sends the head with the ID and the receipt of an answer, then a
+// body that holds another answer to the same request. It closes the connection for writing if ends is
+// set, and sends on the channel when the entry has closed it.
+func brokenHead(t *testing.T, head string, ends bool) (*testEndpoint, <-chan struct{}) {
 	closed := make(chan struct{}, 1)
 	return serveRaw(t, func(r *http.Request, c net.Conn) bool {
 		_, _ = io.Copy(io.Discard, r.Body)
 		id := "Test-Id: " + r.Header.Get("Test-Id") + "\r\nTest-Seal: s\r\n"
 		_, _ = io.WriteString(c, head+id+"\r\n"+okResponse(r, "inner"))
+		if ends {
+			_ = c.(*net.TCPConn).CloseWrite()
+		}
 		_, _ = io.Copy(io.Discard, c)
 		closed <- struct{}{}
 		return false
@@ -28,10 +31,10 @@
 
 // requireRejected requires that an answer with the head reaches no caller, that nothing in its body is
 // taken for an answer, and that the request isn't waited for.
-func requireRejected(t *testing.T, head string) {
+func requireRejected(t *testing.T, head string, ends bool) {
 	t.Helper()
 	for _, path := range []string{"/safe/x", "/unsafe/x", "/stream/x"} {
-		e, closed := brokenHead(t, head)
+		e, closed := brokenHead(t, head, ends)
 		f := newFixture(t, e)
 		status, body, err := f.do(t, f.request(t, "POST", path, "pay"))
 		require.NoError(t, err, path)
@@ -43,7 +46,7 @@
 			require.Fail(t, "the connection stays open")
 		}
 	}
-	e, _ := brokenHead(t, head)
+	e, _ := brokenHead(t, head, ends)
 	f := newFixture(t, e, serveRaw(t, respondOK("from the other")))
 	status, body, err := f.do(t, f.request(t, "GET", "/safe/x", ""))
 	require.NoError(t, err)
@@ -55,14 +58,14 @@
 // taken for that of an interim answer: the request is waited for, or gets an answer out of the body.
 func TestStatusThatIsNoneIsRejectedAtOnce(t *testing.T) {
 	for _, status := range []string{"000 Broken", "000", "099 Broken", "+20 Broken", "-00 Broken", "101 Switching Protocols"} {
-		t.Run(status, func(t *testing.T) { t.Parallel(); requireRejected(t, "HTTP/1.1 "+status+"\r\n") })
+		t.Run(status, func(t *testing.T) { t.Parallel(); requireRejected(t, "HTTP/1.1 "+status+"\r\n", false) })
 	}
 }
 
 // Guards against an answer that stands in the body of an interim answer and is taken for the endpoint's.
 func TestInterimAnswerWithABodyIsRejectedAtOnce(t *testing.T) {
 	for _, head := range []string{"Content-Length: 90\r\n", "Transfer-Encoding: chunked\r\n"} {
-		requireRejected(t, "HTTP/1.1 103 Early Hints\r\n"+head)
+		requireRejected(t, "HTTP/1.1 103 Early Hints\r\n"+head, false)
 	}
 }
 
@@ -85,3 +88,18 @@
 		require.Len(t, f.pool.idle, 1, "the connection is used again")
 	}
 }
+
+// Guards against a line whose name is none and that is passed on, left out, or hides where the body
+// ends: readers that trim the name take it for another one.
+func TestHeadWithANameThatIsNoneIsRejected(t *testing.T) {
+	for _, line := range []string{
+		"Content-Length : 5", "Transfer-Encoding : chunked", "X Foo: 1", "X-Foo : 1", "X-Foo\t: 1", "X-\x01Foo: 1", "X-Foo\x7f: 1", "X-F\u00f6o: 1", "X-Foo\u00a0: 1", "X[Foo]: 1", ": 1", "no colon",
+	} {
+		t.Run(line, func(t *testing.T) {
+			t.Parallel()
+			requireRejected(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n", true)
+			requireRejected(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n", false)
+			requireRejected(t, "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n", false)
+		})
+	}
+}
--- a/stricthttp/head.go
+++ b/stricthttp/head.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 var (
@@ -29,6 +31,11 @@
 	case isInterim(status) && h.Get("Content-Length") != "" && h.Get("Content-Length") != "0":
 		return errInterimWithBody
 	}
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) { // net/http accepts blanks
+			return fmt.Errorf("the response has a header with the name %.40q, which is none", name)
+		}
+	}
 	return nil
 }
 
