Don't use a connection again whose endpoint hasn't taken the request

Cause: an endpoint answered an upload with a length before it had read it, and reset the connection 20 ms later.

Change: a connection is kept only if the endpoint's host has acknowledged all that was written on it.

Conclusion: an endpoint that has read the request before it answers is not concerned.

--- a/gateway/earlyanswers_test.go
+++ b/gateway/earlyanswers_test.go
@@ -131,3 +131,16 @@
 		})
 	}
 }
+
+// Guards against a connection that is used again although its endpoint hasn't taken all of the last
+// upload: it is about to reset the connection, and the next request would be lost with it.
+func TestConnectionWithAnUntakenUploadIsNotUsedAgain(t *testing.T) {
+	upload := strings.Repeat("u", 100<<10) // more than the endpoint takes, less than this host buffers
+	f := newFixture(t, serveEarly(t, earlyAnswer{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n", "whole", resetAt(20 * time.Millisecond)}))
+	for i := range 20 {
+		status, body, err := f.callRaw(t, "1.1", "/unsafe/x", upload)
+		require.NoError(t, err)
+		require.Equal(t, 200, status, "request %d: %s", i, body)
+		require.Equal(t, "whole", body)
+	}
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -236,14 +236,15 @@
 // close returns the connection to the pool if the request and the response are complete.
 // Otherwise it closes the connection, which cancels the request at the endpoint. A connection on
 // which a response stated no ID is not used again: a late second copy of the response would pass
-// for that of the next request.
+// for that of the next request. Nor is one whose endpoint hasn't taken the whole request: one that
+// answers without reading that is likely to reset the connection, and the next request with it.
 func (r *response) close() {
 	alive := r.stopCancel()
 	keep := false
 	if alive && r.bodyComplete && r.identified && r.httpResp != nil && !r.httpResp.Close {
 		select {
 		case err := <-r.writeResult:
-			keep = err == nil
+			keep = err == nil && r.conn.hasSentAll()
 		default: // the request is still being written
 		}
 		r.conn.idleTimeout = keepAliveTimeout(r.httpResp.Header.Get("Keep-Alive"))
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -195,6 +195,21 @@
 	return err == nil && open
 }
 
+// hasSentAll reports whether the endpoint's host has acknowledged all that was written.
+func (c *endpointConn) hasSentAll() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unsent, ioctlErr := 0, error(nil)
+	err = raw.Control(func(fd uintptr) { unsent, ioctlErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return err == nil && ioctlErr == nil && unsent == 0
+}
+
 // keepAliveTimeout returns how long a connection may stay idle and still be reused, from the
 // value of the endpoint's Keep-Alive header.
 func keepAliveTimeout(value string) time.Duration {
