Reject heads that net/http changes before they are checked

Cause: net/http joins a line that begins with a blank to the one before it, and drops the Transfer-Encoding of an HTTP/1.0 answer.

Change: stricthttp.HeadLines looks at the lines of a head while the entry reads it, and both are rejected.

Result: before, TestHeadWithTwoReadingsIsRejected fails for each of its six heads (status 200 with the text of another answer); it passes now. TestBodiesAreNotReadAsHeads holds that bodies with such lines, and sound answers of HTTP/1.0, are delivered, before and now.

Conclusion: RFC 9112 lets a gateway reject folded lines (5.2), and asks to treat the framing of the other kind as faulty (6.1).

--- a/gateway/brokenheads_test.go
+++ b/gateway/brokenheads_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -103,3 +104,37 @@
 		})
 	}
 }
+
+// Guards against a head whose lines others read differently, so that they see another length or other
+// values: a line that begins with a blank is joined to the one before it, and chunks in an answer of
+// HTTP/1.0 are passed on with their sizes.
+func TestHeadWithTwoReadingsIsRejected(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nX-Foo: 1\r\n Content-Length: 5\r\n", "HTTP/1.1 200 OK\r\nX-Foo: 1\r\n\tTransfer-Encoding: chunked\r\n", "HTTP/1.1 200 OK\nX-Foo: 1\n \n",
+		"HTTP/1.1 103 Early Hints\r\nX-Foo: 1\r\n Bar: 2\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n", "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\nContent-Length: 5\r\n",
+	} {
+		t.Run(head, func(t *testing.T) { t.Parallel(); requireRejected(t, head, true) })
+	}
+}
+
+// Guards against sound answers of HTTP/1.0, and bodies that look like broken heads, that are rejected.
+func TestBodiesAreNotReadAsHeads(t *testing.T) {
+	const body = "a\n b\r\n\tc\r\nTransfer-Encoding: chunked\r\n"
+	for _, version := range []string{"1.0", "1.1"} {
+		for _, length := range []string{"", "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"} {
+			e := serveRaw(t, func(r *http.Request, c net.Conn) bool {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\nHTTP/"+version+" 200 OK\r\nTest-Id: "+r.Header.Get("Test-Id")+"\r\nTest-Seal: s\r\n"+length+"\r\n"+body)
+				return false
+			})
+			f := newFixture(t, e)
+			for range 3 {
+				status, got, err := f.do(t, f.request(t, "POST", "/unsafe/x", "pay"))
+				require.NoError(t, err)
+				require.Equal(t, 200, status, got)
+				require.Equal(t, body, got)
+			}
+		}
+	}
+}
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -29,9 +29,10 @@
 type endpointConn struct {
 	net.Conn
 	br          *bufio.Reader
-	headLimit   int           // bytes that may still be read, while a head is read
-	inHead      bool          // a head is read
-	idleSince   time.Duration // clock time at which it became idle
+	headLimit   int                  // bytes that may still be read, while a head is read
+	inHead      bool                 // a head is read
+	headLines   stricthttp.HeadLines // of the head that is read
+	idleSince   time.Duration        // clock time at which it became idle
 	idleTimeout time.Duration
 	reused      bool
 	openedAt    time.Duration // clock time at which connecting began
@@ -88,19 +89,25 @@
 	}
 	n, err := r.c.Conn.Read(p[:min(len(p), r.c.headLimit)])
 	r.c.headLimit -= n
+	r.c.headLines.Scan(p[:n])
 	return n, err
 }
 
 // readResponse reads the head of a response, and returns an error for one that is broken. net/http
 // puts no bound on the length of a head.
 func (c *endpointConn) readResponse(method string) (*http.Response, error) {
-	c.inHead, c.headLimit = true, maxResponseHeadBytes
+	buffered, _ := c.br.Peek(c.br.Buffered()) // doesn't read, so it can't fail
+	c.inHead, c.headLimit, c.headLines = true, maxResponseHeadBytes, stricthttp.HeadLines{}
+	c.headLines.Scan(buffered)
 	defer func() { c.inHead = false }()
 	resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
 	if err != nil {
 		return nil, err
 	}
-	return resp, stricthttp.CheckHead(resp)
+	if err := stricthttp.CheckHead(resp); err != nil {
+		return nil, err
+	}
+	return resp, c.headLines.Check(resp)
 }
 
 // acquire reserves one of the limit connections and returns an idle connection, or nil
