--- a/stricthttp/conn.go
+++ b/stricthttp/conn.go
@@ -49,6 +49,9 @@
 	return &conn{Conn: nc}
 }
 
+// NetConn returns the connection itself.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // SyscallConn implements syscall.Conn.
 func (c *conn) SyscallConn() (syscall.RawConn, error) { return c.Conn.(syscall.Conn).SyscallConn() }
 
