Share the look at a connection's socket

Cause: isReusable and hasSentAll got at the socket by the same lines.

Change: checkSocket; isReusable uses Control in place of Read, which also waits for the read lock and looks at the deadline. An idle connection has no reader and no deadline.

Conclusion: no change of behaviour.

--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -184,26 +184,23 @@
 // isReusable reports whether an idle connection is open and has no unread bytes: bytes that
 // arrive without a request belong to no response.
 func isReusable(c *endpointConn) bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
+	return c.checkSocket(func(fd int) bool {
 		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open = errors.Is(err, unix.EAGAIN)
-		return true
+		_, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		return errors.Is(err, unix.EAGAIN)
 	})
-	return err == nil && open
 }
 
 // hasSentAll reports whether the endpoint's host has acknowledged all that was written.
 func (c *endpointConn) hasSentAll() bool {
+	return c.checkSocket(func(fd int) bool {
+		unacknowledged, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+		return err == nil && unacknowledged == 0
+	})
+}
+
+// checkSocket returns the result of a check of the connection's socket, true if it is none.
+func (c *endpointConn) checkSocket(check func(fd int) bool) bool {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
@@ -212,9 +209,9 @@
 	if err != nil {
 		return false
 	}
-	unsent, ioctlErr := 0, error(nil)
-	err = raw.Control(func(fd uintptr) { unsent, ioctlErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
-	return err == nil && ioctlErr == nil && unsent == 0
+	passed := false
+	err = raw.Control(func(fd uintptr) { passed = check(int(fd)) })
+	return err == nil && passed
 }
 
 // keepAliveTimeout returns how long a connection may stay idle and still be reused, from the
