--- a/stricthttp/lines.go
+++ b/stricthttp/lines.go
@@ -16,12 +16,12 @@
 // HeadLines looks at the lines of a head for what net/http changes before its users see the head: it
 // joins folded lines, and drops the Transfer-Encoding of HTTP/1.0. Others may read another length.
 type HeadLines struct {
-	start        [len(transferEncoding)]byte // of the current line
-	startBytes   int
-	lines        int  // that have ended
-	ended        bool // the rest is the body
-	folded       bool
-	hasEncodings bool
+	start       [len(transferEncoding)]byte // of the current line
+	startBytes  int
+	lines       int  // that have ended
+	ended       bool // the rest is the body
+	folded      bool
+	hasEncoding bool
 }
 
 // Scan takes the next bytes of the head, and of what follows it.
@@ -45,7 +45,7 @@
 	l.lines++
 	l.ended = start == "" || start == "\r"
 	l.folded = l.folded || l.lines > 1 && (strings.HasPrefix(start, " ") || strings.HasPrefix(start, "\t"))
-	l.hasEncodings = l.hasEncodings || strings.EqualFold(start, transferEncoding)
+	l.hasEncoding = l.hasEncoding || strings.EqualFold(start, transferEncoding)
 }
 
 // Check returns an error if another reader may take the response for another one.
@@ -53,7 +53,7 @@
 	switch {
 	case l.folded:
 		return errFolded
-	case l.hasEncodings && !resp.ProtoAtLeast(1, 1):
+	case l.hasEncoding && !resp.ProtoAtLeast(1, 1):
 		return errEncodingUnknown
 	}
 	return nil
