Test that a cut continuation of a stream doesn't look complete

Cause: the tests of early answers that are reset had no stream that is taken up; the soak's calls that take streams up have no uploads.

Change: a stream breaks off after an event, and the endpoint that it goes on at sends the next event before it reads the upload, then resets the connection.

--- a/gateway/earlyanswers_test.go
+++ b/gateway/earlyanswers_test.go
@@ -141,3 +141,26 @@
 		require.Equal(t, "whole", body)
 	}
 }
+
+// Guards against a stream that is taken up and looks complete, although the connection that it goes on
+// with was reset while the request was still being written.
+func TestCutContinuationDoesNotLookComplete(t *testing.T) {
+	upload := strings.Repeat("u", 1<<20)
+	next := func(r *http.Request, c net.Conn) bool {
+		head := "HTTP/1.1 200 OK\r\nTest-Id: " + r.Header.Get("Test-Id") + "\r\nTest-Seal: s\r\n"
+		if r.Header.Get("Test-Last") == "" {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(c, head+"Content-Length: 1000\r\n\r\n"+sseEvent(1)) // breaks off
+			return false
+		}
+		_, _ = io.WriteString(c, head+"\r\n"+sseEvent(2))
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
+	}
+	for range 10 {
+		f := newFixture(t, serveRaw(t, next), serveRaw(t, next))
+		status, body, err := f.callRaw(t, "1.1", "/resumable/x", upload)
+		require.Equal(t, 200, status)
+		require.Error(t, err, "the stream looks complete: %q", body)
+	}
+}
