List the chunks of an HTTP/1.0 answer on the agents' path

Result: TestChunksOfAnOldVersionAreRejected fails: status 200, body "5\r\nwhole\r\n0\r\n\r\n".

Conclusion: open.

--- a/agent/brokenanswers_test.go
+++ b/agent/brokenanswers_test.go
@@ -67,3 +67,12 @@
 	_, err := replay(&rpc.Outcome{Status: 404, BodyKept: true})
 	require.NoError(t, err)
 }
+
+// Guards against the sizes of chunks in an answer of HTTP/1.0 that stand in its body.
+func TestChunksOfAnOldVersionAreRejected(t *testing.T) {
+	address := answerRaw(t, func(c *net.TCPConn) {
+		_, _ = io.WriteString(c, "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")
+	})
+	resp, err := newServiceCalls().roundTrip(t.Context(), config.Endpoint{Address: address}, &rpc.CallRequest{Method: "GET", Path: "/"})
+	require.Error(t, err, "%+v", resp)
+}
